Lay out the workspace: schema, generated types, error table, frames

The parts that every other part meets at come first: messages, settings and log records in a schema with generated Rust types, one closed list of error kinds with its table of answers, the trait to the platform's log, and postcard frames with a version byte.

Ruled out: optional fields in frames. The generator gives them `skip_serializing_if`, which postcard cannot read back, so all fields of a frame are required, and a nullable one becomes a plain `Option`. For the same reason defaults of required fields are dropped before types are generated; the settings reader fills them in.

Nothing runs as a process yet.

--- /dev/null
+++ b/codegen/src/main.rs
@@ -0,0 +1,170 @@
+//! Generates the Rust types of the schema; run by `scripts/generate`.
+
+use std::{
+    env,
+    error::Error,
+    fs, //
+};
+
+use schemars::schema::{
+    InstanceType,
+    RootSchema,
+    SchemaObject, //
+};
+use serde_json::{
+    json,
+    Map,
+    Value, //
+};
+use typify::{
+    TypeSpace,
+    TypeSpaceImpl,
+    TypeSpaceSettings, //
+};
+
+/// Schema formats and the type alias each stands for.
+const FORMATS: [(&str, &str); 17] = [
+    ("account-id", "crate::ids::AccountId"),
+    ("attempt-id", "crate::ids::AttemptId"),
+    ("boot-id", "crate::ids::BootId"),
+    ("config-hash", "crate::ids::ConfigHash"),
+    ("domain-id", "crate::ids::DomainId"),
+    ("endpoint-id", "crate::ids::EndpointId"),
+    ("host-id", "crate::ids::HostId"),
+    ("http-url", "::std::boxed::Box<str>"),
+    ("lease-id", "crate::ids::LeaseId"),
+    ("pool-id", "crate::ids::PoolId"),
+    ("region-id", "crate::ids::RegionId"),
+    ("request-id", "crate::ids::RequestId"),
+    ("request-key", "crate::ids::RequestKey"),
+    ("socket-address", "::std::net::SocketAddr"),
+    ("template-id", "crate::ids::TemplateId"),
+    ("text-hash", "crate::ids::TextHash"),
+    ("", "::std::boxed::Box<str>"),
+];
+
+/// Schema keywords that the settings reader checks and the types need not carry.
+const CHECKED_ELSEWHERE: [&str; 3] = ["minLength", "maxLength", "minItems"];
+
+fn main() -> Result<(), Box<dyn Error>> {
+    let arguments: Vec<String> = env::args().skip(1).collect();
+    let [schemas, output] = arguments.as_slice() else {
+        return Err("usage: codegen SCHEMA_FOLDER OUTPUT_FILE".into());
+    };
+    let root: RootSchema = serde_json::from_value(merged(schemas)?)?;
+    let mut space = TypeSpace::new(&settings());
+    space.add_root_schema(root)?;
+    let file = syn::parse2(space.to_stream())?;
+    let text = without_schemas(&prettyplease::unparse(&file));
+    fs::write(output, format!("{HEADER}{text}"))?;
+    Ok(())
+}
+
+/// First lines of the generated file.
+const HEADER: &str =
+    "//! Messages and settings, generated from `schema/` by `scripts/generate`; not edited by hand.
+
+#![expect(
+    missing_docs,
+    reason = \"the generator documents types, not conversions\"
+)]
+#![expect(
+    clippy::clone_on_copy,
+    clippy::derivable_impls,
+    reason = \"the generator treats every type alike\"
+)]
+
+";
+
+/// The code less the copies of the schema that the generator puts into doc comments.
+fn without_schemas(code: &str) -> String {
+    let mut inside = false;
+    let mut kept = String::new();
+    for line in code.lines() {
+        let comment = line.trim_start();
+        inside |= comment.starts_with("/// <details>");
+        if !inside {
+            kept.push_str(line);
+            kept.push('\n');
+        }
+        inside &= !comment.starts_with("/// </details>");
+    }
+    kept.replace("///\n#[", "#[")
+}
+
+/// All definitions of the folder's schemas in one.
+fn merged(folder: &str) -> Result<Value, Box<dyn Error>> {
+    let mut paths: Vec<_> = fs::read_dir(folder)?
+        .filter_map(|entry| Some(entry.ok()?.path()))
+        .filter(|path| path.extension().is_some_and(|ending| ending == "json"))
+        .collect();
+    paths.sort();
+    let mut definitions = Map::new();
+    for path in paths {
+        let mut schema: Value = serde_json::from_str(&fs::read_to_string(path)?)?;
+        let Some(Value::Object(part)) = schema.get_mut("definitions").map(Value::take) else {
+            continue;
+        };
+        definitions.extend(part);
+    }
+    let mut root = json!({
+        "$schema": "http://json-schema.org/draft-07/schema#",
+        "definitions": definitions,
+    });
+    strip(&mut root);
+    Ok(root)
+}
+
+/// Drops what the types need not carry: keywords that would turn each text into a type of its
+/// own, and defaults of required fields, which the settings reader fills in.
+fn strip(value: &mut Value) {
+    match value {
+        Value::Object(map) => {
+            strip_defaults(map);
+            let is_text = map.get("type").is_some_and(|kind| kind != "object");
+            if is_text {
+                for keyword in CHECKED_ELSEWHERE {
+                    map.remove(keyword);
+                }
+                let described = map.contains_key("enum");
+                if !described && map.get("type") != Some(&json!("array")) {
+                    map.remove("minimum");
+                    map.remove("maximum");
+                }
+            }
+            map.values_mut().for_each(strip);
+        }
+        Value::Array(items) => items.iter_mut().for_each(strip),
+        _ => {}
+    }
+}
+
+/// Drops the defaults of an object's required fields.
+fn strip_defaults(map: &mut Map<String, Value>) {
+    let Some(Value::Array(required)) = map.get("required").cloned() else {
+        return;
+    };
+    let Some(Value::Object(properties)) = map.get_mut("properties") else {
+        return;
+    };
+    for name in required.iter().filter_map(Value::as_str) {
+        if let Some(Value::Object(property)) = properties.get_mut(name) {
+            property.remove("default");
+        }
+    }
+}
+
+/// How texts and ids are typed.
+fn settings() -> TypeSpaceSettings {
+    let mut settings = TypeSpaceSettings::default();
+    settings.with_derive("PartialEq".to_string());
+    for (format, name) in FORMATS {
+        let schema = SchemaObject {
+            instance_type: Some(InstanceType::String.into()),
+            format: (!format.is_empty()).then(|| format.to_string()),
+            ..Default::default()
+        };
+        settings.with_conversion(schema, name, [TypeSpaceImpl::Display].into_iter());
+    }
+    settings
+}
--- /dev/null
+++ b/wagtaildoor/tests/error.rs
@@ -0,0 +1,39 @@
+//! The table from error kind to answer.
+
+use std::collections::HashSet;
+
+use wagtaildoor::error::{
+    ErrorKind,
+    RunOutcome, //
+};
+
+#[test]
+fn every_kind_has_a_name_of_its_own() {
+    let names: HashSet<String> = ErrorKind::ALL.iter().map(ToString::to_string).collect();
+    assert_eq!(names.len(), ErrorKind::ALL.len());
+}
+
+#[test]
+fn not_run_is_never_said_of_a_request_that_reached_an_endpoint() {
+    let sent = [
+        ErrorKind::EndpointFailed,
+        ErrorKind::StreamBroken,
+        ErrorKind::DeadlinePassed,
+        ErrorKind::OutcomeUnknown,
+        ErrorKind::KeyInProgress,
+        ErrorKind::AnswerNotKept,
+        ErrorKind::Internal,
+    ];
+    for kind in ErrorKind::ALL {
+        let not_run = kind.answer().outcome == RunOutcome::NotRun;
+        assert_eq!(not_run, !sent.contains(&kind), "{kind}");
+    }
+}
+
+#[test]
+fn statuses_are_errors() {
+    for kind in ErrorKind::ALL {
+        let status = kind.answer().status;
+        assert!((400..600).contains(&status), "{kind}: {status}");
+    }
+}
--- /dev/null
+++ b/wagtaildoor_keeper/src/main.rs
@@ -0,0 +1,3 @@
+//! Placeholder.
+
+fn main() {}
