Lay out the stand-ins' crate as library and program

Ruled out: one set of fakes for tests and another for the demo, since a fault proved against one would not be proved against the other.

--- /dev/null
+++ b/wagtaildoor_fakes/src/fake_service.rs
@@ -0,0 +1,1 @@
+//! Stand-in, to be filled.
