--- a/wagtaildoor/src/lib.rs
+++ b/wagtaildoor/src/lib.rs
@@ -3,5 +3,6 @@
 pub mod error;
 pub mod frame;
 pub mod ids;
+pub mod log_http;
 pub mod log_store;
 pub mod schema;
--- /dev/null
+++ b/wagtaildoor/src/log_http.rs
@@ -0,0 +1,111 @@
+//! Client of the platform's log over HTTP.
+
+use std::time::Duration;
+
+use reqwest::{
+    redirect,
+    retry,
+    Client,
+    RequestBuilder,
+    StatusCode, //
+};
+use serde::de::DeserializeOwned;
+
+use crate::{
+    ids::LogOffset,
+    log_store::{
+        LogError,
+        LogStore,
+        Result, //
+    },
+    schema::{
+        LogAppended,
+        LogPage, //
+    },
+};
+
+/// A link to the log service. It repeats no call by itself.
+#[derive(Clone)]
+pub struct HttpLog {
+    /// Base URL, without a slash at its end.
+    base_url: Box<str>,
+    /// Longest wait for an answer, besides the wait a read asks for.
+    timeout: Duration,
+    /// HTTP client.
+    client: Client,
+}
+
+impl HttpLog {
+    /// A link to the log service at a base URL.
+    pub fn new(base_url: &str, timeout: Duration) -> Result<Self> {
+        let client = Client::builder()
+            .no_proxy()
+            .redirect(redirect::Policy::none())
+            .retry(retry::never())
+            .connect_timeout(timeout)
+            .build()
+            .map_err(|error| LogError::Unavailable(error.to_string().into()))?;
+        Ok(Self {
+            base_url: base_url.trim_end_matches('/').into(),
+            timeout,
+            client,
+        })
+    }
+
+    /// URL of a stream.
+    fn stream_url(&self, stream: &str) -> String {
+        format!("{}/streams/{stream}", self.base_url)
+    }
+}
+
+impl LogStore for HttpLog {
+    async fn append(&self, stream: &str, data: Box<str>) -> Result<LogAppended> {
+        let call = self
+            .client
+            .post(self.stream_url(stream))
+            .timeout(self.timeout)
+            .body(data.into_string());
+        answer(call).await
+    }
+
+    async fn read(
+        &self,
+        stream: &str,
+        from: LogOffset,
+        limit: usize,
+        wait: Duration,
+    ) -> Result<LogPage> {
+        let url = format!(
+            "{}?from={from}&limit={limit}&wait_ms={}",
+            self.stream_url(stream),
+            wait.as_millis()
+        );
+        answer(self.client.get(url).timeout(self.timeout + wait)).await
+    }
+}
+
+/// Sends a call and reads its answer.
+async fn answer<A: DeserializeOwned>(call: RequestBuilder) -> Result<A> {
+    let response = call.send().await.map_err(call_error)?;
+    let status = response.status();
+    if status == StatusCode::SERVICE_UNAVAILABLE {
+        return Err(LogError::Unavailable("the log refused the call".into()));
+    }
+    if !status.is_success() {
+        // Something between here and the log may have answered in its place.
+        return Err(LogError::Uncertain(
+            format!("the log answered {status}").into(),
+        ));
+    }
+    let body = response.bytes().await.map_err(call_error)?;
+    serde_json::from_slice(&body).map_err(|error| LogError::Malformed(error.to_string().into()))
+}
+
+/// Tells calls that cannot have reached the log from those that may have.
+fn call_error(error: reqwest::Error) -> LogError {
+    let text = error.to_string().into();
+    if error.is_connect() {
+        return LogError::Unavailable(text);
+    }
+    LogError::Uncertain(text)
+}
