Add prompt rendering and the callers' bodies to the schema

Ruled out: refusing unknown fields in callers' bodies, since common clients send fields such as a temperature that the template decides.

--- a/wagtaildoor/src/lib.rs
+++ b/wagtaildoor/src/lib.rs
@@ -4,4 +4,5 @@
 pub mod frame;
 pub mod ids;
 pub mod log_store;
+pub mod prompt;
 pub mod schema;
--- a/wagtaildoor/src/schema.rs
+++ b/wagtaildoor/src/schema.rs
@@ -156,6 +156,92 @@
         value.clone()
     }
 }
+///Answer of a completion, whole or one event of its stream.
+#[derive(::serde::Deserialize, ::serde::Serialize, Clone, Debug, PartialEq)]
+pub struct ChatAnswer {
+    ///The one answer.
+    pub choices: ::std::vec::Vec<ChatChoice>,
+    ///Pieces that the stream had before this last event.
+    #[serde(default, skip_serializing_if = "::std::option::Option::is_none")]
+    pub chunks: ::std::option::Option<u64>,
+    ///When the request came, in seconds since the Unix epoch.
+    pub created: u64,
+    ///Request.
+    pub id: crate::ids::RequestId,
+    ///Name of the template.
+    pub model: crate::ids::TemplateId,
+    ///Shape of this object.
+    pub object: ::std::boxed::Box<str>,
+    ///Tokens; in the last event of a stream.
+    #[serde(default, skip_serializing_if = "::std::option::Option::is_none")]
+    pub usage: ::std::option::Option<TokenUsage>,
+}
+impl ::std::convert::From<&ChatAnswer> for ChatAnswer {
+    fn from(value: &ChatAnswer) -> Self {
+        value.clone()
+    }
+}
+///The one answer of a chat completion; `message` when whole, `delta` in a stream.
+#[derive(::serde::Deserialize, ::serde::Serialize, Clone, Debug, PartialEq)]
+pub struct ChatChoice {
+    ///Next piece of the answer.
+    #[serde(default, skip_serializing_if = "::std::option::Option::is_none")]
+    pub delta: ::std::option::Option<ChatMessage>,
+    ///Set to `stop` at the end.
+    #[serde(default, skip_serializing_if = "::std::option::Option::is_none")]
+    pub finish_reason: ::std::option::Option<::std::boxed::Box<str>>,
+    ///Always 0.
+    pub index: u32,
+    ///Whole answer.
+    #[serde(default, skip_serializing_if = "::std::option::Option::is_none")]
+    pub message: ::std::option::Option<ChatMessage>,
+    ///Answer, or its next piece, of a text completion.
+    #[serde(default, skip_serializing_if = "::std::option::Option::is_none")]
+    pub text: ::std::option::Option<::std::boxed::Box<str>>,
+}
+impl ::std::convert::From<&ChatChoice> for ChatChoice {
+    fn from(value: &ChatChoice) -> Self {
+        value.clone()
+    }
+}
+///One message of a conversation.
+#[derive(::serde::Deserialize, ::serde::Serialize, Clone, Debug, PartialEq)]
+pub struct ChatMessage {
+    ///What is said.
+    pub content: ::std::boxed::Box<str>,
+    ///Who says it.
+    pub role: ::std::boxed::Box<str>,
+}
+impl ::std::convert::From<&ChatMessage> for ChatMessage {
+    fn from(value: &ChatMessage) -> Self {
+        value.clone()
+    }
+}
+///Body of a chat completion; other fields are ignored.
+#[derive(::serde::Deserialize, ::serde::Serialize, Clone, Debug, PartialEq)]
+pub struct ChatRequest {
+    ///Longest answer, in tokens; the template sets the limit.
+    #[serde(default, skip_serializing_if = "::std::option::Option::is_none")]
+    pub max_tokens: ::std::option::Option<u32>,
+    ///Conversation, oldest first.
+    pub messages: ::std::vec::Vec<ChatMessage>,
+    ///Name of the template.
+    pub model: crate::ids::TemplateId,
+    ///Values for the template's parameters.
+    #[serde(
+        default,
+        skip_serializing_if = ":: std :: collections :: HashMap::is_empty"
+    )]
+    pub parameters: ::std::collections::HashMap<::std::string::String, ::std::boxed::Box<str>>,
+    ///Send the answer as server-sent events.
+    #[serde(default)]
+    pub stream: bool,
+}
+impl ::std::convert::From<&ChatRequest> for ChatRequest {
+    fn from(value: &ChatRequest) -> Self {
+        value.clone()
+    }
+}
 ///Claim records that one append carries.
 #[derive(::serde::Deserialize, ::serde::Serialize, Clone, Debug, PartialEq)]
 #[serde(deny_unknown_fields)]
@@ -375,6 +461,31 @@
         value.clone()
     }
 }
+///Body of a text completion; other fields are ignored.
+#[derive(::serde::Deserialize, ::serde::Serialize, Clone, Debug, PartialEq)]
+pub struct CompletionRequest {
+    ///Longest answer, in tokens; the template sets the limit.
+    #[serde(default, skip_serializing_if = "::std::option::Option::is_none")]
+    pub max_tokens: ::std::option::Option<u32>,
+    ///Name of the template.
+    pub model: crate::ids::TemplateId,
+    ///Values for the template's parameters.
+    #[serde(
+        default,
+        skip_serializing_if = ":: std :: collections :: HashMap::is_empty"
+    )]
+    pub parameters: ::std::collections::HashMap<::std::string::String, ::std::boxed::Box<str>>,
+    ///The caller's own words.
+    pub prompt: ::std::boxed::Box<str>,
+    ///Send the answer as server-sent events.
+    #[serde(default)]
+    pub stream: bool,
+}
+impl ::std::convert::From<&CompletionRequest> for CompletionRequest {
+    fn from(value: &CompletionRequest) -> Self {
+        value.clone()
+    }
+}
 ///One change to the configuration.
 #[derive(::serde::Deserialize, ::serde::Serialize, Clone, Debug, PartialEq)]
 pub enum ConfigChange {
@@ -788,6 +899,35 @@
         value.clone()
     }
 }
+///Body of a refusal, or data of a stream's error event.
+#[derive(::serde::Deserialize, ::serde::Serialize, Clone, Debug, PartialEq)]
+pub struct ErrorBody {
+    pub error: ErrorReport,
+}
+impl ::std::convert::From<&ErrorBody> for ErrorBody {
+    fn from(value: &ErrorBody) -> Self {
+        value.clone()
+    }
+}
+///What went wrong.
+#[derive(::serde::Deserialize, ::serde::Serialize, Clone, Debug, PartialEq)]
+pub struct ErrorReport {
+    ///Kind of the error, from the closed list.
+    pub kind: ::std::boxed::Box<str>,
+    ///What happened, as a sentence.
+    pub message: ::std::boxed::Box<str>,
+    ///Whether the request ran: `not_run`, `ran` or `unknown`.
+    pub outcome: ::std::boxed::Box<str>,
+    ///Request.
+    pub request: crate::ids::RequestId,
+    ///When to try again, in seconds; null advises against.
+    pub retry_after_s: ::std::option::Option<u64>,
+}
+impl ::std::convert::From<&ErrorReport> for ErrorReport {
+    fn from(value: &ErrorReport) -> Self {
+        value.clone()
+    }
+}
 ///What happened.
 #[derive(
     ::serde::Deserialize,
@@ -2109,6 +2249,23 @@
         value.clone()
     }
 }
+///Tokens of a request.
+#[derive(::serde::Deserialize, ::serde::Serialize, Clone, Debug, PartialEq)]
+pub struct TokenUsage {
+    ///Prompt tokens that were not computed again.
+    pub cached_tokens: u64,
+    ///Tokens of the answer.
+    pub completion_tokens: u64,
+    ///Tokens of the prompt.
+    pub prompt_tokens: u64,
+    ///Tokens of both.
+    pub total_tokens: u64,
+}
+impl ::std::convert::From<&TokenUsage> for TokenUsage {
+    fn from(value: &TokenUsage) -> Self {
+        value.clone()
+    }
+}
 ///How urgent a kind of work is.
 #[derive(
     ::serde::Deserialize,
