Send hosts and the platform's age apart from the whole view

A new configuration changes the head of every host, and the age of the log changes all the time; as part of the view alone each of them would send the whole configuration to the entries again. Two frames are added at the end of the enum, so that frames of the last release keep their bytes.

--- a/wagtaildoor/src/schema.rs
+++ b/wagtaildoor/src/schema.rs
@@ -1079,6 +1079,11 @@
     PrefixNews(PrefixNews),
     #[serde(rename = "pong")]
     Pong(ClockStamp),
+    #[serde(rename = "hosts")]
+    Hosts(::std::vec::Vec<HostView>),
+    ///Time since the log last answered, in milliseconds.
+    #[serde(rename = "platform_age_ms")]
+    PlatformAgeMs(u64),
 }
 impl ::std::convert::From<&Self> for KeeperFrame {
     fn from(value: &KeeperFrame) -> Self {
@@ -1115,6 +1120,16 @@
         Self::Pong(value)
     }
 }
+impl ::std::convert::From<::std::vec::Vec<HostView>> for KeeperFrame {
+    fn from(value: ::std::vec::Vec<HostView>) -> Self {
+        Self::Hosts(value)
+    }
+}
+impl ::std::convert::From<u64> for KeeperFrame {
+    fn from(value: u64) -> Self {
+        Self::PlatformAgeMs(value)
+    }
+}
 ///Settings of wagtaildoor-keeper.
 #[derive(::serde::Deserialize, ::serde::Serialize, Clone, Debug, PartialEq)]
 #[serde(deny_unknown_fields)]
