Say "not run" of a key only where the log said so

Cause: found by thinking a retry through. An order runs, its answer is lost, and the caller sends the same key to a host that is overloaded or cut off from the log. "Not run" would be true of that copy and false of the order, and a caller who believes it orders again under a new key.

Change: a shortage met before the claim becomes key_unchecked, and an unreachable log or an expired key answers "unknown"; the same key can be sent again at any time without harm.

Ruled out: guessing from the age of the key, since a balancer sends its copies within milliseconds.

--- a/wagtaildoor/src/error.rs
+++ b/wagtaildoor/src/error.rs
@@ -55,6 +55,9 @@
     /// The idempotency key came before with another body.
     #[display("key_mismatch")]
     KeyMismatch,
+    /// The request was refused before the log told whether an earlier copy of its key ran.
+    #[display("key_unchecked")]
+    KeyUnchecked,
     /// Another attempt with this key has no outcome on record yet.
     #[display("key_in_progress")]
     KeyInProgress,
@@ -73,7 +76,8 @@
     /// No endpoint that could serve the request is in reach.
     #[display("no_endpoint")]
     NoEndpoint,
-    /// The platform's log cannot be reached, and the request may not go without it.
+    /// The platform's log cannot be reached, and the request may not go without it; nor can be
+    /// read whether an earlier copy of its key ran.
     #[display("platform_unavailable")]
     PlatformUnavailable,
     /// This entry holds no configuration yet.
@@ -122,7 +126,7 @@
 
 impl ErrorKind {
     /// Every kind, in the order of the documentation.
-    pub const ALL: [ErrorKind; 26] = [
+    pub const ALL: [ErrorKind; 27] = [
         ErrorKind::BadRequest,
         ErrorKind::BodyTooLarge,
         ErrorKind::BodyTimeout,
@@ -134,6 +138,7 @@
         ErrorKind::KeyMalformed,
         ErrorKind::KeyExpired,
         ErrorKind::KeyMismatch,
+        ErrorKind::KeyUnchecked,
         ErrorKind::KeyInProgress,
         ErrorKind::AnswerNotKept,
         ErrorKind::AccountLimited,
@@ -164,15 +169,16 @@
             ErrorKind::UnknownRoute => (404, NotRun, RETRY_NEVER),
             ErrorKind::KeyMissing => (400, NotRun, RETRY_NEVER),
             ErrorKind::KeyMalformed => (400, NotRun, RETRY_NEVER),
-            ErrorKind::KeyExpired => (422, NotRun, RETRY_NEVER),
+            ErrorKind::KeyExpired => (422, Unknown, RETRY_NEVER),
             ErrorKind::KeyMismatch => (422, NotRun, RETRY_NEVER),
+            ErrorKind::KeyUnchecked => (503, Unknown, RETRY_SOON),
             ErrorKind::KeyInProgress => (409, Unknown, RETRY_SOON),
             ErrorKind::AnswerNotKept => (409, Ran, RETRY_NEVER),
             ErrorKind::AccountLimited => (429, NotRun, RETRY_SOON),
             ErrorKind::Overloaded => (503, NotRun, RETRY_SOON),
             ErrorKind::DeadlineUnreachable => (503, NotRun, RETRY_SOON),
             ErrorKind::NoEndpoint => (503, NotRun, RETRY_SOON),
-            ErrorKind::PlatformUnavailable => (503, NotRun, RETRY_LATER),
+            ErrorKind::PlatformUnavailable => (503, Unknown, RETRY_LATER),
             ErrorKind::NotConfigured => (503, NotRun, RETRY_SOON),
             ErrorKind::ShuttingDown => (503, NotRun, RETRY_SOON),
             ErrorKind::EndpointRefused => (502, NotRun, RETRY_SOON),
@@ -201,6 +207,25 @@
     pub detail: Box<str>,
 }
 
+impl ErrorKind {
+    /// The kind to give when a non-idempotent request is refused before the log was asked about
+    /// its key.
+    ///
+    /// An earlier copy of the request may have run elsewhere, so a shortage of this host must not
+    /// be answered with "not run". What is wrong with the request itself stays as it is.
+    pub const fn before_claim(self) -> ErrorKind {
+        match self {
+            ErrorKind::AccountLimited
+            | ErrorKind::Overloaded
+            | ErrorKind::DeadlineUnreachable
+            | ErrorKind::NoEndpoint
+            | ErrorKind::NotConfigured
+            | ErrorKind::ShuttingDown => ErrorKind::KeyUnchecked,
+            kind => kind,
+        }
+    }
+}
+
 impl RequestError {
     /// An error of a kind, with its sentence.
     pub fn new(kind: ErrorKind, detail: impl Into<Box<str>>) -> Self {
--- a/wagtaildoor/tests/error.rs
+++ b/wagtaildoor/tests/error.rs
@@ -14,8 +14,11 @@
 }
 
 #[test]
-fn not_run_is_never_said_of_a_request_that_reached_an_endpoint() {
+fn not_run_is_never_said_where_a_copy_of_the_request_may_have_run() {
     let sent = [
+        ErrorKind::KeyExpired,
+        ErrorKind::KeyUnchecked,
+        ErrorKind::PlatformUnavailable,
         ErrorKind::EndpointFailed,
         ErrorKind::StreamBroken,
         ErrorKind::DeadlinePassed,
@@ -37,3 +40,19 @@
         assert!((400..600).contains(&status), "{kind}: {status}");
     }
 }
+
+#[test]
+fn a_shortage_before_the_claim_does_not_say_not_run() {
+    let shortages = [
+        ErrorKind::AccountLimited,
+        ErrorKind::Overloaded,
+        ErrorKind::DeadlineUnreachable,
+        ErrorKind::NoEndpoint,
+        ErrorKind::NotConfigured,
+        ErrorKind::ShuttingDown,
+    ];
+    for kind in shortages {
+        assert_eq!(kind.before_claim(), ErrorKind::KeyUnchecked, "{kind}");
+    }
+    assert_eq!(ErrorKind::Forbidden.before_claim(), ErrorKind::Forbidden);
+}
