--- a/wagtaildoor/src/lib.rs
+++ b/wagtaildoor/src/lib.rs
@@ -5,4 +5,5 @@
 pub mod ids;
 pub mod log_http;
 pub mod log_store;
+pub mod prompt;
 pub mod schema;
