Follow and publish the configuration chain

Cause: an accepted configuration must be in force everywhere and never revert, with nothing but the log to decide. Each record names its parent's hash; the first child of the head by offset that can be in force wins. The publisher reads back before it says "published", and the loser of a race learns who won.

Ruled out: taking the first checkpoint that a trimmed log shows. A checkpoint that lost a race looks the same once the winner is trimmed, and a host starting then would fork. After a gap a record counts only when a child of it is seen, since only a writer that held it as the head writes one. Also ruled out: raising weights by amending a pool, which would turn all replicas stale at once; only a roll-out raises them.

--- /dev/null
+++ b/wagtaildoor/src/config_chain.rs
@@ -0,0 +1,238 @@
+//! Fold of configuration records into the one chain that every host agrees on.
+
+use std::{
+    collections::VecDeque,
+    sync::Arc, //
+};
+
+use crate::{
+    config_change::{
+        self,
+        ConfigRefusal, //
+    },
+    ids::{
+        ConfigHash,
+        LogOffset, //
+    },
+    schema::{
+        ConfigChange,
+        ConfigHead,
+        ConfigRecord,
+        Configuration,
+        LogRecord, //
+    },
+};
+
+/// Stream of the log that holds the chain.
+pub const CONFIG_STREAM: &str = "config";
+
+/// Version of the records this release writes and reads.
+pub const RECORD_VERSION: u32 = 1;
+
+/// Records kept while the chain's start is out of sight, until a child proves one of them.
+const CANDIDATE_LIMIT: usize = 64;
+
+/// What a record did to the chain.
+#[derive(Clone, Debug, PartialEq)]
+pub enum ChainStep {
+    /// The record is the new head.
+    Advanced,
+    /// Another child of the same parent came first.
+    Lost,
+    /// The record follows the head, but its changes cannot be in force.
+    Refused(ConfigRefusal),
+    /// The record cannot be judged before a child of it is seen.
+    Unproven,
+    /// The record is not of a form that this release reads.
+    Unreadable,
+}
+
+/// A record that is a true link if a child of it is seen.
+#[derive(Clone, Debug)]
+struct ChainCandidate {
+    /// Its hash.
+    hash: ConfigHash,
+    /// Its offset.
+    offset: LogOffset,
+    /// The record.
+    record: ConfigRecord,
+}
+
+/// The chain up to its head.
+///
+/// A record advances the chain when its parent is the head and its changes can be in force;
+/// the log's order of offsets decides between children of the same parent. After records were
+/// missed, a child of the head might have lost to one that is out of sight. Then a record
+/// counts only when a child of it proves that its writer saw it as the head.
+#[derive(Clone, Debug)]
+pub struct ConfigChain {
+    /// Head.
+    head: ConfigHead,
+    /// Configuration at the head.
+    configuration: Arc<Configuration>,
+    /// Records since the head may have been missed.
+    broken: bool,
+    /// Records that wait for proof, while broken.
+    candidates: VecDeque<ChainCandidate>,
+}
+
+impl Default for ConfigChain {
+    fn default() -> Self {
+        let head = ConfigHead {
+            hash: "".into(),
+            offset: 0,
+            sequence: 0,
+        };
+        Self::at(head, Arc::new(config_change::empty()))
+    }
+}
+
+impl ConfigChain {
+    /// A chain that goes on from a head.
+    pub fn at(head: ConfigHead, configuration: Arc<Configuration>) -> Self {
+        Self {
+            head,
+            configuration,
+            broken: false,
+            candidates: VecDeque::new(),
+        }
+    }
+
+    /// Head of the chain.
+    pub fn head(&self) -> &ConfigHead {
+        &self.head
+    }
+
+    /// Configuration at the head.
+    pub fn configuration(&self) -> &Arc<Configuration> {
+        &self.configuration
+    }
+
+    /// Whether records since the head may have been missed.
+    pub fn is_broken(&self) -> bool {
+        self.broken
+    }
+
+    /// Notes that records after the head were missed.
+    pub fn miss_records(&mut self) {
+        self.broken = true;
+        self.candidates.clear();
+    }
+
+    /// Takes one record of the log, in the order of offsets.
+    pub fn take(&mut self, record: &LogRecord) -> ChainStep {
+        let Some(link) = parse(&record.data) else {
+            return ChainStep::Unreadable;
+        };
+        if self.broken {
+            self.prove(&link.parent);
+        }
+        if self.broken {
+            return self.keep_candidate(record.offset, link);
+        }
+        self.extend(record.offset, &link)
+    }
+
+    /// The record that would put changes in force after the head.
+    pub fn child(&self, operator: &str, note: &str, changes: Vec<ConfigChange>) -> ConfigRecord {
+        ConfigRecord {
+            changes,
+            checkpoint: None,
+            note: note.into(),
+            operator: operator.into(),
+            parent: self.head.hash.clone(),
+            sequence: self.head.sequence + 1,
+            version: RECORD_VERSION,
+        }
+    }
+
+    /// The record that would repeat the whole configuration after the head.
+    pub fn checkpoint(&self, operator: &str) -> ConfigRecord {
+        ConfigRecord {
+            checkpoint: Some((*self.configuration).clone()),
+            ..self.child(operator, "checkpoint", Vec::new())
+        }
+    }
+
+    /// Takes a record as the new head if it follows the present one.
+    fn extend(&mut self, offset: LogOffset, link: &ConfigRecord) -> ChainStep {
+        if link.parent != self.head.hash || link.sequence != self.head.sequence + 1 {
+            return ChainStep::Lost;
+        }
+        let configuration = match config_change::apply(&self.configuration, &link.changes) {
+            Ok(configuration) => configuration,
+            Err(refusal) => return ChainStep::Refused(refusal),
+        };
+        if link
+            .checkpoint
+            .as_ref()
+            .is_some_and(|c| *c != configuration)
+        {
+            return ChainStep::Unreadable;
+        }
+        self.advance(offset, link, configuration);
+        ChainStep::Advanced
+    }
+
+    /// Moves the head to a record.
+    fn advance(&mut self, offset: LogOffset, link: &ConfigRecord, configuration: Configuration) {
+        self.head = ConfigHead {
+            hash: hash(link),
+            offset,
+            sequence: link.sequence,
+        };
+        self.configuration = Arc::new(configuration);
+    }
+
+    /// Keeps a record until a child proves it.
+    fn keep_candidate(&mut self, offset: LogOffset, record: ConfigRecord) -> ChainStep {
+        if self.candidates.len() == CANDIDATE_LIMIT {
+            self.candidates.pop_front();
+        }
+        self.candidates.push_back(ChainCandidate {
+            hash: hash(&record),
+            offset,
+            record,
+        });
+        ChainStep::Unproven
+    }
+
+    /// Mends the chain if a candidate with this hash is ahead of the head and shows its state.
+    fn prove(&mut self, parent: &ConfigHash) {
+        let proven = self.candidates.iter().find(|c| c.hash == *parent).cloned();
+        let Some(proven) = proven else {
+            return;
+        };
+        if proven.record.sequence <= self.head.sequence {
+            return;
+        }
+        if let Some(configuration) = proven.record.checkpoint.clone() {
+            self.advance(proven.offset, &proven.record, configuration);
+        } else if self.extend(proven.offset, &proven.record) != ChainStep::Advanced {
+            return;
+        }
+        self.broken = false;
+        self.candidates.clear();
+    }
+}
+
+/// Text of a record, as it goes into the log.
+pub fn encode(record: &ConfigRecord) -> Box<str> {
+    serde_json::to_string(record)
+        .expect("a record has string keys only")
+        .into()
+}
+
+/// Hash of a record: BLAKE3 over its parent's hash and its text.
+pub fn hash(record: &ConfigRecord) -> ConfigHash {
+    let mut hasher = blake3::Hasher::new();
+    hasher.update(record.parent.as_bytes());
+    hasher.update(encode(record).as_bytes());
+    hasher.finalize().to_hex().as_str().into()
+}
+
+/// Reads the text of a record.
+pub fn parse(data: &str) -> Option<ConfigRecord> {
+    let record: ConfigRecord = serde_json::from_str(data).ok()?;
+    (record.version == RECORD_VERSION).then_some(record)
+}
--- /dev/null
+++ b/wagtaildoor/src/config_change.rs
@@ -0,0 +1,245 @@
+//! Changes to a configuration, and why some are refused.
+
+use std::collections::HashSet;
+
+use crate::{
+    ids::{
+        AccountId,
+        PoolId,
+        TemplateId,
+        TextHash,
+        WeightsVersion, //
+    },
+    schema::{
+        Account,
+        ConfigChange,
+        Configuration,
+        LevelText,
+        Pool,
+        PoolKind,
+        Template,
+        WeightsChange, //
+    },
+};
+
+/// Result of a change.
+pub type Result<T> = std::result::Result<T, ConfigRefusal>;
+
+/// Why a change cannot be in force.
+#[derive(Clone, Debug, Eq, PartialEq, derive_more::Display, derive_more::Error)]
+pub enum ConfigRefusal {
+    /// A text does not have the hash it is filed under.
+    #[display("text {_0} has another hash than it is filed under")]
+    TextHash(#[error(not(source))] TextHash),
+    /// A template names a text that is not there.
+    #[display("template {template} names text {text}, which is not there")]
+    UnknownText {
+        /// Template.
+        template: TemplateId,
+        /// Text it names.
+        text: TextHash,
+    },
+    /// A template names a pool that is not there.
+    #[display("template {template} names pool {pool}, which is not there")]
+    UnknownPool {
+        /// Template.
+        template: TemplateId,
+        /// Pool it names.
+        pool: PoolId,
+    },
+    /// A template names an account that is not there.
+    #[display("template {template} names account {account}, which is not there")]
+    UnknownAccount {
+        /// Template.
+        template: TemplateId,
+        /// Account it names.
+        account: AccountId,
+    },
+    /// A template's path does not fit its kind of pool.
+    #[display("template {_0} needs a path at a plain service, and none at a model")]
+    PathMisfit(#[error(not(source))] TemplateId),
+    /// A template to be removed is not there.
+    #[display("template {_0} is not there to be removed")]
+    NothingToRemove(#[error(not(source))] TemplateId),
+    /// A pool to go on to other weights is not there.
+    #[display("pool {_0} is not there to go on to other weights")]
+    NoSuchPool(#[error(not(source))] PoolId),
+    /// A pool with templates cannot become another kind of pool.
+    #[display("pool {_0} serves templates and cannot become another kind of pool")]
+    PoolKind(#[error(not(source))] PoolId),
+    /// Weights only go forward.
+    #[display("pool {pool} is at weights {from} and cannot go to {to}; a roll-out raises them")]
+    Weights {
+        /// Pool.
+        pool: PoolId,
+        /// Weights in force.
+        from: WeightsVersion,
+        /// Weights asked for.
+        to: WeightsVersion,
+    },
+}
+
+/// A configuration with nothing in it.
+pub fn empty() -> Configuration {
+    Configuration {
+        accounts: Vec::new(),
+        pools: Vec::new(),
+        templates: Vec::new(),
+        texts: Vec::new(),
+    }
+}
+
+/// Hash that a level's text is filed under.
+pub fn text_hash(text: &str) -> TextHash {
+    blake3::hash(text.as_bytes()).to_hex().as_str().into()
+}
+
+/// The configuration after changes that come in force together.
+pub fn apply(before: &Configuration, changes: &[ConfigChange]) -> Result<Configuration> {
+    let mut after = before.clone();
+    for change in changes {
+        apply_one(&mut after, change)?;
+    }
+    // Checked at the end, so that the order of the changes does not matter.
+    check_templates(&after)?;
+    drop_unused_texts(&mut after);
+    Ok(after)
+}
+
+/// Makes one change.
+fn apply_one(configuration: &mut Configuration, change: &ConfigChange) -> Result<()> {
+    match change {
+        ConfigChange::PutText(text) => put_text(configuration, text),
+        ConfigChange::PutAccount(account) => {
+            put(&mut configuration.accounts, account, |a: &Account| &a.id);
+            Ok(())
+        }
+        ConfigChange::PutPool(pool) => put_pool(configuration, pool),
+        ConfigChange::PutTemplate(template) => {
+            put(&mut configuration.templates, template, |t: &Template| &t.id);
+            Ok(())
+        }
+        ConfigChange::RemoveTemplate(id) => remove_template(configuration, id),
+        ConfigChange::RaiseWeights(change) => raise_weights(configuration, change),
+    }
+}
+
+/// Puts an item in the place of the one with the same id, or at the end.
+fn put<T: Clone>(items: &mut Vec<T>, item: &T, id: impl Fn(&T) -> &Box<str>) {
+    match items.iter_mut().find(|old| id(old) == id(item)) {
+        Some(old) => *old = item.clone(),
+        None => items.push(item.clone()),
+    }
+}
+
+/// Adds a text.
+fn put_text(configuration: &mut Configuration, text: &LevelText) -> Result<()> {
+    if text_hash(&text.text) != text.hash {
+        return Err(ConfigRefusal::TextHash(text.hash.clone()));
+    }
+    put(&mut configuration.texts, text, |t| &t.hash);
+    Ok(())
+}
+
+/// Adds or amends a pool; its weights stay.
+fn put_pool(configuration: &mut Configuration, pool: &Pool) -> Result<()> {
+    let old = configuration.pools.iter().find(|old| old.id == pool.id);
+    if let Some(old) = old {
+        if old.weights_version != pool.weights_version {
+            return Err(ConfigRefusal::Weights {
+                pool: pool.id.clone(),
+                from: old.weights_version,
+                to: pool.weights_version,
+            });
+        }
+        let used = configuration.templates.iter().any(|t| t.pool == pool.id);
+        if used && old.kind != pool.kind {
+            return Err(ConfigRefusal::PoolKind(pool.id.clone()));
+        }
+    }
+    put(&mut configuration.pools, pool, |p| &p.id);
+    Ok(())
+}
+
+/// Removes a template.
+fn remove_template(configuration: &mut Configuration, id: &TemplateId) -> Result<()> {
+    let before = configuration.templates.len();
+    configuration
+        .templates
+        .retain(|template| template.id != *id);
+    if configuration.templates.len() == before {
+        return Err(ConfigRefusal::NothingToRemove(id.clone()));
+    }
+    Ok(())
+}
+
+/// Takes a pool on to newer weights.
+fn raise_weights(configuration: &mut Configuration, change: &WeightsChange) -> Result<()> {
+    let pool = configuration
+        .pools
+        .iter_mut()
+        .find(|pool| pool.id == change.pool)
+        .ok_or_else(|| ConfigRefusal::NoSuchPool(change.pool.clone()))?;
+    if change.version <= pool.weights_version {
+        return Err(ConfigRefusal::Weights {
+            pool: change.pool.clone(),
+            from: pool.weights_version,
+            to: change.version,
+        });
+    }
+    pool.weights_version = change.version;
+    Ok(())
+}
+
+/// Checks that everything a template names is there.
+fn check_templates(configuration: &Configuration) -> Result<()> {
+    let texts: HashSet<&TextHash> = configuration.texts.iter().map(|t| &t.hash).collect();
+    let accounts: HashSet<&AccountId> = configuration.accounts.iter().map(|a| &a.id).collect();
+    for template in &configuration.templates {
+        check_pool(configuration, template)?;
+        if let Some(level) = template
+            .levels
+            .iter()
+            .find(|level| !texts.contains(&level.text_hash))
+        {
+            return Err(ConfigRefusal::UnknownText {
+                template: template.id.clone(),
+                text: level.text_hash.clone(),
+            });
+        }
+        if let Some(account) = template.accounts.iter().find(|a| !accounts.contains(a)) {
+            return Err(ConfigRefusal::UnknownAccount {
+                template: template.id.clone(),
+                account: account.clone(),
+            });
+        }
+    }
+    Ok(())
+}
+
+/// Checks that a template fits its pool.
+fn check_pool(configuration: &Configuration, template: &Template) -> Result<()> {
+    let pool = configuration
+        .pools
+        .iter()
+        .find(|pool| pool.id == template.pool)
+        .ok_or_else(|| ConfigRefusal::UnknownPool {
+            template: template.id.clone(),
+            pool: template.pool.clone(),
+        })?;
+    if (pool.kind == PoolKind::Service) == template.path.is_empty() {
+        return Err(ConfigRefusal::PathMisfit(template.id.clone()));
+    }
+    Ok(())
+}
+
+/// Drops texts that no template names.
+fn drop_unused_texts(configuration: &mut Configuration) {
+    let used: HashSet<TextHash> = configuration
+        .templates
+        .iter()
+        .flat_map(|template| &template.levels)
+        .map(|level| level.text_hash.clone())
+        .collect();
+    configuration.texts.retain(|text| used.contains(&text.hash));
+}
--- /dev/null
+++ b/wagtaildoor/src/config_publisher.rs
@@ -0,0 +1,211 @@
+//! Publishes changes of the configuration, and tells operators who won.
+
+use std::time::Duration;
+
+use tokio::time::{
+    self,
+    Instant, //
+};
+use tokio_util::sync::CancellationToken;
+
+use crate::{
+    config_chain::{
+        self,
+        ChainStep,
+        ConfigChain,
+        CONFIG_STREAM, //
+    },
+    config_change,
+    config_follower::ConfigFollower,
+    ids::{
+        ConfigHash,
+        LogOffset, //
+    },
+    log_store::{
+        LogError,
+        LogStore, //
+    },
+    schema::{
+        ConfigChange,
+        ConfigHead,
+        ConfigRecord, //
+    },
+};
+
+/// Records read at a time.
+const PAGE_RECORDS: usize = 256;
+/// Wait for an own record to appear before it is appended again.
+const SETTLE_WAIT: Duration = Duration::from_millis(300);
+/// Wait after a call that the log refused.
+const RETRY_WAIT: Duration = Duration::from_millis(200);
+
+/// What came of a publication.
+#[derive(Clone, Debug, PartialEq)]
+pub enum PublishOutcome {
+    /// The record was read back as the head's first valid child.
+    Published(ConfigHead),
+    /// Another operator's record came first.
+    LostTo {
+        /// The other operator.
+        operator: Box<str>,
+        /// The head that the other record made.
+        head: ConfigHead,
+    },
+    /// The changes cannot be in force, and nothing was published.
+    Refused(Box<str>),
+    /// The log did not take the record, and nothing was published.
+    Unavailable(Box<str>),
+    /// The log did not say in time; the record may yet come in force.
+    Uncertain(Box<str>),
+}
+
+/// A publication under way.
+struct Publication<L> {
+    /// Log.
+    log: L,
+    /// Chain as read so far.
+    chain: ConfigChain,
+    /// Offset of the next record to read.
+    cursor: LogOffset,
+    /// The own record.
+    record: ConfigRecord,
+    /// Its hash.
+    hash: ConfigHash,
+    /// An append of it may have taken effect.
+    handed: bool,
+}
+
+/// Publishes changes after the newest head in the log.
+pub async fn publish<L: LogStore>(
+    log: L,
+    operator: &str,
+    note: &str,
+    changes: Vec<ConfigChange>,
+    wait: Duration,
+) -> PublishOutcome {
+    let deadline = Instant::now() + wait;
+    let follower = ConfigFollower::new(log.clone(), CancellationToken::new());
+    match time::timeout_at(deadline, follower.catch_up()).await {
+        Ok(Ok(())) => {}
+        Ok(Err(error)) => return PublishOutcome::Unavailable(error.to_string().into()),
+        Err(_) => return PublishOutcome::Unavailable("the log was too slow to read".into()),
+    }
+    publish_after(log, follower.chain(), operator, note, changes, deadline).await
+}
+
+/// Publishes changes after a head that the operator has seen.
+pub async fn publish_after<L: LogStore>(
+    log: L,
+    chain: ConfigChain,
+    operator: &str,
+    note: &str,
+    changes: Vec<ConfigChange>,
+    deadline: Instant,
+) -> PublishOutcome {
+    let record = chain.child(operator, note, changes);
+    publish_record(log, chain, record, deadline).await
+}
+
+/// Publishes a record that follows a head.
+pub async fn publish_record<L: LogStore>(
+    log: L,
+    chain: ConfigChain,
+    record: ConfigRecord,
+    deadline: Instant,
+) -> PublishOutcome {
+    if chain.is_broken() {
+        let text = "the log no longer holds the chain's start, and no checkpoint was found";
+        return PublishOutcome::Refused(text.into());
+    }
+    if let Err(refusal) = config_change::apply(chain.configuration(), &record.changes) {
+        return PublishOutcome::Refused(refusal.to_string().into());
+    }
+    let mut publication = Publication {
+        log,
+        cursor: chain.head().offset + 1,
+        chain,
+        hash: config_chain::hash(&record),
+        record,
+        handed: false,
+    };
+    match time::timeout_at(deadline, publication.run()).await {
+        Ok(outcome) => outcome,
+        Err(_) => publication.undecided("the log did not decide in time"),
+    }
+}
+
+impl<L: LogStore> Publication<L> {
+    /// Appends the record and reads back, again and again until the log decides.
+    async fn run(&mut self) -> PublishOutcome {
+        loop {
+            if let Some(outcome) = self.read_on(Duration::ZERO).await {
+                return outcome;
+            }
+            if self.append().await {
+                if let Some(outcome) = self.read_on(SETTLE_WAIT).await {
+                    return outcome;
+                }
+            }
+            time::sleep(RETRY_WAIT).await;
+        }
+    }
+
+    /// Appends the record; tells whether it may have taken effect.
+    async fn append(&mut self) -> bool {
+        let data = config_chain::encode(&self.record);
+        let before = self.handed;
+        // Set before the call: it may be cut while it runs.
+        self.handed = true;
+        match self.log.append(CONFIG_STREAM, data).await {
+            Ok(_) => true,
+            Err(LogError::Unavailable(_)) => {
+                self.handed = before;
+                false
+            }
+            Err(LogError::Uncertain(_) | LogError::Malformed(_)) => true,
+        }
+    }
+
+    /// Reads to the end of the log; tells what was decided.
+    async fn read_on(&mut self, wait: Duration) -> Option<PublishOutcome> {
+        let mut wait = wait;
+        loop {
+            let page = self
+                .log
+                .read(CONFIG_STREAM, self.cursor, PAGE_RECORDS, wait)
+                .await
+                .ok()?;
+            if page.first > self.cursor {
+                return Some(self.undecided("the log dropped records before they were read"));
+            }
+            for record in &page.records {
+                self.cursor = record.offset + 1;
+                if self.chain.take(record) == ChainStep::Advanced {
+                    return Some(self.decide(&record.data));
+                }
+            }
+            if self.cursor >= page.next {
+                return None;
+            }
+            wait = Duration::ZERO;
+        }
+    }
+
+    /// Tells that nothing was decided.
+    fn undecided(&self, why: &str) -> PublishOutcome {
+        if self.handed {
+            return PublishOutcome::Uncertain(why.into());
+        }
+        PublishOutcome::Unavailable(why.into())
+    }
+
+    /// Tells whose record became the head.
+    fn decide(&self, data: &str) -> PublishOutcome {
+        let head = self.chain.head().clone();
+        if head.hash == self.hash {
+            return PublishOutcome::Published(head);
+        }
+        let operator = config_chain::parse(data).map_or_else(Box::default, |r| r.operator);
+        PublishOutcome::LostTo { operator, head }
+    }
+}
--- a/wagtaildoor/src/lib.rs
+++ b/wagtaildoor/src/lib.rs
@@ -1,5 +1,9 @@
 //! Coordination parts of a router for language-model traffic with long shared prompts.
 
+pub mod config_chain;
+pub mod config_change;
+pub mod config_follower;
+pub mod config_publisher;
 pub mod error;
 pub mod frame;
 pub mod ids;
