Add the entry: callers' routes, model runs, runs at most once

The request path, written straight down: access, prompt, placement, one attempt after another with resume, and for non-idempotent requests claim, dispatch within a window, outcome, answer. Runs are tasks of their own, so a caller's hang-up cuts no claim in half.

Ruled out: the web framework's own signals, which cut connections before our drain has ended; and its pooled client for calls that may not be repeated.

--- /dev/null
+++ b/wagtaildoor_entry/src/engine_call.rs
@@ -0,0 +1,137 @@
+//! One call to a model engine.
+
+use std::net::SocketAddr;
+
+use eventsource_stream::Eventsource;
+use futures_util::{
+    Stream,
+    StreamExt, //
+};
+use reqwest::{
+    header::HeaderMap,
+    Client,
+    Response,
+    StatusCode, //
+};
+use wagtaildoor::{
+    ids::{
+        AttemptId,
+        BootId,
+        WeightsVersion, //
+    },
+    schema::{
+        EngineChunk,
+        EngineRequest, //
+    },
+};
+
+/// Result of a call.
+pub type Result<T> = std::result::Result<T, CallError>;
+
+/// Why a call to an endpoint failed.
+#[derive(Clone, Debug, Eq, PartialEq, derive_more::Display, derive_more::Error)]
+pub enum CallError {
+    /// No connection came about: nothing was written.
+    #[display("no connection: {_0}")]
+    NotSent(#[error(not(source))] Box<str>),
+    /// The endpoint says that it did not run the request.
+    #[display("the endpoint refused: {_0}")]
+    Refused(#[error(not(source))] Box<str>),
+    /// The endpoint serves other weights; it did not run the request.
+    #[display("the endpoint serves other weights")]
+    OtherWeights,
+    /// The connection broke, or the answer makes no sense.
+    #[display("the answer broke off: {_0}")]
+    Broken(#[error(not(source))] Box<str>),
+}
+
+impl CallError {
+    /// The endpoint certainly did not run the request.
+    pub const fn not_run(&self) -> bool {
+        !matches!(self, CallError::Broken(_))
+    }
+}
+
+/// What an endpoint says of itself in the headers of an answer.
+#[derive(Clone, Debug, Default, Eq, PartialEq)]
+pub struct EndpointWord {
+    /// Its present start; empty when it does not say.
+    pub boot_id: BootId,
+    /// Weights in service; 0 when it does not say.
+    pub weights_version: WeightsVersion,
+    /// Requests waiting there.
+    pub queued: u32,
+}
+
+impl From<&HeaderMap> for EndpointWord {
+    fn from(headers: &HeaderMap) -> Self {
+        let text = |name: &str| headers.get(name).and_then(|value| value.to_str().ok());
+        let number = |name: &str| text(name).and_then(|value| value.parse().ok());
+        Self {
+            boot_id: text("x-boot-id").unwrap_or_default().into(),
+            weights_version: number("x-weights-version").unwrap_or_default(),
+            queued: number("x-queued").unwrap_or_default() as u32,
+        }
+    }
+}
+
+/// Sends a request to an engine; returns what the engine says of itself, and its chunks.
+pub async fn generate(
+    client: &Client,
+    address: SocketAddr,
+    request: &EngineRequest,
+) -> Result<(EndpointWord, impl Stream<Item = Result<EngineChunk>>)> {
+    let url = format!("http://{address}/generate");
+    let response = client
+        .post(url)
+        .json(request)
+        .send()
+        .await
+        .map_err(send_error)?;
+    let response = accepted(response).await?;
+    let word = EndpointWord::from(response.headers());
+    let chunks = response.bytes_stream().eventsource().map(|event| {
+        let event = event.map_err(|error| CallError::Broken(error.to_string().into()))?;
+        serde_json::from_str(&event.data)
+            .map_err(|error| CallError::Broken(error.to_string().into()))
+    });
+    Ok((word, chunks))
+}
+
+/// Tells an engine that nobody waits for an attempt any more.
+pub async fn cancel(client: &Client, address: SocketAddr, attempt: &AttemptId) -> Result<()> {
+    let url = format!("http://{address}/cancel/{attempt}");
+    client.post(url).send().await.map_err(send_error)?;
+    Ok(())
+}
+
+/// Tells whether anything was written when a call could not be sent.
+pub fn send_error(error: reqwest::Error) -> CallError {
+    let detail = error.to_string().into();
+    if error.is_connect() {
+        CallError::NotSent(detail)
+    } else {
+        CallError::Broken(detail)
+    }
+}
+
+/// Lets answers through that say the request is running.
+pub async fn accepted(response: Response) -> Result<Response> {
+    let status = response.status();
+    if status.is_success() {
+        return Ok(response);
+    }
+    let not_run = response
+        .headers()
+        .get("x-not-run")
+        .is_some_and(|value| value == "true");
+    if status == StatusCode::CONFLICT {
+        return Err(CallError::OtherWeights);
+    }
+    let detail = format!("status {status}").into();
+    if not_run {
+        Err(CallError::Refused(detail))
+    } else {
+        Err(CallError::Broken(detail))
+    }
+}
--- /dev/null
+++ b/wagtaildoor_entry/src/lib.rs
@@ -0,0 +1,18 @@
+//! Caller-facing daemon of wagtaildoor.
+
+pub mod access;
+pub mod caller_answer;
+pub mod caller_body;
+pub mod caller_head;
+pub mod cli;
+pub mod engine_call;
+pub mod http_clients;
+pub mod metrics;
+pub mod model_run;
+pub mod once_run;
+pub mod request_scope;
+pub mod routes;
+pub mod server;
+pub mod service_call;
+pub mod service_run;
+pub mod state;
--- /dev/null
+++ b/wagtaildoor_entry/src/metrics.rs
@@ -0,0 +1,135 @@
+//! Metrics of the entry, by opentelemetry, for `/metrics`.
+
+use std::time::Duration;
+
+use opentelemetry::{
+    metrics::{
+        Counter,
+        Histogram,
+        MeterProvider,
+        UpDownCounter, //
+    },
+    KeyValue,
+};
+use opentelemetry_sdk::metrics::SdkMeterProvider;
+use prometheus::{
+    Registry,
+    TextEncoder, //
+};
+use wagtaildoor::error::ErrorKind;
+
+/// Result of building the metrics.
+pub type Result<T> = std::result::Result<T, opentelemetry_sdk::error::OTelSdkError>;
+
+/// Bounds of the histograms of time, in seconds.
+const TIME_BOUNDS_S: [f64; 12] = [
+    0.005, 0.01, 0.025, 0.05, 0.1, 0.25, 0.48, 1.0, 2.5, 5.0, 10.0, 30.0,
+];
+
+/// Instruments of the entry.
+#[derive(Clone, Debug)]
+pub struct EntryMetrics {
+    /// Where the instruments are read.
+    registry: Registry,
+    /// Keeps the instruments alive.
+    _provider: SdkMeterProvider,
+    /// Requests received.
+    requests: Counter<u64>,
+    /// Requests that ended in an error, by kind.
+    refusals: Counter<u64>,
+    /// Attempts after the first of a request.
+    retries: Counter<u64>,
+    /// Chunks that belonged to another request or attempt.
+    crossed: Counter<u64>,
+    /// Prompt tokens, by whether the engine had them cached.
+    prompt_tokens: Counter<u64>,
+    /// Requests in work.
+    in_flight: UpDownCounter<i64>,
+    /// Time to the first token.
+    first_token: Histogram<f64>,
+    /// Time to the end of the answer.
+    whole_answer: Histogram<f64>,
+}
+
+impl EntryMetrics {
+    /// Instruments in a registry of their own.
+    pub fn new() -> Result<Self> {
+        let registry = Registry::new();
+        let exporter = opentelemetry_prometheus::exporter()
+            .with_registry(registry.clone())
+            .build()?;
+        let provider = SdkMeterProvider::builder().with_reader(exporter).build();
+        let meter = provider.meter("wagtaildoor_entry");
+        let counter = |name: &'static str, about: &'static str| {
+            meter.u64_counter(name).with_description(about).build()
+        };
+        let times = |name: &'static str, about: &'static str| {
+            meter
+                .f64_histogram(name)
+                .with_unit("s")
+                .with_description(about)
+                .with_boundaries(TIME_BOUNDS_S.to_vec())
+                .build()
+        };
+        Ok(Self {
+            requests: counter("entry_requests", "Requests received"),
+            refusals: counter("entry_refusals", "Requests that ended in an error, by kind"),
+            retries: counter("entry_retries", "Attempts after the first of a request"),
+            crossed: counter("entry_crossed_chunks", "Chunks of another request or attempt, dropped"),
+            prompt_tokens: counter("entry_prompt_tokens", "Prompt tokens, cached or computed"),
+            in_flight: meter
+                .i64_up_down_counter("entry_in_flight")
+                .with_description("Requests in work")
+                .build(),
+            first_token: times("entry_first_token", "Time to the first token"),
+            whole_answer: times("entry_whole_answer", "Time to the end of the answer"),
+            registry,
+            _provider: provider,
+        })
+    }
+
+    /// A request was received.
+    pub fn received(&self) {
+        self.requests.add(1, &[]);
+        self.in_flight.add(1, &[]);
+    }
+
+    /// A request came to its end after this time.
+    pub fn ended(&self, time: Duration) {
+        self.in_flight.add(-1, &[]);
+        self.whole_answer.record(time.as_secs_f64(), &[]);
+    }
+
+    /// A request ended in an error.
+    pub fn refused(&self, kind: ErrorKind) {
+        self.refusals.add(1, &[KeyValue::new("kind", kind.to_string())]);
+    }
+
+    /// A request goes to a further endpoint.
+    pub fn retried(&self) {
+        self.retries.add(1, &[]);
+    }
+
+    /// A chunk of another request or attempt was dropped.
+    pub fn crossed(&self) {
+        self.crossed.add(1, &[]);
+    }
+
+    /// The first token came after this time.
+    pub fn first_token(&self, time: Duration) {
+        self.first_token.record(time.as_secs_f64(), &[]);
+    }
+
+    /// An answer told how much of its prompt was cached.
+    pub fn prompt(&self, cached: u64, computed: u64) {
+        self.prompt_tokens.add(cached, &[KeyValue::new("from", "cache")]);
+        self.prompt_tokens.add(computed, &[KeyValue::new("from", "compute")]);
+    }
+
+    /// All instruments as text.
+    pub fn text(&self) -> String {
+        TextEncoder::new()
+            .encode_to_string(&self.registry.gather())
+            .unwrap_or_default()
+    }
+}
--- /dev/null
+++ b/wagtaildoor_entry/src/request_scope.rs
@@ -0,0 +1,74 @@
+//! The life of one request at an entry, from its first byte to its end.
+
+use std::sync::Arc;
+
+use tokio::time::Instant;
+use uuid::Uuid;
+use wagtaildoor::{
+    ids::RequestId,
+    schema::EventKind,
+    timeline::EventDraft, //
+};
+
+use crate::{
+    access::AccessGrant,
+    state::EntryState, //
+};
+
+/// A request in work; its end is counted when this is dropped.
+pub struct RequestScope {
+    /// State of the entry.
+    pub state: Arc<EntryState>,
+    /// Request.
+    pub request: RequestId,
+    /// When it came.
+    pub received: Instant,
+}
+
+impl RequestScope {
+    /// A request that came now.
+    pub fn start(state: &Arc<EntryState>) -> Self {
+        state.metrics.received();
+        Self {
+            state: Arc::clone(state),
+            request: new_request(),
+            received: Instant::now(),
+        }
+    }
+
+    /// Notes who asks for what.
+    pub fn note_received(&self, grant: AccessGrant<'_>) {
+        let template = grant.template;
+        let shared = match template.levels.as_slice() {
+            [] => "no shared prompt".to_string(),
+            levels => {
+                let names: Vec<&str> = levels.iter().map(|level| &*level.name).collect();
+                format!("a shared prompt of {}", names.join(", "))
+            }
+        };
+        let kind = if template.repeatable {
+            "idempotent"
+        } else {
+            "to be run at most once"
+        };
+        let detail = format!(
+            "{} asked for {}, {kind}, {}, due within {} ms, with {shared}",
+            grant.account.id, template.id, template.urgency, template.deadline_ms
+        );
+        let draft = EventDraft::new(EventKind::RequestReceived, detail)
+            .request(self.request.clone())
+            .account(grant.account.id.clone());
+        self.state.recorder.record(draft);
+    }
+}
+
+impl Drop for RequestScope {
+    fn drop(&mut self) {
+        self.state.metrics.ended(self.received.elapsed());
+    }
+}
+
+/// A request id that no other host gives.
+pub fn new_request() -> RequestId {
+    Uuid::now_v7().to_string().into()
+}
--- /dev/null
+++ b/wagtaildoor_entry/src/server.rs
@@ -0,0 +1,237 @@
+//! Puts an entry together and runs it until a signal ends it.
+
+use std::{
+    fs,
+    sync::Arc,
+    time::Duration, //
+};
+
+use rocket::{
+    config::{
+        LogLevel,
+        Shutdown,
+        TlsConfig, //
+    },
+    fairing::AdHoc,
+    Config, //
+};
+use slog::{
+    info,
+    warn, //
+};
+use tokio::{
+    signal::unix::{
+        self,
+        Signal,
+        SignalKind, //
+    },
+    sync::broadcast::error::RecvError,
+    time::Instant,
+};
+use tokio_util::{
+    sync::CancellationToken,
+    task::TaskTracker, //
+};
+use wagtaildoor::{
+    keeper_link::KeeperLink,
+    logging,
+    routing_table::RoutingTable,
+    schema::{
+        EntryHello,
+        EntrySettings,
+        EventKind,
+        ListenSection, //
+    },
+    timeline::{
+        EventDraft,
+        EventRecorder, //
+    },
+};
+
+use crate::{
+    http_clients::HttpClients,
+    metrics::EntryMetrics,
+    routes,
+    state::EntryState, //
+};
+
+/// Name of the program in logs and time lines.
+const PROCESS: &str = "wagtaildoor-entry";
+/// Time the server gives connections beyond our own drain, in seconds.
+const GRACE_S: u32 = 1;
+/// Time between two looks at the drain.
+const DRAIN_STEP: Duration = Duration::from_millis(50);
+
+/// Result of running an entry.
+pub type Result<T> = std::result::Result<T, ServerError>;
+
+/// Why an entry could not start or go on.
+#[derive(Debug, derive_more::Display, derive_more::Error, derive_more::From)]
+pub enum ServerError {
+    /// The HTTP server failed.
+    #[display("server: {_0}")]
+    Server(Box<rocket::Error>),
+    /// The HTTP clients could not be built.
+    #[display("clients: {_0}")]
+    Clients(reqwest::Error),
+    /// The metrics could not be built.
+    #[display("metrics: {_0}")]
+    Metrics(opentelemetry_sdk::error::OTelSdkError),
+    /// A signal could not be taken over.
+    #[display("signals: {_0}")]
+    Signals(std::io::Error),
+}
+
+/// Runs an entry with these settings until it is told to end.
+pub async fn run(settings: EntrySettings) -> Result<()> {
+    let terminate = unix::signal(SignalKind::terminate())?;
+    let token = CancellationToken::new();
+    let state = build_state(settings, &token)?;
+    tokio::spawn(feed_table(Arc::clone(&state), token.clone()));
+    let server = rocket::custom(server_config(&state.settings.listen))
+        .manage(Arc::clone(&state))
+        .attach(announce(Arc::clone(&state)));
+    let server = routes::mount(server).ignite().await.map_err(Box::new)?;
+    let stop = server.shutdown();
+    let drain = tokio::spawn(drain(Arc::clone(&state), terminate, stop));
+    server.launch().await.map_err(Box::new)?;
+    drain.abort();
+    note(&state, EventKind::ProcessStopped, "stopped");
+    token.cancel();
+    Ok(())
+}
+
+/// Puts the state of an entry together.
+fn build_state(settings: EntrySettings, token: &CancellationToken) -> Result<Arc<EntryState>> {
+    let log = logging::logger(&settings.logging, &settings.host.name, PROCESS);
+    let capacity = settings.logging.timeline_events as usize;
+    let recorder = EventRecorder::new(&settings.host.name, PROCESS, capacity, log.clone());
+    let hello = EntryHello {
+        host: settings.host.name.clone(),
+        stamp: recorder.clock().now(),
+    };
+    let retry = Duration::from_millis(settings.keepers.retry_ms);
+    let addresses = settings.keepers.addresses.clone();
+    let link = KeeperLink::start(addresses, hello, retry, token.child_token());
+    Ok(Arc::new(EntryState {
+        view: link.view(),
+        link,
+        table: Arc::new(RoutingTable::new()),
+        clients: HttpClients::new()?,
+        metrics: EntryMetrics::new()?,
+        runs: TaskTracker::new(),
+        leaving: CancellationToken::new(),
+        settings,
+        log,
+        recorder,
+    }))
+}
+
+/// Passes views and cache news of the keeper on to the routing table.
+async fn feed_table(state: Arc<EntryState>, token: CancellationToken) {
+    let mut view = state.view.clone();
+    let mut news = state.link.news();
+    loop {
+        tokio::select! {
+            () = token.cancelled() => return,
+            changed = view.changed() => {
+                if changed.is_err() {
+                    return;
+                }
+                let held = view.borrow_and_update().clone();
+                if let Some(held) = held {
+                    state.table.take_view(&held.view);
+                }
+            }
+            item = news.recv() => match item {
+                Ok(item) => state.table.take_news(&item),
+                Err(RecvError::Lagged(missed)) => {
+                    warn!(state.log, "cache news missed"; "count" => missed);
+                }
+                Err(RecvError::Closed) => return,
+            },
+        }
+    }
+}
+
+/// Settings of the HTTP server: its own signals are off, since the drain goes first.
+fn server_config(listen: &ListenSection) -> Config {
+    let shutdown = Shutdown {
+        ctrlc: false,
+        signals: Default::default(),
+        grace: GRACE_S,
+        mercy: GRACE_S,
+        force: true,
+        ..Shutdown::default()
+    };
+    let tls = listen
+        .tls_certificate
+        .as_deref()
+        .zip(listen.tls_key.as_deref())
+        .map(|(certificate, key)| TlsConfig::from_paths(certificate, key));
+    Config {
+        address: listen.address.ip(),
+        port: listen.address.port(),
+        log_level: LogLevel::Off,
+        cli_colors: false,
+        tls,
+        shutdown,
+        ..Config::release_default()
+    }
+}
+
+/// Tells the log, and the address file, where the entry listens.
+fn announce(state: Arc<EntryState>) -> AdHoc {
+    AdHoc::on_liftoff("announce", move |server| {
+        Box::pin(async move {
+            let config = server.config();
+            let address = format!("{}:{}", config.address, config.port);
+            info!(state.log, "listening"; "address" => &address);
+            note(&state, EventKind::ProcessStarted, format!("listening on {address}"));
+            let Some(file) = &state.settings.listen.address_file else {
+                return;
+            };
+            if let Err(error) = fs::write(&**file, &address) {
+                warn!(state.log, "address file"; "error" => %error);
+            }
+        })
+    })
+}
+
+/// Waits for the signal, lets all work end, and stops the server.
+///
+/// A second signal ends the process at once.
+async fn drain(state: Arc<EntryState>, mut terminate: Signal, stop: rocket::Shutdown) {
+    terminate.recv().await;
+    state.leaving.cancel();
+    note(&state, EventKind::ProcessLeaving, "told to end: not ready, still serving");
+    let shutdown = &state.settings.shutdown;
+    let limit = Instant::now() + Duration::from_millis(shutdown.limit_ms);
+    let quiet = Duration::from_millis(shutdown.quiet_ms);
+    tokio::select! {
+        () = work_ends(&state, quiet) => {}
+        () = tokio::time::sleep_until(limit) => {
+            warn!(state.log, "drain limit reached"; "running" => state.runs.len());
+        }
+        _ = terminate.recv() => {
+            warn!(state.log, "second signal"; "running" => state.runs.len());
+        }
+    }
+    stop.notify();
+}
+
+/// Waits until no request has been in work for the quiet time.
+async fn work_ends(state: &EntryState, quiet: Duration) {
+    let mut idle_since = Instant::now();
+    while idle_since.elapsed() < quiet {
+        tokio::time::sleep(DRAIN_STEP).await;
+        if !state.runs.is_empty() {
+            idle_since = Instant::now();
+        }
+    }
+}
+
+/// Notes something of this process.
+fn note(state: &EntryState, kind: EventKind, detail: impl Into<Box<str>>) {
+    state.recorder.record(EventDraft::new(kind, detail));
+}
--- /dev/null
+++ b/wagtaildoor_entry/src/service_run.rs
@@ -0,0 +1,232 @@
+//! Runs one request to a plain service: idempotent ones with retries, others at most once.
+
+use std::{
+    sync::Arc,
+    time::Duration, //
+};
+
+use tokio::time::Instant;
+use uuid::Uuid;
+use wagtaildoor::{
+    error::{
+        ErrorKind,
+        RequestError,
+        Result, //
+    },
+    ids::{
+        EndpointId,
+        RequestId,
+        RequestKey, //
+    },
+    placement::{
+        PlacementChoice,
+        PlacementQuery, //
+    },
+    schema::{
+        Account,
+        EndpointNews,
+        EventKind,
+        Pool,
+        Template, //
+    },
+    timeline::EventDraft,
+};
+
+use crate::{
+    engine_call::CallError,
+    model_run,
+    once_run::OnceRun,
+    service_call::{
+        self,
+        ServiceAnswer,
+        ServiceCall, //
+    },
+    state::EntryState,
+};
+
+/// Attempts an idempotent request gets at most.
+const ATTEMPT_LIMIT: usize = 3;
+
+/// One request to a plain service.
+#[derive(Clone)]
+pub struct ServiceRun {
+    /// State of the entry.
+    pub state: Arc<EntryState>,
+    /// Request.
+    pub request: RequestId,
+    /// Account that asks.
+    pub account: Account,
+    /// Template in force when the request came.
+    pub template: Template,
+    /// Pool in force when the request came.
+    pub pool: Pool,
+    /// Idempotency key.
+    pub key: Option<RequestKey>,
+    /// Body, in JSON.
+    pub body: Box<str>,
+    /// When the request came.
+    pub received: Instant,
+}
+
+/// What a caller gets, and from where.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct ServiceReply {
+    /// Answer of the service.
+    pub answer: ServiceAnswer,
+    /// Endpoint that gave it; `None` for an answer on record.
+    pub endpoint: Option<EndpointId>,
+    /// Why it came from there, as a sentence.
+    pub reason: Box<str>,
+}
+
+impl ServiceRun {
+    /// Runs the request to its end.
+    pub async fn run(self) -> Result<ServiceReply> {
+        if !self.template.repeatable {
+            return OnceRun::new(self).run().await;
+        }
+        let limit = self.deadline();
+        match tokio::time::timeout_at(limit, self.attempts()).await {
+            Ok(result) => result,
+            Err(_) => Err(self.late()),
+        }
+    }
+
+    /// Tries endpoints until one answers.
+    async fn attempts(&self) -> Result<ServiceReply> {
+        let mut exclude: Vec<EndpointId> = Vec::new();
+        let mut worst = None;
+        for attempt in 0..ATTEMPT_LIMIT {
+            if attempt > 0 {
+                self.state.metrics.retried();
+            }
+            let choice = match self.place(&exclude) {
+                Ok(choice) => choice,
+                Err(error) => return Err(worst.unwrap_or(error)),
+            };
+            let call = self.service_call(&choice, Uuid::now_v7().to_string().into());
+            let error = match self.send(&choice, &call).await {
+                Ok(reply) => return Ok(reply),
+                Err(error) => error,
+            };
+            let detail = format!("{} failed: {error}", choice.endpoint);
+            self.note_at(EventKind::RequestRetried, &choice, detail);
+            worst = Some(model_run::worse(worst, failure(&error)));
+            exclude.push(choice.endpoint);
+        }
+        Err(worst.unwrap_or_else(|| RequestError::new(ErrorKind::Internal, "no attempt was made")))
+    }
+
+    /// Sends the call to the endpoint, and tells the keeper what the answer says of it.
+    pub async fn send(
+        &self,
+        choice: &PlacementChoice,
+        call: &ServiceCall,
+    ) -> std::result::Result<ServiceReply, CallError> {
+        let ticket = self.state.table.dispatched(choice);
+        let client = if self.template.repeatable {
+            &self.state.clients.repeatable
+        } else {
+            &self.state.clients.once
+        };
+        let answer = match service_call::call(client, call).await {
+            Ok(answer) => answer,
+            Err(error) => {
+                self.state.table.failed(ticket, ErrorKind::EndpointFailed);
+                return Err(error);
+            }
+        };
+        drop(ticket);
+        self.tell(choice, &answer);
+        Ok(ServiceReply {
+            answer,
+            endpoint: Some(choice.endpoint.clone()),
+            reason: choice.reason.to_string().into(),
+        })
+    }
+
+    /// Chooses an endpoint.
+    pub fn place(&self, exclude: &[EndpointId]) -> Result<PlacementChoice> {
+        let query = PlacementQuery {
+            pool: &self.pool.id,
+            domain: &self.state.settings.host.domain,
+            weights_version: 0,
+            levels: &[],
+            prompt_tokens: 0,
+            deadline: self.deadline().into_std(),
+            exclude,
+        };
+        let choice = self
+            .state
+            .table
+            .place(&query, Instant::now().into_std())
+            .map_err(|kind| {
+                let detail = format!("no endpoint of pool {} can take the request", self.pool.id);
+                RequestError::new(kind, detail)
+            })?;
+        let detail = format!("sent to {}: {}", choice.endpoint, choice.reason);
+        self.note_at(EventKind::RequestPlaced, &choice, detail);
+        Ok(choice)
+    }
+
+    /// The call of one attempt.
+    pub fn service_call(&self, choice: &PlacementChoice, attempt: Box<str>) -> ServiceCall {
+        ServiceCall {
+            address: choice.address,
+            path: self.template.path.clone(),
+            request: self.request.clone(),
+            attempt,
+            key: self.key.clone(),
+            body: self.body.clone(),
+        }
+    }
+
+    /// When the whole answer is due.
+    pub fn deadline(&self) -> Instant {
+        self.received + Duration::from_millis(self.template.deadline_ms)
+    }
+
+    /// The error once the deadline has passed.
+    pub fn late(&self) -> RequestError {
+        let detail = format!("no answer within {} ms", self.template.deadline_ms);
+        RequestError::new(ErrorKind::DeadlinePassed, detail)
+    }
+
+    /// Notes something of this request.
+    pub fn note(&self, kind: EventKind, detail: impl Into<Box<str>>) {
+        self.state.recorder.record(self.draft(kind, detail));
+    }
+
+    /// Notes something of this request at an endpoint.
+    pub fn note_at(&self, kind: EventKind, choice: &PlacementChoice, detail: impl Into<Box<str>>) {
+        let draft = self.draft(kind, detail);
+        self.state.recorder.record(draft.endpoint(choice.endpoint.clone()));
+    }
+
+    /// An event of this request.
+    fn draft(&self, kind: EventKind, detail: impl Into<Box<str>>) -> EventDraft {
+        EventDraft::new(kind, detail)
+            .request(self.request.clone())
+            .account(self.account.id.clone())
+    }
+
+    /// Tells the keeper what the answer said of its endpoint.
+    fn tell(&self, choice: &PlacementChoice, answer: &ServiceAnswer) {
+        self.state.link.tell(EndpointNews {
+            boot_id: answer.word.boot_id.clone(),
+            endpoint: choice.endpoint.clone(),
+            queued: answer.word.queued,
+            weights_version: answer.word.weights_version,
+        });
+    }
+}
+
+/// The error of a failed call.
+pub fn failure(error: &CallError) -> RequestError {
+    let kind = match error {
+        CallError::Broken(_) => ErrorKind::EndpointFailed,
+        CallError::NotSent(_) => ErrorKind::NoEndpoint,
+        CallError::Refused(_) | CallError::OtherWeights => ErrorKind::EndpointRefused,
+    };
+    RequestError::new(kind, error.to_string())
+}
--- /dev/null
+++ b/wagtaildoor_entry/src/state.rs
@@ -0,0 +1,65 @@
+//! What all requests of one entry share.
+
+use std::sync::Arc;
+
+use slog::Logger;
+use tokio::sync::watch;
+use tokio_util::{
+    sync::CancellationToken,
+    task::TaskTracker, //
+};
+use wagtaildoor::{
+    error::{
+        ErrorKind,
+        RequestError,
+        Result, //
+    },
+    keeper_link::{
+        HeldView,
+        KeeperLink, //
+    },
+    routing_table::RoutingTable,
+    schema::EntrySettings,
+    timeline::EventRecorder,
+};
+
+use crate::{
+    http_clients::HttpClients,
+    metrics::EntryMetrics, //
+};
+
+/// State of one entry.
+pub struct EntryState {
+    /// Settings.
+    pub settings: EntrySettings,
+    /// Log.
+    pub log: Logger,
+    /// Time line.
+    pub recorder: EventRecorder,
+    /// Link to the keeper.
+    pub link: KeeperLink,
+    /// Newest view of the keeper.
+    pub view: watch::Receiver<Option<Arc<HeldView>>>,
+    /// Where requests can go.
+    pub table: Arc<RoutingTable>,
+    /// Clients towards endpoints.
+    pub clients: HttpClients,
+    /// Metrics.
+    pub metrics: EntryMetrics,
+    /// Tasks that run requests; they outlive their callers' connections.
+    pub runs: TaskTracker,
+    /// Cancelled once the entry is leaving.
+    pub leaving: CancellationToken,
+}
+
+impl EntryState {
+    /// The view in force.
+    pub fn held_view(&self) -> Result<Arc<HeldView>> {
+        self.view.borrow().clone().ok_or_else(|| {
+            RequestError::new(
+                ErrorKind::NotConfigured,
+                "this host has no configuration yet: no keeper was reached since it started",
+            )
+        })
+    }
+}
