Read settings, log JSON lines, stamp events and merge time lines

Every program needs its settings checked and its events in causal order, so these parts come first. All faults of a file are shown at once, malformed lines too.

Ruled out: a hand-written check for each program, which drifts from the schema; a lock around the clock.

--- /dev/null
+++ b/wagtaildoor/tests/settings.rs
@@ -0,0 +1,206 @@
+//! Settings files: every fault at once, and what each fault says.
+
+use std::{
+    fs,
+    path::Path, //
+};
+
+use wagtaildoor::{
+    schema::{
+        EntrySettings,
+        KeeperSettings,
+        LoggingSectionLevel,
+        OperatorSettings, //
+    },
+    settings::{
+        self,
+        fault::SettingsErrors, //
+    },
+};
+
+/// The shortest settings of an entry.
+const LEAST_ENTRY: &str = "
+[host]
+name = north-1
+domain = north
+region = peninsula
+[listen]
+address = 127.0.0.1:0
+[keepers]
+addresses = 127.0.0.1:7100, 127.0.0.2:7100
+";
+
+/// An entry's settings with five faults.
+const FIVE_FAULTS: &str = "
+[host]
+name = north-1
+domain = north
+[listen]
+address = localhost
+body_limit_bytes = 12
+[keepers]
+addresses = 127.0.0.1:7100
+retries = 3
+[logging]
+level = loud
+";
+
+/// Reads an entry's settings from a text.
+fn entry(text: &str) -> Result<EntrySettings, SettingsErrors> {
+    settings::read_text("entry.ini", text, "EntrySettings")
+}
+
+/// The lines of an error, less the count.
+fn lines(errors: &SettingsErrors) -> Vec<String> {
+    errors.faults.iter().map(ToString::to_string).collect()
+}
+
+#[test]
+fn defaults_fill_keys_and_whole_sections() {
+    let settings = entry(LEAST_ENTRY).expect("settings without faults");
+    assert_eq!(&*settings.host.name, "north-1");
+    assert_eq!(settings.keepers.addresses.len(), 2);
+    assert_eq!(settings.keepers.retry_ms, 200);
+    assert_eq!(settings.limits.in_flight, 2000);
+    assert_eq!(settings.logging.level, LoggingSectionLevel::Info);
+    assert_eq!(settings.listen.tls_key, None);
+}
+
+#[test]
+fn five_faults_are_shown_at_once() {
+    let errors = entry(FIVE_FAULTS).expect_err("five faults");
+    let expected = [
+        "entry.ini: [host] region is missing; allowed: 1 to 64 letters, digits, points, hyphens \
+         and underscores, the first a letter or digit",
+        "entry.ini: [listen] address = \"localhost\" does not have the right form; allowed: an \
+         address and port, such as 127.0.0.1:7100",
+        "entry.ini: [listen] body_limit_bytes = \"12\" is too small; allowed: a whole number from \
+         1024 to 67108864",
+        "entry.ini: [keepers] retries is not a key of this section; allowed: addresses, retry_ms",
+        "entry.ini: [logging] level = \"loud\" is none of the choices; allowed: one of error, \
+         warning, info, debug",
+    ];
+    let mut found = lines(&errors);
+    found.sort_unstable();
+    let mut wanted = expected.to_vec();
+    wanted.sort_unstable();
+    assert_eq!(found, wanted);
+    assert!(errors.to_string().starts_with("5 faults:\n"));
+}
+
+#[test]
+fn each_fault_says_where_and_what() {
+    let cases = [
+        (
+            "unknown section",
+            "[hots]\nname = a",
+            "[hots] is not a section",
+        ),
+        (
+            "key before sections",
+            "level = info",
+            "level stands before the first section",
+        ),
+        (
+            "section twice",
+            "[logging]\n[logging]",
+            "[logging] comes twice",
+        ),
+        (
+            "key twice",
+            "[logging]\nlevel = info\nlevel = debug",
+            "level = \"debug\" comes twice",
+        ),
+        ("no key", "[logging]\n= 3\n", "malformed"),
+        (
+            "unclosed section",
+            "[logging\nlevel = info\n",
+            "\"[logging\" is malformed",
+        ),
+        (
+            "no value sign",
+            "[logging]\nlevel\n",
+            "\"level\" is malformed",
+        ),
+        (
+            "sign",
+            "[limits]\nin_flight = -1",
+            "\"-1\" is not a whole number",
+        ),
+        (
+            "fraction",
+            "[limits]\nin_flight = 1.5",
+            "\"1.5\" is not a whole number",
+        ),
+        (
+            "empty number",
+            "[limits]\nin_flight =",
+            "\"\" is not a whole number",
+        ),
+        (
+            "too large",
+            "[limits]\nin_flight = 99999999999999999999",
+            "is too large",
+        ),
+        (
+            "empty text",
+            "[listen]\ntls_key =",
+            "tls_key = \"\" is too short",
+        ),
+        (
+            "long value",
+            &format!("[logging]\nlevel = {}", "x".repeat(500)),
+            "x…\" is none",
+        ),
+    ];
+    for (name, text, expected) in cases {
+        let errors = entry(text).expect_err(name);
+        let found = lines(&errors);
+        let hit = found.iter().any(|line| line.contains(expected));
+        assert!(hit, "{name}: {expected:?} not in {found:#?}");
+    }
+}
+
+#[test]
+fn values_of_keepers_and_operators_are_checked() {
+    let keeper = "[platform]\nlog_url = ftp://log\nlist_url = http://127.0.0.1:1/list\n";
+    let errors = settings::read_text::<KeeperSettings>("keeper.ini", keeper, "KeeperSettings")
+        .expect_err("faults");
+    let found = lines(&errors).join("\n");
+    assert!(found.contains("log_url = \"ftp://log\" does not have the right form"));
+    assert!(!found.contains("list_url"), "{found}");
+
+    let operator = "[operator]\nname = Mei\nkeepers =\nlog_url = http://127.0.0.1:1\n\
+                    entries = 127.0.0.1:1, 127.0.0.1\n";
+    let errors =
+        settings::read_text::<OperatorSettings>("operator.ini", operator, "OperatorSettings")
+            .expect_err("faults");
+    let found = lines(&errors).join("\n");
+    assert!(
+        found.contains("keepers = \"\" has too few items"),
+        "{found}"
+    );
+    assert!(
+        found.contains("has an item, \"127.0.0.1\", that does not"),
+        "{found}"
+    );
+}
+
+#[test]
+fn a_missing_file_is_a_fault_that_names_it() {
+    let errors = settings::read_entry(Path::new("no-such-file.ini")).expect_err("no file");
+    assert_eq!(errors.faults.len(), 1);
+    assert!(errors
+        .to_string()
+        .contains("no-such-file.ini: cannot be read"));
+}
+
+#[test]
+fn files_are_read_by_path() {
+    let name = format!("wagtaildoor-settings-{}.ini", std::process::id());
+    let path = std::env::temp_dir().join(name);
+    fs::write(&path, LEAST_ENTRY).expect("a file");
+    let read = settings::read_entry(&path);
+    fs::remove_file(&path).expect("the file goes");
+    assert_eq!(read, entry(LEAST_ENTRY));
+}
--- /dev/null
+++ b/wagtaildoor/tests/support/seeds.rs
@@ -0,0 +1,42 @@
+//! Random tests with fixed seeds; a failure names its seed and the shrunk case.
+
+use std::env;
+
+use quickcheck::{
+    Gen,
+    QuickCheck,
+    Testable, //
+};
+
+/// First seed, unless `WAGTAILDOOR_SEED` gives another.
+const FIRST_SEED: u64 = 1;
+
+/// Seeds run one after the other, unless `WAGTAILDOOR_RUNS` gives another count.
+const SEEDS: u64 = 4;
+
+/// Cases for each seed.
+const CASES: u64 = 200;
+
+/// Size of a generated case.
+const CASE_SIZE: usize = 60;
+
+/// Checks a property with each seed.
+pub fn check<P: Testable + Clone>(name: &str, property: P) {
+    let first = number("WAGTAILDOOR_SEED").unwrap_or(FIRST_SEED);
+    let seeds = number("WAGTAILDOOR_RUNS").unwrap_or(SEEDS);
+    for seed in first..first + seeds {
+        let gen = Gen::from_size_and_seed(CASE_SIZE, seed);
+        let result = QuickCheck::new()
+            .rng(gen)
+            .tests(CASES)
+            .quicktest(property.clone());
+        if let Err(failure) = result {
+            panic!("{name}: WAGTAILDOOR_SEED={seed} WAGTAILDOOR_RUNS=1: {failure:?}");
+        }
+    }
+}
+
+/// A number from the environment.
+fn number(name: &str) -> Option<u64> {
+    env::var(name).ok()?.parse().ok()
+}
--- /dev/null
+++ b/wagtaildoor/tests/timeline.rs
@@ -0,0 +1,230 @@
+//! The time line: recording, merging, and reading it back from logs.
+
+use std::{
+    io,
+    sync::{
+        Arc,
+        Mutex, //
+    },
+};
+
+#[path = "support/seeds.rs"]
+mod seeds;
+
+use quickcheck::Arbitrary;
+use slog::{
+    Drain,
+    Logger, //
+};
+use wagtaildoor::{
+    schema::{
+        EventKind,
+        EventPage,
+        TimelineEvent, //
+    },
+    timeline::{
+        log_lines,
+        merge,
+        EventDraft,
+        EventFilter,
+        EventRecorder, //
+    },
+};
+
+/// Hosts of a run.
+const HOSTS: [&str; 3] = ["north-1", "north-2", "south-1"];
+
+/// A logger that writes nowhere.
+fn silent() -> Logger {
+    Logger::root(slog::Discard, slog::o!())
+}
+
+/// Bytes that a logger wrote.
+#[derive(Clone, Default)]
+struct LogBytes(Arc<Mutex<Vec<u8>>>);
+
+impl io::Write for LogBytes {
+    fn write(&mut self, bytes: &[u8]) -> io::Result<usize> {
+        self.0.lock().expect("bytes").extend_from_slice(bytes);
+        Ok(bytes.len())
+    }
+
+    fn flush(&mut self) -> io::Result<()> {
+        Ok(())
+    }
+}
+
+/// A logger into bytes, in the form of `logging::logger`.
+fn logger(bytes: &LogBytes, host: &str) -> Logger {
+    let json = slog_json::Json::default(bytes.clone());
+    let drain = Mutex::new(json).fuse();
+    Logger::root(
+        drain,
+        slog::o!("host" => host.to_string(), "process" => "entry"),
+    )
+}
+
+/// A draft of a request's event.
+fn draft(request: &str, detail: &str) -> EventDraft {
+    EventDraft::new(EventKind::RequestPlaced, detail)
+        .request(request)
+        .account("school")
+        .endpoint("drafter-1")
+}
+
+/// Details of events in their order.
+fn details(events: &[TimelineEvent]) -> Vec<&str> {
+    events.iter().map(|event| &*event.detail).collect()
+}
+
+#[test]
+fn the_newest_events_are_kept_and_the_others_counted() {
+    let recorder = EventRecorder::new("north-1", "entry", 3, silent());
+    for number in 0..5 {
+        recorder.record(draft("r", &number.to_string()));
+    }
+    let page = recorder.page(&EventFilter::default());
+    assert_eq!(page.dropped, 2);
+    assert_eq!(details(&page.events), ["2", "3", "4"]);
+}
+
+#[test]
+fn filters_let_through_what_they_name() {
+    let recorder = EventRecorder::new("north-1", "entry", 10, silent());
+    recorder.record(draft("r", "placed"));
+    recorder.record(EventDraft::new(EventKind::ProcessStarted, "started"));
+    let wall_ms = recorder.page(&EventFilter::default()).events[0]
+        .stamp
+        .wall_ms;
+    let request = |id: &str| EventFilter {
+        request: Some(id.into()),
+        ..Default::default()
+    };
+    let account = |id: &str| EventFilter {
+        account: Some(id.into()),
+        ..Default::default()
+    };
+    let endpoint = |id: &str| EventFilter {
+        endpoint: Some(id.into()),
+        ..Default::default()
+    };
+    let host = |id: &str| EventFilter {
+        host: Some(id.into()),
+        ..Default::default()
+    };
+    let from = |ms| EventFilter {
+        from_ms: Some(ms),
+        ..Default::default()
+    };
+    let to = |ms| EventFilter {
+        to_ms: Some(ms),
+        ..Default::default()
+    };
+    let cases = [
+        ("all", EventFilter::default(), 2),
+        ("request", request("r"), 1),
+        ("other request", request("s"), 0),
+        ("account", account("school"), 1),
+        ("endpoint", endpoint("drafter-1"), 1),
+        ("host", host("north-1"), 2),
+        ("other host", host("north-2"), 0),
+        ("from", from(wall_ms), 2),
+        ("from later", from(wall_ms + 3_600_000), 0),
+        ("to earlier", to(wall_ms - 1), 0),
+    ];
+    for (name, filter, expected) in cases {
+        assert_eq!(recorder.page(&filter).events.len(), expected, "{name}");
+    }
+}
+
+#[test]
+fn events_are_read_back_from_the_log() {
+    let bytes = LogBytes::default();
+    let log = logger(&bytes, "north-1");
+    let recorder = EventRecorder::new("north-1", "entry", 10, log.clone());
+    slog::info!(log, "something else"; "wall_ms" => 1);
+    recorder.record(draft("r", "with \"quotes\"\nand lines"));
+    recorder.record(EventDraft::new(EventKind::ProcessLeaving, "leaving"));
+    let mut text = String::from_utf8(bytes.0.lock().expect("bytes").clone()).expect("text");
+    text.push_str("{\"msg\":\"timeline event\",\"event\":\"no_such_kind\"}\n{\"cut\": \n");
+    let reading = log_lines::read(&text);
+    assert_eq!(
+        reading.page.events,
+        recorder.page(&EventFilter::default()).events
+    );
+    assert_eq!(reading.malformed, 2);
+}
+
+#[test]
+fn an_event_from_two_sources_is_shown_once() {
+    let recorder = EventRecorder::new("north-1", "entry", 10, silent());
+    recorder.record(draft("r", "once"));
+    let page = recorder.page(&EventFilter::default());
+    let merged = merge::merge([page.clone(), page], &EventFilter::default());
+    assert_eq!(details(&merged.events), ["once"]);
+    assert_eq!(merge::lanes(&merged.events).len(), 1);
+}
+
+/// One step of a run: a host's process acts on its own, or after another's message.
+#[derive(Clone, Debug)]
+struct MessageStep {
+    /// Host that acts.
+    host: usize,
+    /// Host whose newest message it has received.
+    from: Option<usize>,
+    /// How far the sender's stamp lies in the future of all true clocks, in milliseconds.
+    skew_ms: u64,
+}
+
+impl Arbitrary for MessageStep {
+    fn arbitrary(gen: &mut quickcheck::Gen) -> Self {
+        let from = usize::arbitrary(gen) % (2 * HOSTS.len());
+        Self {
+            host: usize::arbitrary(gen) % HOSTS.len(),
+            from: (from < HOSTS.len()).then_some(from),
+            skew_ms: u64::arbitrary(gen) % 60_000,
+        }
+    }
+}
+
+/// Runs the steps; true when the merged time line has each cause before its effect.
+fn merged_in_causal_order(steps: Vec<MessageStep>) -> bool {
+    let recorders = HOSTS.map(|host| EventRecorder::new(host, "entry", 1000, silent()));
+    let mut causes: Vec<(usize, usize)> = Vec::new();
+    let mut newest: [Option<usize>; HOSTS.len()] = [None; HOSTS.len()];
+    for (number, step) in steps.iter().enumerate() {
+        let recorder = &recorders[step.host];
+        // A wall clock that runs ahead shows as a stamp ahead of the true time.
+        let clock = recorder.clock();
+        let mut ahead = clock.now();
+        ahead.wall_ms += step.skew_ms;
+        clock.observe(ahead);
+        if let Some(from) = step.from {
+            clock.observe(recorders[from].clock().now());
+            causes.extend(newest[from].map(|cause| (cause, number)));
+        }
+        causes.extend(newest[step.host].map(|cause| (cause, number)));
+        recorder.record(draft("r", &number.to_string()));
+        newest[step.host] = Some(number);
+    }
+    let filter = EventFilter::default();
+    let pages: Vec<EventPage> = recorders.iter().map(|one| one.page(&filter)).collect();
+    let merged = merge::merge(pages, &filter);
+    let place = |number: usize| {
+        let detail = number.to_string();
+        let mut events = merged.events.iter();
+        events
+            .position(|event| *event.detail == *detail)
+            .expect("an event")
+    };
+    merged.events.len() == steps.len()
+        && causes
+            .iter()
+            .all(|&(cause, effect)| place(cause) < place(effect))
+}
+
+#[test]
+fn merged_time_lines_have_causes_before_effects() {
+    let property = merged_in_causal_order as fn(Vec<MessageStep>) -> bool;
+    seeds::check("timeline", property);
+}
