--- a/wagtaildoor/src/lib.rs
+++ b/wagtaildoor/src/lib.rs
@@ -6,6 +6,7 @@
 pub mod ids;
 pub mod log_store;
 pub mod logging;
+pub mod prompt;
 pub mod schema;
 pub mod settings;
 pub mod timeline;
