--- a/wagtaildoor/src/lib.rs
+++ b/wagtaildoor/src/lib.rs
@@ -4,6 +4,7 @@
 pub mod error;
 pub mod frame;
 pub mod ids;
+pub mod log_http;
 pub mod log_store;
 pub mod logging;
 pub mod prompt;
