Give prompt levels their ids, and check streams chunk by chunk

Cause: every other part of routing needs the id of a shared prefix, and no caller may see a chunk of another attempt, a gap or a silent end.

Prefix ids are a hash chain rooted at account, pool, adapter and weights version, each part with its length. Ruled out: one hash over the joined texts, where parts can run together, and checking rights at look-up time, which one forgotten comparison would undo.

A last event that counts other chunks than came is a fault of its own: a shorter answer with a proper end would otherwise pass as whole.

--- a/wagtaildoor/src/lib.rs
+++ b/wagtaildoor/src/lib.rs
@@ -4,4 +4,6 @@
 pub mod frame;
 pub mod ids;
 pub mod log_store;
+pub mod prefix;
 pub mod schema;
+pub mod stream_check;
