Put the operators' bodies into the schema

Keepers answer operators over HTTP, and the tool reads the answers; both sides use the same generated types: KeeperStatus, UnresolvedPage of UnresolvedOrder, PublishCall, PublishAnswer, PublishRefusal and SettleAnswer. GET /timeline gives EventPage and GET /configuration gives Configuration, which the schema had; POST /settle takes ClaimSettlement.

Ruled out: bare lists at the top of a body, which leave no room for a field added later. Measured: the library builds; no route uses them yet.

--- a/wagtaildoor/src/schema.rs
+++ b/wagtaildoor/src/schema.rs
@@ -1285,6 +1285,30 @@
         value.clone()
     }
 }
+///Answer to GET /status: what one keeper sees.
+#[derive(::serde::Deserialize, ::serde::Serialize, Clone, Debug, PartialEq)]
+#[serde(deny_unknown_fields)]
+pub struct KeeperStatus {
+    ///Time since the keeper last knew that its configuration was the newest, in milliseconds.
+    pub config_age_ms: u64,
+    ///Its failure domain.
+    pub domain: crate::ids::DomainId,
+    ///Endpoints it knows.
+    pub endpoints: ::std::vec::Vec<EndpointView>,
+    ///Configuration in force there.
+    pub head: ConfigHead,
+    ///Host of the keeper.
+    pub host: crate::ids::HostId,
+    ///Entry hosts it knows.
+    pub hosts: ::std::vec::Vec<HostView>,
+    ///Time since the log last answered, in milliseconds.
+    pub platform_age_ms: u64,
+}
+impl ::std::convert::From<&KeeperStatus> for KeeperStatus {
+    fn from(value: &KeeperStatus) -> Self {
+        value.clone()
+    }
+}
 ///Everything an entry needs to serve.
 #[derive(::serde::Deserialize, ::serde::Serialize, Clone, Debug, PartialEq)]
 #[serde(deny_unknown_fields)]
@@ -2072,6 +2096,54 @@
         value.clone()
     }
 }
+///Answer 200 to POST /publish: the changes are accepted.
+#[derive(::serde::Deserialize, ::serde::Serialize, Clone, Debug, PartialEq)]
+#[serde(deny_unknown_fields)]
+pub struct PublishAnswer {
+    ///Hosts that do not hold it yet.
+    pub behind: ::std::vec::Vec<crate::ids::HostId>,
+    ///Head with the changes.
+    pub head: ConfigHead,
+    ///Hosts that hold it.
+    pub held: ::std::vec::Vec<crate::ids::HostId>,
+}
+impl ::std::convert::From<&PublishAnswer> for PublishAnswer {
+    fn from(value: &PublishAnswer) -> Self {
+        value.clone()
+    }
+}
+///Body of POST /publish.
+#[derive(::serde::Deserialize, ::serde::Serialize, Clone, Debug, PartialEq)]
+#[serde(deny_unknown_fields)]
+pub struct PublishCall {
+    ///Changes, in force together.
+    pub changes: ::std::vec::Vec<ConfigChange>,
+    ///Why, in the operator's words.
+    pub note: ::std::boxed::Box<str>,
+    ///Who publishes.
+    pub operator: ::std::boxed::Box<str>,
+}
+impl ::std::convert::From<&PublishCall> for PublishCall {
+    fn from(value: &PublishCall) -> Self {
+        value.clone()
+    }
+}
+///Answer 409, 422 or 503 to POST /publish: the changes are not accepted.
+#[derive(::serde::Deserialize, ::serde::Serialize, Clone, Debug, PartialEq)]
+#[serde(deny_unknown_fields)]
+pub struct PublishRefusal {
+    ///Head in force.
+    pub head: ConfigHead,
+    ///Operator whose changes came first; null when nobody's did.
+    pub lost_to: ::std::option::Option<::std::boxed::Box<str>>,
+    ///What happened, as a sentence.
+    pub reason: ::std::boxed::Box<str>,
+}
+impl ::std::convert::From<&PublishRefusal> for PublishRefusal {
+    fn from(value: &PublishRefusal) -> Self {
+        value.clone()
+    }
+}
 ///An outcome or release an entry wants on record.
 #[derive(::serde::Deserialize, ::serde::Serialize, Clone, Debug, PartialEq)]
 #[serde(deny_unknown_fields)]
@@ -2118,6 +2190,20 @@
         value.clone()
     }
 }
+///Answer to POST /settle: 200 when it is on record, else 409.
+#[derive(::serde::Deserialize, ::serde::Serialize, Clone, Debug, PartialEq)]
+#[serde(deny_unknown_fields)]
+pub struct SettleAnswer {
+    ///What happened, as a sentence.
+    pub reason: ::std::boxed::Box<str>,
+    ///The settlement is on record and counts.
+    pub settled: bool,
+}
+impl ::std::convert::From<&SettleAnswer> for SettleAnswer {
+    fn from(value: &SettleAnswer) -> Self {
+        value.clone()
+    }
+}
 ///How an unknown outcome was settled.
 #[derive(
     ::serde::Deserialize,
@@ -2281,6 +2367,42 @@
         value.clone()
     }
 }
+///A non-repeatable request that was claimed and has no outcome on record.
+#[derive(::serde::Deserialize, ::serde::Serialize, Clone, Debug, PartialEq)]
+#[serde(deny_unknown_fields)]
+pub struct UnresolvedOrder {
+    ///Client account.
+    pub account: crate::ids::AccountId,
+    ///Time since the claim, by the log's clock, in milliseconds.
+    pub age_ms: u64,
+    ///Attempt that holds the claim.
+    pub attempt: crate::ids::AttemptId,
+    ///Host that claimed it.
+    pub host: crate::ids::HostId,
+    ///Idempotency key.
+    pub key: crate::ids::RequestKey,
+    ///Request the attempt works for.
+    pub request: crate::ids::RequestId,
+    ///Template of the request.
+    pub template: crate::ids::TemplateId,
+}
+impl ::std::convert::From<&UnresolvedOrder> for UnresolvedOrder {
+    fn from(value: &UnresolvedOrder) -> Self {
+        value.clone()
+    }
+}
+///Answer to GET /unresolved.
+#[derive(::serde::Deserialize, ::serde::Serialize, Clone, Debug, PartialEq)]
+#[serde(deny_unknown_fields)]
+pub struct UnresolvedPage {
+    ///Orders without an outcome, oldest first.
+    pub orders: ::std::vec::Vec<UnresolvedOrder>,
+}
+impl ::std::convert::From<&UnresolvedPage> for UnresolvedPage {
+    fn from(value: &UnresolvedPage) -> Self {
+        value.clone()
+    }
+}
 ///How urgent a kind of work is.
 #[derive(
     ::serde::Deserialize,
