--- a/wagtaildoor/src/lib.rs
+++ b/wagtaildoor/src/lib.rs
@@ -1,5 +1,6 @@
 //! Coordination parts of a router for language-model traffic with long shared prompts.
 
+pub mod clock;
 pub mod config_chain;
 pub mod config_change;
 pub mod config_follower;
@@ -9,5 +10,10 @@
 pub mod ids;
 pub mod log_http;
 pub mod log_store;
+pub mod logging;
+pub mod prefix;
 pub mod prompt;
 pub mod schema;
+pub mod settings;
+pub mod stream_check;
+pub mod timeline;
