Add the keeper: views for entries, claims, operators' routes

One task for each thing a keeper follows: log, claims, list, entries. An entry gets no view before the configuration was read once, since a view without accounts would refuse every caller.

--- /dev/null
+++ b/wagtaildoor_keeper/src/entry_calls.rs
@@ -0,0 +1,64 @@
+//! Answers the calls of entries.
+
+use std::{
+    sync::Arc,
+    time::Duration, //
+};
+
+use wagtaildoor::{
+    schema::{
+        ClaimCall,
+        ClaimVerdict,
+        ClockStamp,
+        EndpointNews,
+        RecordCall, //
+    },
+    view_board::EntryCalls,
+};
+
+use crate::state::KeeperState;
+
+/// Answers the calls of one entry.
+#[derive(Clone)]
+pub struct CallDesk {
+    /// State of the keeper.
+    state: Arc<KeeperState>,
+}
+
+impl CallDesk {
+    /// Answers with the state of this keeper.
+    pub fn new(state: Arc<KeeperState>) -> Self {
+        Self { state }
+    }
+}
+
+impl EntryCalls for CallDesk {
+    async fn claim(&self, call: ClaimCall) -> ClaimVerdict {
+        let wait = Duration::from_millis(call.wait_ms);
+        let verdict = self.state.claims.claim(call.start, wait).await;
+        self.state.metrics.claimed(&verdict);
+        verdict
+    }
+
+    async fn record(&self, call: RecordCall) -> bool {
+        let wait = Duration::from_millis(call.wait_ms);
+        self.state.claims.record(call.record, wait).await
+    }
+
+    async fn news(&self, news: EndpointNews) {
+        self.state.endpoints.send_if_modified(|endpoints| {
+            let Some(endpoint) = endpoints.iter_mut().find(|known| known.id == news.endpoint)
+            else {
+                return false;
+            };
+            let changed = endpoint.boot_id != news.boot_id || endpoint.queued != news.queued;
+            endpoint.boot_id = news.boot_id.clone();
+            endpoint.queued = news.queued;
+            changed
+        });
+    }
+
+    fn observe(&self, seen: ClockStamp) -> ClockStamp {
+        self.state.recorder.clock().observe(seen)
+    }
+}
--- /dev/null
+++ b/wagtaildoor_keeper/src/lib.rs
@@ -0,0 +1,11 @@
+//! Coordination daemon of wagtaildoor, one on each entry host.
+
+pub mod cli;
+pub mod entries;
+pub mod entry_calls;
+pub mod metrics;
+pub mod operators;
+pub mod platform_list;
+pub mod server;
+pub mod state;
+pub mod view_builder;
--- a/wagtaildoor_keeper/src/main.rs
+++ b/wagtaildoor_keeper/src/main.rs
@@ -1,3 +1,35 @@
-//! Placeholder.
+//! Program of the keeper: settings, then the server until a signal ends it.
 
-fn main() {}
+use std::process::ExitCode;
+
+use wagtaildoor::settings;
+use wagtaildoor_keeper::{
+    cli::{
+        self,
+        CliOptions, //
+    },
+    server,
+};
+
+#[tokio::main]
+async fn main() -> ExitCode {
+    let options = CliOptions::from(cli::command().get_matches());
+    let settings = match settings::read_keeper(&options.settings) {
+        Ok(settings) => settings,
+        Err(errors) => {
+            eprintln!("{errors}");
+            return ExitCode::FAILURE;
+        }
+    };
+    if options.check {
+        println!("{}: good", options.settings.display());
+        return ExitCode::SUCCESS;
+    }
+    match server::run(settings).await {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(error) => {
+            eprintln!("wagtaildoor-keeper: {error}");
+            ExitCode::FAILURE
+        }
+    }
+}
--- /dev/null
+++ b/wagtaildoor_keeper/src/metrics.rs
@@ -0,0 +1,105 @@
+//! Metrics of the keeper, by opentelemetry, for `/metrics`.
+
+use opentelemetry::{
+    metrics::{
+        Counter,
+        Gauge,
+        MeterProvider, //
+    },
+    KeyValue,
+};
+use opentelemetry_sdk::metrics::SdkMeterProvider;
+use prometheus::{
+    Registry,
+    TextEncoder, //
+};
+use wagtaildoor::schema::ClaimVerdict;
+
+/// Result of building the metrics.
+pub type Result<T> = std::result::Result<T, opentelemetry_sdk::error::OTelSdkError>;
+
+/// Instruments of the keeper.
+#[derive(Clone, Debug)]
+pub struct KeeperMetrics {
+    /// Where the instruments are read.
+    registry: Registry,
+    /// Keeps the instruments alive.
+    _provider: SdkMeterProvider,
+    /// Claims, by verdict.
+    claims: Counter<u64>,
+    /// Sequence number of the configuration in force.
+    config_sequence: Gauge<u64>,
+    /// Time since the log last answered.
+    platform_age: Gauge<f64>,
+    /// Endpoints known.
+    endpoints: Gauge<u64>,
+}
+
+/// Readings that are taken when the metrics are asked for.
+#[derive(Clone, Copy, Debug)]
+pub struct MetricReadings {
+    /// Sequence number of the configuration in force.
+    pub config_sequence: u64,
+    /// Time since the log last answered, in milliseconds.
+    pub platform_age_ms: u64,
+    /// Endpoints known.
+    pub endpoints: usize,
+}
+
+impl KeeperMetrics {
+    /// Instruments in a registry of their own.
+    pub fn new() -> Result<Self> {
+        let registry = Registry::new();
+        let exporter = opentelemetry_prometheus::exporter()
+            .with_registry(registry.clone())
+            .build()?;
+        let provider = SdkMeterProvider::builder().with_reader(exporter).build();
+        let meter = provider.meter("wagtaildoor_keeper");
+        Ok(Self {
+            claims: meter
+                .u64_counter("keeper_claims")
+                .with_description("Claims of entries, by verdict")
+                .build(),
+            config_sequence: meter
+                .u64_gauge("keeper_config_sequence")
+                .with_description("Sequence number of the configuration in force")
+                .build(),
+            platform_age: meter
+                .f64_gauge("keeper_platform_age")
+                .with_unit("s")
+                .with_description("Time since the log last answered")
+                .build(),
+            endpoints: meter
+                .u64_gauge("keeper_endpoints")
+                .with_description("Endpoints known")
+                .build(),
+            registry,
+            _provider: provider,
+        })
+    }
+
+    /// A claim was answered.
+    pub fn claimed(&self, verdict: &ClaimVerdict) {
+        let name = match verdict {
+            ClaimVerdict::Won(_) => "won",
+            ClaimVerdict::Done(_) => "done",
+            ClaimVerdict::Busy(_) => "busy",
+            ClaimVerdict::Mismatch(_) => "mismatch",
+            ClaimVerdict::Settled(_) => "settled",
+            ClaimVerdict::Refused(_) => "refused",
+            ClaimVerdict::Uncertain(_) => "uncertain",
+        };
+        self.claims.add(1, &[KeyValue::new("verdict", name)]);
+    }
+
+    /// All instruments as text, with these readings.
+    pub fn text(&self, readings: MetricReadings) -> String {
+        let age = std::time::Duration::from_millis(readings.platform_age_ms);
+        self.config_sequence.record(readings.config_sequence, &[]);
+        self.platform_age.record(age.as_secs_f64(), &[]);
+        self.endpoints.record(readings.endpoints as u64, &[]);
+        TextEncoder::new()
+            .encode_to_string(&self.registry.gather())
+            .unwrap_or_default()
+    }
+}
--- /dev/null
+++ b/wagtaildoor_keeper/src/state.rs
@@ -0,0 +1,64 @@
+//! What all tasks of one keeper share.
+
+use slog::Logger;
+use tokio::{
+    sync::watch,
+    time::Instant, //
+};
+use wagtaildoor::{
+    claim_service::ClaimService,
+    config_follower::ConfigFollower,
+    log_http::HttpLog,
+    schema::{
+        EndpointView,
+        EventKind,
+        HostView,
+        KeeperSettings, //
+    },
+    timeline::{
+        EventDraft,
+        EventRecorder, //
+    },
+    view_board::ViewBoard,
+};
+
+use crate::metrics::KeeperMetrics;
+
+/// State of one keeper.
+pub struct KeeperState {
+    /// Settings.
+    pub settings: KeeperSettings,
+    /// Log lines.
+    pub log: Logger,
+    /// Time line.
+    pub recorder: EventRecorder,
+    /// The platform's log.
+    pub store: HttpLog,
+    /// Configuration in force.
+    pub config: ConfigFollower<HttpLog>,
+    /// Claims of the entries.
+    pub claims: ClaimService<HttpLog>,
+    /// What entries see.
+    pub board: ViewBoard,
+    /// Endpoints, as far as they are known.
+    pub endpoints: watch::Sender<Vec<EndpointView>>,
+    /// Entry hosts, as far as they are known.
+    pub hosts: watch::Sender<Vec<HostView>>,
+    /// Metrics.
+    pub metrics: KeeperMetrics,
+    /// When this process started.
+    pub started: Instant,
+}
+
+impl KeeperState {
+    /// Notes something in the time line.
+    pub fn note(&self, kind: EventKind, detail: impl Into<Box<str>>) {
+        self.recorder.record(EventDraft::new(kind, detail));
+    }
+
+    /// Time since the log last answered, in milliseconds; since the start when it never did.
+    pub fn platform_age_ms(&self) -> u64 {
+        let seen = self.config.watch().borrow().log_seen;
+        seen.unwrap_or(self.started).elapsed().as_millis() as u64
+    }
+}
--- /dev/null
+++ b/wagtaildoor_keeper/src/view_builder.rs
@@ -0,0 +1,95 @@
+//! Puts together what entries see, and publishes each change of it.
+
+use std::sync::Arc;
+
+use tokio_util::sync::CancellationToken;
+use wagtaildoor::schema::{
+    EndpointView,
+    EventKind,
+    HostView,
+    KeeperView,
+    ListedEndpoint,
+    ListedHost, //
+};
+
+use crate::state::KeeperState;
+
+/// Publishes changes until cancelled.
+///
+/// Entries get nothing before the configuration was read once: a view without accounts would
+/// refuse every caller.
+pub async fn run(state: Arc<KeeperState>, token: CancellationToken) {
+    let mut config = state.config.watch();
+    let mut endpoints = state.endpoints.subscribe();
+    let mut hosts = state.hosts.subscribe();
+    let mut shown = 0;
+    loop {
+        let sequence = config.borrow_and_update().head.sequence;
+        if sequence > shown {
+            shown = sequence;
+            state.note(
+                EventKind::ConfigInForce,
+                format!("configuration {sequence} is in force"),
+            );
+            state.board.publish(view(&state));
+        }
+        tokio::select! {
+            () = token.cancelled() => return,
+            changed = config.changed() => if changed.is_err() { return },
+            changed = endpoints.changed() => {
+                if changed.is_err() {
+                    return;
+                }
+                state.board.publish_endpoints(endpoints.borrow_and_update().clone());
+            }
+            changed = hosts.changed() => {
+                if changed.is_err() {
+                    return;
+                }
+                state.board.publish_hosts(hosts.borrow_and_update().clone());
+            }
+        }
+    }
+}
+
+/// The whole view.
+pub fn view(state: &KeeperState) -> KeeperView {
+    let config = state.config.watch().borrow().clone();
+    KeeperView {
+        configuration: (*config.configuration).clone(),
+        endpoints: state.endpoints.borrow().clone(),
+        head: config.head,
+        hosts: state.hosts.borrow().clone(),
+        platform_age_ms: state.platform_age_ms(),
+    }
+}
+
+/// What is known of an endpoint that the list names.
+pub fn listed_endpoint(listed: &ListedEndpoint) -> EndpointView {
+    EndpointView {
+        address: listed.address,
+        boot_id: "".into(),
+        domain: listed.domain.clone(),
+        id: listed.id.clone(),
+        pool: listed.pool.clone(),
+        queued: 0,
+        report_age_ms: 0,
+        running: 0,
+        state: listed.state,
+        weights_version: 0,
+    }
+}
+
+/// What is known of a host that the list names.
+pub fn listed_host(listed: &ListedHost) -> HostView {
+    HostView {
+        alive: true,
+        domain: listed.domain.clone(),
+        entries: listed.entries,
+        head: wagtaildoor::config_chain::ConfigChain::default()
+            .head()
+            .clone(),
+        id: listed.id.clone(),
+        operators: listed.operators,
+    }
+}
