Serve the stand-ins over HTTP with wtd-fakes

Cause: the demo and the daemons' tests need endpoints and the platform as processes of their own: engine, plain service, platform (log, list, weight store) and KV store, each with its fault switches and its counts. Ruled out: breaking a chunked stream in the middle of its transfer, which the HTTP library ends cleanly; a cut stream ends without its last event instead, and a cut answer promises more bytes than it sends.

--- a/wagtaildoor_entry/src/access.rs
+++ b/wagtaildoor_entry/src/access.rs
@@ -37,7 +37,10 @@
     let template = find_template(configuration, template)?;
     let allowed = template.accounts.is_empty() || template.accounts.contains(&account.id);
     if !allowed {
-        let detail = format!("account {} may not use template {}", account.id, template.id);
+        let detail = format!(
+            "account {} may not use template {}",
+            account.id, template.id
+        );
         return Err(RequestError::new(ErrorKind::Forbidden, detail));
     }
     let pool = find_pool(configuration, template)?;
--- a/wagtaildoor_entry/src/caller_body.rs
+++ b/wagtaildoor_entry/src/caller_body.rs
@@ -99,7 +99,10 @@
     let body = tokio::time::timeout(limit, stream.into_bytes())
         .await
         .map_err(|_| {
-            let detail = format!("the body was not complete within {} ms", listen.body_timeout_ms);
+            let detail = format!(
+                "the body was not complete within {} ms",
+                listen.body_timeout_ms
+            );
             RequestError::new(ErrorKind::BodyTimeout, detail)
         })?
         .map_err(|error| {
--- a/wagtaildoor_entry/src/metrics.rs
+++ b/wagtaildoor_entry/src/metrics.rs
@@ -75,7 +75,10 @@
             requests: counter("entry_requests", "Requests received"),
             refusals: counter("entry_refusals", "Requests that ended in an error, by kind"),
             retries: counter("entry_retries", "Attempts after the first of a request"),
-            crossed: counter("entry_crossed_chunks", "Chunks of another request or attempt, dropped"),
+            crossed: counter(
+                "entry_crossed_chunks",
+                "Chunks of another request or attempt, dropped",
+            ),
             prompt_tokens: counter("entry_prompt_tokens", "Prompt tokens, cached or computed"),
             in_flight: meter
                 .i64_up_down_counter("entry_in_flight")
@@ -102,7 +105,8 @@
 
     /// A request ended in an error.
     pub fn refused(&self, kind: ErrorKind) {
-        self.refusals.add(1, &[KeyValue::new("kind", kind.to_string())]);
+        self.refusals
+            .add(1, &[KeyValue::new("kind", kind.to_string())]);
     }
 
     /// A request goes to a further endpoint.
@@ -122,8 +126,10 @@
 
     /// An answer told how much of its prompt was cached.
     pub fn prompt(&self, cached: u64, computed: u64) {
-        self.prompt_tokens.add(cached, &[KeyValue::new("from", "cache")]);
-        self.prompt_tokens.add(computed, &[KeyValue::new("from", "compute")]);
+        self.prompt_tokens
+            .add(cached, &[KeyValue::new("from", "cache")]);
+        self.prompt_tokens
+            .add(computed, &[KeyValue::new("from", "compute")]);
     }
 
     /// All instruments as text.
--- a/wagtaildoor_entry/src/model_run.rs
+++ b/wagtaildoor_entry/src/model_run.rs
@@ -127,7 +127,10 @@
         let event = match end {
             Ok(Some(done)) => RunEvent::Done(done),
             Ok(None) => {
-                self.note(EventKind::CallerGone, "the caller went before its answer was whole");
+                self.note(
+                    EventKind::CallerGone,
+                    "the caller went before its answer was whole",
+                );
                 return;
             }
             Err(error) => RunEvent::Failed(error),
@@ -165,7 +168,12 @@
 
     /// Ids of the prompt's levels.
     fn level_prefixes(&self) -> Vec<LevelPrefix> {
-        let texts: Vec<&str> = self.prompt.levels.iter().map(|level| &*level.text).collect();
+        let texts: Vec<&str> = self
+            .prompt
+            .levels
+            .iter()
+            .map(|level| &*level.text)
+            .collect();
         prefix::level_prefixes(
             &self.account.id,
             &self.pool.id,
@@ -197,7 +205,9 @@
             .map_err(|kind| self.no_place(kind))?;
         let detail = format!("sent to {}: {}", choice.endpoint, choice.reason);
         let draft = self.draft(EventKind::RequestPlaced, detail);
-        self.state.recorder.record(draft.endpoint(choice.endpoint.clone()));
+        self.state
+            .recorder
+            .record(draft.endpoint(choice.endpoint.clone()));
         Ok(choice)
     }
 
@@ -207,7 +217,10 @@
         let detail = match kind {
             ErrorKind::NoEndpoint => format!("no endpoint of pool {pool} is in reach"),
             ErrorKind::DeadlineUnreachable => {
-                format!("pool {pool} could not answer within {} ms", self.template.deadline_ms)
+                format!(
+                    "pool {pool} could not answer within {} ms",
+                    self.template.deadline_ms
+                )
             }
             _ => format!("pool {pool} has no room"),
         };
@@ -288,7 +301,9 @@
                 Ok(Accepted::Done(done)) => return AttemptEnd::Whole(done),
                 Ok(Accepted::Crossed) => self.note_crossed(choice),
                 Ok(Accepted::Duplicate) => {}
-                Err(fault) => return AttemptEnd::Failed(CallError::Broken(fault.to_string().into())),
+                Err(fault) => {
+                    return AttemptEnd::Failed(CallError::Broken(fault.to_string().into()))
+                }
             }
         }
     }
@@ -299,7 +314,12 @@
             adapter: self.template.adapter.clone(),
             attempt_id: attempt.clone(),
             cache_salt: prefix::cache_salt(&self.account.id),
-            levels: self.prompt.levels.iter().map(|level| level.end_bytes as u64).collect(),
+            levels: self
+                .prompt
+                .levels
+                .iter()
+                .map(|level| level.end_bytes as u64)
+                .collect(),
             max_tokens: self.max_tokens,
             model: self.pool.id.clone(),
             priority: priority(self.template.urgency),
@@ -316,7 +336,9 @@
         self.state.metrics.first_token(time);
         let detail = format!("first token after {} ms", time.as_millis());
         let draft = self.draft(EventKind::FirstToken, detail);
-        self.state.recorder.record(draft.endpoint(choice.endpoint.clone()));
+        self.state
+            .recorder
+            .record(draft.endpoint(choice.endpoint.clone()));
         let start = RunStart {
             endpoint: choice.endpoint.clone(),
             reason: choice.reason.to_string().into(),
@@ -410,24 +432,39 @@
         } else {
             EventKind::RequestRetried
         };
-        let detail = format!("{} failed after {received} pieces: {error}", choice.endpoint);
+        let detail = format!(
+            "{} failed after {received} pieces: {error}",
+            choice.endpoint
+        );
         let draft = self.draft(kind, detail);
-        self.state.recorder.record(draft.endpoint(choice.endpoint.clone()));
+        self.state
+            .recorder
+            .record(draft.endpoint(choice.endpoint.clone()));
     }
 
     /// Notes that an endpoint came back empty.
     fn note_restart(&self, choice: &PlacementChoice) {
-        let detail = format!("{} has restarted; what it held cached is gone", choice.endpoint);
+        let detail = format!(
+            "{} has restarted; what it held cached is gone",
+            choice.endpoint
+        );
         let draft = self.draft(EventKind::EndpointRestarted, detail);
-        self.state.recorder.record(draft.endpoint(choice.endpoint.clone()));
+        self.state
+            .recorder
+            .record(draft.endpoint(choice.endpoint.clone()));
     }
 
     /// Notes a chunk of another request or attempt.
     fn note_crossed(&self, choice: &PlacementChoice) {
         self.state.metrics.crossed();
-        let detail = format!("{} sent a piece of another answer; it was dropped", choice.endpoint);
+        let detail = format!(
+            "{} sent a piece of another answer; it was dropped",
+            choice.endpoint
+        );
         let draft = self.draft(EventKind::AnswerCrossed, detail);
-        self.state.recorder.record(draft.endpoint(choice.endpoint.clone()));
+        self.state
+            .recorder
+            .record(draft.endpoint(choice.endpoint.clone()));
     }
 
     /// Notes something of this request.
--- a/wagtaildoor_entry/src/once_run.rs
+++ b/wagtaildoor_entry/src/once_run.rs
@@ -96,7 +96,10 @@
     /// Asks the log for the key.
     async fn claim(&self, key: &RequestKey) -> ClaimVerdict {
         let run = &self.run;
-        run.note(EventKind::ClaimAsked, format!("asked the log to run key {key}"));
+        run.note(
+            EventKind::ClaimAsked,
+            format!("asked the log to run key {key}"),
+        );
         let start = ClaimStart {
             account: run.account.id.clone(),
             attempt: self.attempt.clone(),
@@ -136,7 +139,10 @@
             let call = self.run.service_call(&choice, self.attempt.clone());
             if asked.elapsed() >= DISPATCH_WINDOW {
                 let detail = "the time between claim and dispatch was over";
-                return DispatchEnd::NotRun(RequestError::new(ErrorKind::DeadlineUnreachable, detail));
+                return DispatchEnd::NotRun(RequestError::new(
+                    ErrorKind::DeadlineUnreachable,
+                    detail,
+                ));
             }
             let sent = self.run.send(&choice, &call);
             let error = match tokio::time::timeout_at(self.run.deadline(), sent).await {
@@ -150,7 +156,10 @@
             };
             let detail = format!("{} did not run it: {error}", choice.endpoint);
             self.run.note_at(EventKind::RequestRetried, &choice, detail);
-            last = Some(RequestError::new(ErrorKind::EndpointRefused, error.to_string()));
+            last = Some(RequestError::new(
+                ErrorKind::EndpointRefused,
+                error.to_string(),
+            ));
             exclude.push(choice.endpoint);
         }
     }
@@ -162,7 +171,11 @@
             account: self.run.account.id.clone(),
             answer: if kept { answer.body.clone() } else { "".into() },
             attempt: self.attempt.clone(),
-            content_type: if kept { answer.content_type.clone() } else { "".into() },
+            content_type: if kept {
+                answer.content_type.clone()
+            } else {
+                "".into()
+            },
             key: key.clone(),
             status: answer.status,
         };
@@ -183,10 +196,14 @@
             key: key.clone(),
         };
         if self.record(ClaimRecord::Release(release)).await {
-            self.run.note(EventKind::ClaimReleased, format!("not run: {error}"));
+            self.run
+                .note(EventKind::ClaimReleased, format!("not run: {error}"));
             return error;
         }
-        self.run.note(EventKind::ClaimUnknown, "the claim could not be given up on record");
+        self.run.note(
+            EventKind::ClaimUnknown,
+            "the claim could not be given up on record",
+        );
         let detail = format!("{error}; this copy did not run, but that could not be put on record");
         RequestError::new(ErrorKind::KeyUnchecked, detail)
     }
@@ -246,10 +263,14 @@
 
     /// The answer when this attempt may not run the key.
     fn not_won(&self, verdict: ClaimVerdict) -> Result<ServiceReply> {
-        self.run.note(EventKind::ClaimLost, verdict_sentence(&verdict));
+        self.run
+            .note(EventKind::ClaimLost, verdict_sentence(&verdict));
         match verdict {
             ClaimVerdict::Done(outcome) => self.replay(outcome),
-            ClaimVerdict::Won(_) => Err(RequestError::new(ErrorKind::Internal, "a won claim was not run")),
+            ClaimVerdict::Won(_) => Err(RequestError::new(
+                ErrorKind::Internal,
+                "a won claim was not run",
+            )),
             ClaimVerdict::Busy(_) => Err(RequestError::new(
                 ErrorKind::KeyInProgress,
                 "another copy of this request has the key, and its outcome is not on record yet",
--- a/wagtaildoor_entry/src/routes.rs
+++ b/wagtaildoor_entry/src/routes.rs
@@ -301,7 +301,8 @@
     let keyed = head.key.is_some();
     let request = scope.request.clone();
     let state = Arc::clone(&scope.state);
-    let run = service_run(&scope, template, head, body).map_err(|error| before_claim(error, keyed))?;
+    let run =
+        service_run(&scope, template, head, body).map_err(|error| before_claim(error, keyed))?;
     let task = state.runs.spawn(async move {
         let result = run.run().await;
         drop(scope);
--- a/wagtaildoor_entry/src/server.rs
+++ b/wagtaildoor_entry/src/server.rs
@@ -187,7 +187,11 @@
             let config = server.config();
             let address = format!("{}:{}", config.address, config.port);
             info!(state.log, "listening"; "address" => &address);
-            note(&state, EventKind::ProcessStarted, format!("listening on {address}"));
+            note(
+                &state,
+                EventKind::ProcessStarted,
+                format!("listening on {address}"),
+            );
             let Some(file) = &state.settings.listen.address_file else {
                 return;
             };
@@ -204,7 +208,11 @@
 async fn drain(state: Arc<EntryState>, mut terminate: Signal, stop: rocket::Shutdown) {
     terminate.recv().await;
     state.leaving.cancel();
-    note(&state, EventKind::ProcessLeaving, "told to end: not ready, still serving");
+    note(
+        &state,
+        EventKind::ProcessLeaving,
+        "told to end: not ready, still serving",
+    );
     let shutdown = &state.settings.shutdown;
     let limit = Instant::now() + Duration::from_millis(shutdown.limit_ms);
     let quiet = Duration::from_millis(shutdown.quiet_ms);
--- a/wagtaildoor_entry/src/service_call.rs
+++ b/wagtaildoor_entry/src/service_call.rs
@@ -81,7 +81,11 @@
 }
 
 /// Asks a service what it recorded for a key; `None` when it has not seen the key.
-pub async fn look_up(client: &Client, address: SocketAddr, path: &str) -> Result<Option<ServiceAnswer>> {
+pub async fn look_up(
+    client: &Client,
+    address: SocketAddr,
+    path: &str,
+) -> Result<Option<ServiceAnswer>> {
     let url = format!("http://{address}{path}");
     let response = client
         .get(url)
@@ -106,7 +110,9 @@
     if own {
         return Ok(());
     }
-    Err(CallError::Broken("the answer belongs to another request".into()))
+    Err(CallError::Broken(
+        "the answer belongs to another request".into(),
+    ))
 }
 
 /// Reads a whole answer.
--- a/wagtaildoor_entry/src/service_run.rs
+++ b/wagtaildoor_entry/src/service_run.rs
@@ -200,7 +200,9 @@
     /// Notes something of this request at an endpoint.
     pub fn note_at(&self, kind: EventKind, choice: &PlacementChoice, detail: impl Into<Box<str>>) {
         let draft = self.draft(kind, detail);
-        self.state.recorder.record(draft.endpoint(choice.endpoint.clone()));
+        self.state
+            .recorder
+            .record(draft.endpoint(choice.endpoint.clone()));
     }
 
     /// An event of this request.
--- /dev/null
+++ b/wagtaildoor_fakes/src/cli.rs
@@ -0,0 +1,231 @@
+//! Command line of `wtd-fakes`.
+
+use std::{
+    net::SocketAddr,
+    path::PathBuf,
+    time::Duration, //
+};
+
+use clap::{
+    value_parser,
+    Arg,
+    ArgAction,
+    ArgMatches,
+    Command, //
+};
+
+use crate::fake_engine::EngineProfile;
+
+/// The command line.
+pub fn command() -> Command {
+    Command::new("wtd-fakes")
+        .version(env!("CARGO_PKG_VERSION"))
+        .about("Stand-ins for endpoints and platform, for tests and demos")
+        .subcommand_required(true)
+        .subcommand(engine_command())
+        .subcommand(service_command())
+        .subcommand(platform_command())
+        .subcommand(kv_command())
+}
+
+/// Command line of an engine.
+fn engine_command() -> Command {
+    endpoint_command("engine", "A model engine")
+        .arg(flag(
+            "checks-fencing",
+            "Refuse orders with an old fencing number",
+        ))
+        .arg(text("weights", "URL", "Base URL of the weight store"))
+        .arg(number(
+            "weights-version",
+            "1",
+            "Weights version to start with",
+        ))
+        .arg(number(
+            "cache-blocks",
+            "4096",
+            "Blocks of 16 tokens that the cache holds",
+        ))
+        .arg(number(
+            "cache-age-ms",
+            "0",
+            "Time after which an unused block goes, in ms; 0 for never",
+        ))
+        .arg(number("batch", "32", "Requests in the batch at most"))
+        .arg(number("queue", "256", "Requests waiting at most"))
+        .arg(number(
+            "prefill-us",
+            "100",
+            "Time to prefill one token, in microseconds",
+        ))
+        .arg(number(
+            "decode-us",
+            "5000",
+            "Time between two tokens, in microseconds",
+        ))
+        .arg(number("load-ms", "5000", "Time to load weights, in ms"))
+}
+
+/// Command line of a plain service.
+fn service_command() -> Command {
+    endpoint_command(
+        "service",
+        "A plain service, with a look-up at /lookup/{key}",
+    )
+    .arg(flag("checks-keys", "Run each idempotency key at most once"))
+}
+
+/// Command line of the platform.
+fn platform_command() -> Command {
+    listen_command(
+        "platform",
+        "The log, the list at /list and the weight store at /weights",
+    )
+    .arg(number(
+        "retention-ms",
+        "86400000",
+        "Time the log keeps records, in ms",
+    ))
+    .arg(number(
+        "list-lag-ms",
+        "0",
+        "Age of what the list shows, in ms",
+    ))
+    .arg(number(
+        "load-slots",
+        "2",
+        "Replicas that load weights at full speed",
+    ))
+}
+
+/// Command line of the KV store.
+fn kv_command() -> Command {
+    listen_command("kv", "The KV store").arg(number("cache-blocks", "65536", "Blocks it holds"))
+}
+
+/// What every endpoint is told.
+fn endpoint_command(name: &'static str, about: &'static str) -> Command {
+    listen_command(name, about)
+        .arg(text("id", "NAME", "Name of the endpoint").required(true))
+        .arg(text("pool", "NAME", "Pool it belongs to").required(true))
+        .arg(text("domain", "NAME", "Failure domain it stands in").required(true))
+        .arg(text(
+            "register",
+            "URL",
+            "Base URL of the list to register at",
+        ))
+}
+
+/// What every server is told.
+fn listen_command(name: &'static str, about: &'static str) -> Command {
+    let address = text(
+        "address",
+        "IP:PORT",
+        "Address to listen on; port 0 takes a free one",
+    )
+    .required(true)
+    .value_parser(value_parser!(SocketAddr));
+    let address_file = text(
+        "address-file",
+        "FILE",
+        "File that receives the bound address",
+    )
+    .value_parser(value_parser!(PathBuf));
+    Command::new(name)
+        .about(about)
+        .arg(address)
+        .arg(address_file)
+}
+
+/// An option with a text.
+fn text(name: &'static str, value: &'static str, help: &'static str) -> Arg {
+    Arg::new(name).long(name).value_name(value).help(help)
+}
+
+/// An option with a whole number.
+fn number(name: &'static str, default: &'static str, help: &'static str) -> Arg {
+    text(name, "N", help)
+        .default_value(default)
+        .value_parser(value_parser!(u64))
+}
+
+/// An option that is on or off.
+fn flag(name: &'static str, help: &'static str) -> Arg {
+    Arg::new(name)
+        .long(name)
+        .action(ArgAction::SetTrue)
+        .help(help)
+}
+
+/// Where a stand-in listens.
+#[derive(Clone, Debug)]
+pub struct ListenOptions {
+    /// Address and port.
+    pub address: SocketAddr,
+    /// File that receives the bound address.
+    pub address_file: Option<PathBuf>,
+}
+
+/// Who an endpoint is.
+#[derive(Clone, Debug)]
+pub struct EndpointOptions {
+    /// Name.
+    pub id: String,
+    /// Pool.
+    pub pool: String,
+    /// Failure domain.
+    pub domain: String,
+    /// List to register at.
+    pub register: Option<String>,
+}
+
+impl From<&ArgMatches> for ListenOptions {
+    fn from(matches: &ArgMatches) -> Self {
+        Self {
+            address: *matches.get_one("address").expect("clap requires it"),
+            address_file: matches.get_one("address-file").cloned(),
+        }
+    }
+}
+
+impl From<&ArgMatches> for EndpointOptions {
+    fn from(matches: &ArgMatches) -> Self {
+        let required = |name| text_of(matches, name).expect("clap requires it");
+        Self {
+            id: required("id"),
+            pool: required("pool"),
+            domain: required("domain"),
+            register: text_of(matches, "register"),
+        }
+    }
+}
+
+/// The profile of an engine.
+pub fn engine_profile(matches: &ArgMatches) -> EngineProfile {
+    let number = |name| number_of(matches, name);
+    let small = |name| u32::try_from(number(name)).unwrap_or(u32::MAX);
+    let age = Duration::from_millis(number("cache-age-ms"));
+    EngineProfile {
+        id: text_of(matches, "id").unwrap_or_default().into(),
+        weights_version: number("weights-version"),
+        cache_blocks: usize::try_from(number("cache-blocks")).unwrap_or(usize::MAX),
+        cache_age: (!age.is_zero()).then_some(age),
+        batch_limit: small("batch").max(1),
+        queue_limit: small("queue"),
+        prefill_per_token: Duration::from_micros(number("prefill-us")),
+        decode_per_token: Duration::from_micros(number("decode-us")),
+        checks_fencing: matches.get_flag("checks-fencing"),
+        load_time: Duration::from_millis(number("load-ms")),
+        ..EngineProfile::default()
+    }
+}
+
+/// A text, when it was given.
+pub fn text_of(matches: &ArgMatches, name: &str) -> Option<String> {
+    matches.get_one(name).cloned()
+}
+
+/// A number, given or by default.
+pub fn number_of(matches: &ArgMatches, name: &str) -> u64 {
+    *matches.get_one(name).expect("clap has a default")
+}
--- a/wagtaildoor_fakes/src/lib.rs
+++ b/wagtaildoor_fakes/src/lib.rs
@@ -1,9 +1,20 @@
 //! Stand-ins for endpoints and platform, each with switches for its faults.
 
+pub mod cli;
 pub mod fake_engine;
 pub mod fake_kv;
 pub mod fake_list;
 pub mod fake_log;
 pub mod fake_service;
 pub mod fake_weights;
+pub mod http_answer;
+pub mod http_engine;
+pub mod http_kv;
+pub mod http_list;
+pub mod http_log;
+pub mod http_server;
+pub mod http_service;
+pub mod program;
+pub mod registration;
 pub mod seeded;
+pub mod weight_source;
--- a/wagtaildoor_fakes/src/main.rs
+++ b/wagtaildoor_fakes/src/main.rs
@@ -1,3 +1,20 @@
-//! Placeholder.
+//! Program of the stand-ins: one of them per process, until a signal ends it.
 
-fn main() {}
+use std::process::ExitCode;
+
+use wagtaildoor_fakes::{
+    cli,
+    program, //
+};
+
+#[tokio::main]
+async fn main() -> ExitCode {
+    let matches = cli::command().get_matches();
+    match program::run(&matches).await {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(error) => {
+            eprintln!("wtd-fakes: {error}");
+            ExitCode::FAILURE
+        }
+    }
+}
--- /dev/null
+++ b/wagtaildoor_fakes/src/program.rs
@@ -0,0 +1,163 @@
+//! What `wtd-fakes` does for each of its commands.
+
+use std::{
+    io,
+    net::SocketAddr,
+    path::Path,
+    time::Duration, //
+};
+
+use clap::ArgMatches;
+use reqwest::Client;
+use rocket::{
+    Build,
+    Rocket, //
+};
+use tokio::signal::unix::{
+    signal,
+    SignalKind, //
+};
+use tokio_util::sync::CancellationToken;
+
+use crate::{
+    cli::{
+        self,
+        EndpointOptions,
+        ListenOptions, //
+    },
+    fake_engine::FakeEngine,
+    fake_kv::FakeKv,
+    fake_list::{
+        FakeList,
+        ListFaults, //
+    },
+    fake_log::FakeLog,
+    fake_service::FakeService,
+    fake_weights::FakeWeights,
+    http_engine, http_kv, http_list, http_log,
+    http_server::{
+        self,
+        ServerError, //
+    },
+    http_service,
+    registration::{
+        self,
+        ListRegistration,
+        RegistrationError, //
+    },
+    weight_source::WeightSource,
+};
+
+/// Result of the program.
+pub type Result<T> = std::result::Result<T, ProgramError>;
+
+/// Why the program failed.
+#[derive(Debug, derive_more::Display, derive_more::Error, derive_more::From)]
+pub enum ProgramError {
+    /// The server failed.
+    Server(ServerError),
+    /// The list did not take the registration.
+    Registration(RegistrationError),
+    /// The HTTP client could not be made.
+    #[display("cannot make an HTTP client: {_0}")]
+    Client(reqwest::Error),
+    /// The address file or a signal failed.
+    Io(io::Error),
+}
+
+/// Runs the command until a signal ends it.
+pub async fn run(matches: &ArgMatches) -> Result<()> {
+    let (name, matches) = matches.subcommand().expect("clap requires a command");
+    let client = Client::builder().no_proxy().build()?;
+    let listen = ListenOptions::from(matches);
+    let server = http_server::build(listen.address);
+    let server = match name {
+        "engine" => engine(server, matches, client.clone()),
+        "service" => {
+            let service = FakeService::new(matches.get_flag("checks-keys"));
+            http_service::mount(server, service)
+        }
+        "platform" => platform(server, matches),
+        _ => {
+            let blocks = cli::number_of(matches, "cache-blocks");
+            let store = FakeKv::new(usize::try_from(blocks).unwrap_or(usize::MAX));
+            http_kv::mount(server, store)
+        }
+    };
+    let endpoint = matches
+        .try_contains_id("register")
+        .is_ok()
+        .then(|| EndpointOptions::from(matches));
+    serve(server, &listen, endpoint, client).await
+}
+
+/// An engine's server.
+fn engine(server: Rocket<Build>, matches: &ArgMatches, client: Client) -> Rocket<Build> {
+    let engine = FakeEngine::new(cli::engine_profile(matches));
+    let url = cli::text_of(matches, "weights").map(String::into_boxed_str);
+    http_engine::mount(server, engine, WeightSource::new(url, client))
+}
+
+/// The platform's server.
+fn platform(server: Rocket<Build>, matches: &ArgMatches) -> Rocket<Build> {
+    let number = |name| cli::number_of(matches, name);
+    let list = FakeList::new();
+    list.set_faults(ListFaults {
+        lag_ms: number("list-lag-ms"),
+        ..ListFaults::default()
+    });
+    let slots = u32::try_from(number("load-slots")).unwrap_or(u32::MAX);
+    let server = http_list::mount(server, list, FakeWeights::new(slots));
+    let retention = Duration::from_millis(number("retention-ms"));
+    http_log::mount(server, FakeLog::new(retention))
+}
+
+/// Serves, registered at the list, until a signal.
+async fn serve(
+    server: Rocket<Build>,
+    listen: &ListenOptions,
+    endpoint: Option<EndpointOptions>,
+    client: Client,
+) -> Result<()> {
+    let token = CancellationToken::new();
+    let mut terminate = signal(SignalKind::terminate())?;
+    let mut interrupt = signal(SignalKind::interrupt())?;
+    let handle = http_server::start(server, token.clone()).await?;
+    if let Some(path) = &listen.address_file {
+        write_address(path, handle.address)?;
+    }
+    let entry = endpoint.and_then(|endpoint| entry(endpoint, handle.address, client));
+    if let Some(entry) = &entry {
+        entry.register().await?;
+    }
+    tokio::select! {
+        _ = terminate.recv() => {}
+        _ = interrupt.recv() => {}
+    }
+    if let Some(entry) = &entry {
+        if let Err(error) = entry.remove().await {
+            eprintln!("wtd-fakes: {error}");
+        }
+    }
+    token.cancel();
+    Ok(handle.ended().await?)
+}
+
+/// The endpoint's entry in the list, when it is to be listed.
+fn entry(
+    endpoint: EndpointOptions,
+    address: SocketAddr,
+    client: Client,
+) -> Option<ListRegistration> {
+    let listed =
+        registration::live_endpoint(&endpoint.id, address, &endpoint.pool, &endpoint.domain);
+    let url = endpoint.register?;
+    Some(ListRegistration::new(&url, listed, client))
+}
+
+/// Writes the bound address whole, so that no reader sees half of it.
+fn write_address(path: &Path, address: SocketAddr) -> Result<()> {
+    let draft = path.with_extension("draft");
+    std::fs::write(&draft, address.to_string())?;
+    Ok(std::fs::rename(&draft, path)?)
+}
