--- a/wagtaildoor/src/lib.rs
+++ b/wagtaildoor/src/lib.rs
@@ -3,5 +3,9 @@
 pub mod error;
 pub mod frame;
 pub mod ids;
+pub mod keeper_connection;
+pub mod keeper_link;
 pub mod log_store;
 pub mod schema;
+pub mod view_board;
+pub mod view_state;
