--- a/wagtaildoor/src/lib.rs
+++ b/wagtaildoor/src/lib.rs
@@ -5,5 +5,6 @@
 pub mod ids;
 pub mod log_store;
 pub mod prefix;
+pub mod prompt;
 pub mod schema;
 pub mod stream_check;
