Let the entry tell the routing table what it hears

Heads of answers, first tokens, ends and failures all go to the table at once, since what an answer carries costs no control traffic.

--- a/wagtaildoor_entry/src/caller_answer.rs
+++ b/wagtaildoor_entry/src/caller_answer.rs
@@ -200,8 +200,8 @@
     Stream(RunEvent, mpsc::Receiver<RunEvent>),
 }
 
-impl<'r> Responder<'r, 'static> for ModelReply {
-    fn respond_to(self, request: &'r Request<'_>) -> response::Result<'static> {
+impl<'r> Responder<'r, 'r> for ModelReply {
+    fn respond_to(self, request: &'r Request<'_>) -> response::Result<'r> {
         let id = self.head.request.to_string();
         let mut response = match self.body {
             ModelBody::Whole(answer) => RawJson(json(&answer)).respond_to(request)?,
--- a/wagtaildoor_entry/src/engine_call.rs
+++ b/wagtaildoor_entry/src/engine_call.rs
@@ -17,9 +17,11 @@
     ids::{
         AttemptId,
         BootId,
+        EndpointId,
         WeightsVersion, //
     },
     schema::{
+        EndpointNews,
         EngineChunk,
         EngineRequest, //
     },
@@ -63,6 +65,18 @@
     pub queued: u32,
 }
 
+impl EndpointWord {
+    /// The same, as news of the endpoint.
+    pub fn news(&self, endpoint: &EndpointId) -> EndpointNews {
+        EndpointNews {
+            boot_id: self.boot_id.clone(),
+            endpoint: endpoint.clone(),
+            queued: self.queued,
+            weights_version: self.weights_version,
+        }
+    }
+}
+
 impl From<&HeaderMap> for EndpointWord {
     fn from(headers: &HeaderMap) -> Self {
         let text = |name: &str| headers.get(name).and_then(|value| value.to_str().ok());
--- a/wagtaildoor_entry/src/model_run.rs
+++ b/wagtaildoor_entry/src/model_run.rs
@@ -31,6 +31,7 @@
         LevelPrefix, //
     },
     prompt::RenderedPrompt,
+    routing_table::DispatchTicket,
     schema::{
         Account,
         EndpointNews,
@@ -234,16 +235,23 @@
         levels: &[LevelPrefix],
         received: &mut u64,
     ) -> AttemptEnd {
-        let ticket = self.state.table.dispatched(choice);
+        let now = || Instant::now().into_std();
+        let mut ticket = self.state.table.dispatched(choice, now());
         let attempt: AttemptId = Uuid::now_v7().to_string().into();
-        let end = self.stream(choice, &attempt, received).await;
+        let end = self.stream(choice, &attempt, &mut ticket, received).await;
         match &end {
             AttemptEnd::Whole(done) => {
                 self.tell(choice, done);
-                self.state.table.answered(ticket, done, levels);
+                self.state.table.answered(ticket, done, levels, now());
+            }
+            AttemptEnd::Failed(_) => {
+                let kind = ErrorKind::EndpointFailed;
+                self.state.table.failed(ticket, kind, now());
+            }
+            AttemptEnd::Late => {
+                let kind = ErrorKind::DeadlinePassed;
+                self.state.table.failed(ticket, kind, now());
             }
-            AttemptEnd::Failed(_) => self.state.table.failed(ticket, ErrorKind::EndpointFailed),
-            AttemptEnd::Late => self.state.table.failed(ticket, ErrorKind::DeadlinePassed),
             AttemptEnd::CallerGone => drop(ticket),
         }
         let unfinished = !matches!(end, AttemptEnd::Whole(_));
@@ -258,6 +266,7 @@
         &self,
         choice: &PlacementChoice,
         attempt: &AttemptId,
+        ticket: &mut DispatchTicket,
         received: &mut u64,
     ) -> AttemptEnd {
         let request = self.engine_request(attempt, *received);
@@ -273,6 +282,10 @@
         if self.is_restarted(choice, &word) {
             self.note_restart(choice);
         }
+        let news = word.news(&choice.endpoint);
+        self.state
+            .table
+            .heard(ticket, &news, Instant::now().into_std());
         let mut chunks = std::pin::pin!(chunks);
         let mut check = StreamCheck::new(self.request.clone(), attempt.clone(), *received);
         let mut limit = first;
@@ -289,6 +302,9 @@
             };
             match check.accept(chunk) {
                 Ok(Accepted::Chunk(text)) => {
+                    self.state
+                        .table
+                        .first_token(ticket, Instant::now().into_std());
                     if *received == 0 && !self.begin(choice).await {
                         return AttemptEnd::CallerGone;
                     }
--- a/wagtaildoor_entry/src/service_run.rs
+++ b/wagtaildoor_entry/src/service_run.rs
@@ -24,7 +24,6 @@
     },
     schema::{
         Account,
-        EndpointNews,
         EventKind,
         Pool,
         Template, //
@@ -123,7 +122,8 @@
         choice: &PlacementChoice,
         call: &ServiceCall,
     ) -> std::result::Result<ServiceReply, CallError> {
-        let ticket = self.state.table.dispatched(choice);
+        let now = || Instant::now().into_std();
+        let ticket = self.state.table.dispatched(choice, now());
         let client = if self.template.repeatable {
             &self.state.clients.repeatable
         } else {
@@ -132,12 +132,14 @@
         let answer = match service_call::call(client, call).await {
             Ok(answer) => answer,
             Err(error) => {
-                self.state.table.failed(ticket, ErrorKind::EndpointFailed);
+                let kind = ErrorKind::EndpointFailed;
+                self.state.table.failed(ticket, kind, now());
                 return Err(error);
             }
         };
-        drop(ticket);
-        self.tell(choice, &answer);
+        let news = answer.word.news(&choice.endpoint);
+        self.state.table.served(ticket, &news, now());
+        self.state.link.tell(news);
         Ok(ServiceReply {
             answer,
             endpoint: Some(choice.endpoint.clone()),
@@ -211,16 +213,6 @@
             .request(self.request.clone())
             .account(self.account.id.clone())
     }
-
-    /// Tells the keeper what the answer said of its endpoint.
-    fn tell(&self, choice: &PlacementChoice, answer: &ServiceAnswer) {
-        self.state.link.tell(EndpointNews {
-            boot_id: answer.word.boot_id.clone(),
-            endpoint: choice.endpoint.clone(),
-            queued: answer.word.queued,
-            weights_version: answer.word.weights_version,
-        });
-    }
 }
 
 /// The error of a failed call.
--- a/wagtaildoor_keeper/src/view_builder.rs
+++ b/wagtaildoor_keeper/src/view_builder.rs
@@ -25,29 +25,24 @@
     let mut shown = 0;
     loop {
         let sequence = config.borrow_and_update().head.sequence;
+        endpoints.mark_unchanged();
+        hosts.mark_unchanged();
         if sequence > shown {
             shown = sequence;
-            state.note(
-                EventKind::ConfigInForce,
-                format!("configuration {sequence} is in force"),
-            );
+            let detail = format!("configuration {sequence} is in force");
+            state.note(EventKind::ConfigInForce, detail);
+        }
+        if sequence > 0 {
             state.board.publish(view(&state));
         }
-        tokio::select! {
+        let changed = tokio::select! {
             () = token.cancelled() => return,
-            changed = config.changed() => if changed.is_err() { return },
-            changed = endpoints.changed() => {
-                if changed.is_err() {
-                    return;
-                }
-                state.board.publish_endpoints(endpoints.borrow_and_update().clone());
-            }
-            changed = hosts.changed() => {
-                if changed.is_err() {
-                    return;
-                }
-                state.board.publish_hosts(hosts.borrow_and_update().clone());
-            }
+            changed = config.changed() => changed,
+            changed = endpoints.changed() => changed,
+            changed = hosts.changed() => changed,
+        };
+        if changed.is_err() {
+            return;
         }
     }
 }
