--- a/wagtaildoor/src/lib.rs
+++ b/wagtaildoor/src/lib.rs
@@ -9,4 +9,5 @@
 pub mod prompt;
 pub mod schema;
 pub mod settings;
+pub mod template_file;
 pub mod timeline;
--- a/wagtaildoor/src/settings/fault.rs
+++ b/wagtaildoor/src/settings/fault.rs
@@ -121,6 +121,44 @@
         self.push(Some(section), Some(key), Some(value), problem, allowed);
     }
 
+    /// A fault of a key in another file than the list's own.
+    pub fn key_in(&mut self, file: &str, section: &str, key: &str, problem: &str, allowed: &str) {
+        self.key(section, key, problem, allowed);
+        self.move_last(file);
+    }
+
+    /// A fault of a value in another file than the list's own.
+    pub fn value_in(
+        &mut self,
+        file: &str,
+        section: &str,
+        key: &str,
+        value: &str,
+        problem: &str,
+        allowed: &str,
+    ) {
+        self.value(section, key, value, problem, allowed);
+        self.move_last(file);
+    }
+
+    /// Names another file in the fault added last.
+    fn move_last(&mut self, file: &str) {
+        if let Some(fault) = self.faults.last_mut() {
+            fault.file = file.into();
+        }
+    }
+
+    /// File the faults are in.
+    pub fn file_name(&self) -> &str {
+        &self.file
+    }
+
+    /// Whether a section has a fault.
+    pub fn has_in(&self, section: &str) -> bool {
+        let mut faults = self.faults.iter();
+        faults.any(|fault| fault.section.as_deref() == Some(section))
+    }
+
     /// Adds a fault.
     fn push(
         &mut self,
--- /dev/null
+++ b/wagtaildoor/src/template_file/difference.rs
@@ -0,0 +1,91 @@
+//! What differs between wanted changes and the configuration in force.
+
+use std::collections::HashSet;
+
+use crate::{
+    ids::{
+        PoolId,
+        TemplateId, //
+    },
+    schema::{
+        ConfigChange,
+        Configuration,
+        Pool,
+        WeightsChange, //
+    },
+};
+
+/// What to send, and what was found on the way.
+#[derive(Clone, Debug, Default, PartialEq)]
+pub struct ConfigDifference {
+    /// Changes that are not in force.
+    pub changes: Vec<ConfigChange>,
+    /// Pools whose weights in force are newer than the wanted ones; weights never go back.
+    pub newer_weights: Vec<PoolId>,
+    /// Templates in force that the wanted changes do not name.
+    pub not_named: Vec<TemplateId>,
+}
+
+/// Compares wanted changes with what is in force.
+pub fn against(in_force: &Configuration, wanted: Vec<ConfigChange>) -> ConfigDifference {
+    let mut difference = ConfigDifference::default();
+    let mut named = HashSet::new();
+    for change in wanted {
+        if let ConfigChange::PutTemplate(template) = &change {
+            named.insert(template.id.clone());
+        }
+        difference.take(in_force, change);
+    }
+    let templates = in_force.templates.iter().map(|template| &template.id);
+    let not_named = templates.filter(|id| !named.contains(*id)).cloned();
+    difference.not_named = not_named.collect();
+    difference
+}
+
+impl ConfigDifference {
+    /// Adds a change unless it is in force.
+    fn take(&mut self, in_force: &Configuration, change: ConfigChange) {
+        match change {
+            ConfigChange::PutPool(pool) => self.take_pool(in_force, pool),
+            change if is_in_force(in_force, &change) => {}
+            change => self.changes.push(change),
+        }
+    }
+
+    /// Adds what differs of a pool; its weights only rise.
+    fn take_pool(&mut self, in_force: &Configuration, mut pool: Pool) {
+        let old = in_force.pools.iter().find(|old| old.id == pool.id);
+        let Some(old) = old else {
+            self.changes.push(ConfigChange::PutPool(pool));
+            return;
+        };
+        let wanted = pool.weights_version;
+        pool.weights_version = old.weights_version;
+        if &pool != old {
+            self.changes.push(ConfigChange::PutPool(pool.clone()));
+        }
+        if wanted > old.weights_version {
+            self.changes.push(ConfigChange::RaiseWeights(WeightsChange {
+                pool: pool.id,
+                version: wanted,
+            }));
+        } else if wanted < old.weights_version {
+            self.newer_weights.push(pool.id);
+        }
+    }
+}
+
+/// Whether a change would leave the configuration as it is.
+fn is_in_force(in_force: &Configuration, change: &ConfigChange) -> bool {
+    match change {
+        ConfigChange::PutText(text) => in_force.texts.iter().any(|old| old.hash == text.hash),
+        ConfigChange::PutAccount(account) => in_force.accounts.contains(account),
+        ConfigChange::PutPool(pool) => in_force.pools.contains(pool),
+        ConfigChange::PutTemplate(template) => in_force.templates.contains(template),
+        ConfigChange::RemoveTemplate(id) => !in_force.templates.iter().any(|old| old.id == *id),
+        ConfigChange::RaiseWeights(raise) => {
+            let pool = in_force.pools.iter().find(|pool| pool.id == raise.pool);
+            pool.is_some_and(|pool| pool.weights_version >= raise.version)
+        }
+    }
+}
