Tell an expired key from an unreachable log in claim verdicts

Cause: both were `refused`, and the entry answered 503 with advice to retry for a key that no retry can save. The new variant stands last, so that frames of the last release still read the same.

--- a/wagtaildoor/src/schema.rs
+++ b/wagtaildoor/src/schema.rs
@@ -431,6 +431,9 @@
     ///The log did not say in time; the claim may yet appear, and this attempt must not run.
     #[serde(rename = "uncertain")]
     Uncertain(::std::boxed::Box<str>),
+    ///The key is too old, or too far in the future, to be checked; this attempt must not run.
+    #[serde(rename = "expired")]
+    Expired(::std::boxed::Box<str>),
 }
 impl ::std::convert::From<&Self> for ClaimVerdict {
     fn from(value: &ClaimVerdict) -> Self {
--- a/wagtaildoor_entry/src/once_run.rs
+++ b/wagtaildoor_entry/src/once_run.rs
@@ -283,6 +283,7 @@
                 ErrorKind::AnswerNotKept,
                 "the key has run; its answer is not on record",
             )),
+            ClaimVerdict::Expired(detail) => Err(RequestError::new(ErrorKind::KeyExpired, detail)),
             ClaimVerdict::Refused(detail) | ClaimVerdict::Uncertain(detail) => {
                 let detail = format!("{detail}; this copy did not run");
                 Err(RequestError::new(ErrorKind::PlatformUnavailable, detail))
@@ -330,5 +331,6 @@
         ClaimVerdict::Settled(_) => "the key was settled as having run".into(),
         ClaimVerdict::Refused(detail) => format!("no claim was made: {detail}").into(),
         ClaimVerdict::Uncertain(detail) => format!("the log did not say in time: {detail}").into(),
+        ClaimVerdict::Expired(detail) => format!("the key cannot be checked: {detail}").into(),
     }
 }
--- a/wagtaildoor_keeper/src/metrics.rs
+++ b/wagtaildoor_keeper/src/metrics.rs
@@ -88,6 +88,7 @@
             ClaimVerdict::Settled(_) => "settled",
             ClaimVerdict::Refused(_) => "refused",
             ClaimVerdict::Uncertain(_) => "uncertain",
+            ClaimVerdict::Expired(_) => "expired",
         };
         self.claims.add(1, &[KeyValue::new("verdict", name)]);
     }
