--- a/wagtaildoor/src/residency.rs
+++ b/wagtaildoor/src/residency.rs
@@ -20,6 +20,8 @@
 /// Hash of a cache block, as an engine gives it.
 pub type BlockHash = u64;
 
+/// Stands for a level that ends within the first block.
+const NO_BLOCK: BlockHash = 0;
 /// Most holders remembered of one prefix.
 const HOLDERS_LIMIT: usize = 12;
 /// Most prefixes remembered that end in one block.
@@ -172,7 +174,8 @@
             let holding = life.holding(slot, now_ms);
             self.prefixes.touch(level.id).put(holding);
         }
-        for (level, &block) in levels.iter().zip(blocks) {
+        let blocks = levels.iter().zip(blocks);
+        for (level, &block) in blocks.filter(|(_, &block)| block != NO_BLOCK) {
             let link = BlockLink {
                 prefix: level.id,
                 weights_version: life.weights_version,
--- a/wagtaildoor/src/table_state.rs
+++ b/wagtaildoor/src/table_state.rs
@@ -24,7 +24,8 @@
     error::ErrorKind,
     ids::{
         EndpointId,
-        PoolId, //
+        PoolId,
+        PrefixId, //
     },
     load_view::EngineRates,
     placement::{
@@ -37,7 +38,10 @@
         ResidencyIndex,
         SlotIndex, //
     },
-    routing_table::DispatchTicket,
+    routing_table::{
+        DispatchTicket,
+        HolderView, //
+    },
     schema::{
         EndpointNews,
         EndpointState,
@@ -101,6 +105,21 @@
         self.slots.get(index as usize)?.as_ref()
     }
 
+    /// Endpoints that may hold a prefix.
+    pub fn holder_views(&self, prefix: PrefixId) -> Vec<HolderView> {
+        let holders = self.residency.holders(prefix);
+        let views = holders.filter_map(|holder| {
+            let slot = self.slot(holder.slot)?;
+            Some(HolderView {
+                endpoint: slot.id.clone(),
+                boot_id: slot.boot_id.clone(),
+                weights_version: slot.weights_version,
+                state: holder.state,
+            })
+        });
+        views.collect()
+    }
+
     /// Takes the whole list of endpoints; those missing from it are forgotten.
     pub fn replace_endpoints(&mut self, views: &[EndpointView], now: Instant) {
         let named: HashSet<&EndpointId> = views.iter().map(|view| &view.id).collect();
