--- a/wagtaildoor/src/lib.rs
+++ b/wagtaildoor/src/lib.rs
@@ -1,13 +1,34 @@
 //! Coordination parts of a router for language-model traffic with long shared prompts.
 
+pub mod breaker;
+mod candidates;
 pub mod clock;
+pub mod config_chain;
+pub mod config_change;
+pub mod config_follower;
+pub mod config_publisher;
+mod endpoint_slot;
 pub mod error;
 pub mod frame;
+pub mod generation_map;
 pub mod ids;
+pub mod keeper_connection;
+pub mod keeper_link;
+pub mod load_view;
+pub mod log_http;
 pub mod log_store;
 pub mod logging;
+pub mod placement;
+pub mod prefix;
 pub mod prompt;
+pub mod rendezvous;
+pub mod residency;
+pub mod routing_table;
 pub mod schema;
 pub mod settings;
+pub mod stream_check;
+mod table_state;
 pub mod template_file;
 pub mod timeline;
+pub mod view_board;
+pub mod view_state;
