--- a/wagtaildoor/src/lib.rs
+++ b/wagtaildoor/src/lib.rs
@@ -4,6 +4,8 @@
 mod endpoint_slot;
 mod table_state;
 
+mod table_state;
+
 pub mod breaker;
 pub mod clock;
 pub mod config_chain;
