--- a/wagtaildoor/src/lib.rs
+++ b/wagtaildoor/src/lib.rs
@@ -1,13 +1,15 @@
 //! Coordination parts of a router for language-model traffic with long shared prompts.
 
-pub mod breaker;
 mod candidates;
+mod endpoint_slot;
+mod table_state;
+
+pub mod breaker;
 pub mod clock;
 pub mod config_chain;
 pub mod config_change;
 pub mod config_follower;
 pub mod config_publisher;
-mod endpoint_slot;
 pub mod error;
 pub mod frame;
 pub mod generation_map;
@@ -27,7 +29,7 @@
 pub mod schema;
 pub mod settings;
 pub mod stream_check;
-mod table_state;
+pub mod template_file;
 pub mod timeline;
 pub mod view_board;
 pub mod view_state;
