--- a/wagtaildoor/src/routing_table.rs
+++ b/wagtaildoor/src/routing_table.rs
@@ -94,13 +94,18 @@
 
 impl Default for RoutingTable {
     fn default() -> Self {
-        Self::new(PlacementPolicy::default())
+        Self::new()
     }
 }
 
 impl RoutingTable {
     /// A table that knows no endpoint.
-    pub fn new(policy: PlacementPolicy) -> Self {
+    pub fn new() -> Self {
+        Self::with_policy(PlacementPolicy::default())
+    }
+
+    /// A table that knows no endpoint, with a policy of its own.
+    pub fn with_policy(policy: PlacementPolicy) -> Self {
         Self::with_seed(policy, rand::random(), Instant::now())
     }
 
