Hand the time into each call of the routing table about a request

Cause: the entry takes the time once where it acts, and already hands it in; twins of each call that read the clock had no user left. Calls of the keeper's words keep reading it, with a twin for virtual time.

--- a/wagtaildoor/src/routing_table.rs
+++ b/wagtaildoor/src/routing_table.rs
@@ -159,13 +159,8 @@
         self.lock().place(query, now)
     }
 
-    /// Counts a request that is sent now.
-    pub fn dispatched(&self, choice: &PlacementChoice) -> DispatchTicket {
-        self.dispatched_at(choice, Instant::now())
-    }
-
-    /// Counts a request that is sent at a time.
-    pub fn dispatched_at(&self, choice: &PlacementChoice, now: Instant) -> DispatchTicket {
+    /// Counts a request that is sent.
+    pub fn dispatched(&self, choice: &PlacementChoice, now: Instant) -> DispatchTicket {
         let missed_tokens = choice
             .prompt_tokens
             .saturating_sub(choice.expected_cached_tokens);
@@ -186,22 +181,12 @@
     }
 
     /// Takes the head of an answer: start, weights and queue of the endpoint.
-    pub fn heard(&self, ticket: &DispatchTicket, news: &EndpointNews) {
-        self.heard_at(ticket, news, Instant::now());
-    }
-
-    /// Takes the head of an answer that came at a time.
-    pub fn heard_at(&self, ticket: &DispatchTicket, news: &EndpointNews, now: Instant) {
+    pub fn heard(&self, ticket: &DispatchTicket, news: &EndpointNews, now: Instant) {
         self.lock().heard(ticket.slot, ticket.lease, news, now);
     }
 
     /// Takes the first token of an answer.
-    pub fn first_token(&self, ticket: &mut DispatchTicket) {
-        self.first_token_at(ticket, Instant::now());
-    }
-
-    /// Takes the first token of an answer that came at a time.
-    pub fn first_token_at(&self, ticket: &mut DispatchTicket, now: Instant) {
+    pub fn first_token(&self, ticket: &mut DispatchTicket, now: Instant) {
         if !ticket.started {
             self.lock().started(ticket, now);
             ticket.started = true;
@@ -209,12 +194,7 @@
     }
 
     /// Takes the end of a model engine's stream, with the levels of the prompt.
-    pub fn answered(&self, ticket: DispatchTicket, done: &EngineDone, levels: &[LevelPrefix]) {
-        self.answered_at(ticket, done, levels, Instant::now());
-    }
-
-    /// Takes the end of a model engine's stream that came at a time.
-    pub fn answered_at(
+    pub fn answered(
         &self,
         mut ticket: DispatchTicket,
         done: &EngineDone,
@@ -226,12 +206,7 @@
     }
 
     /// Takes the answer of a plain service.
-    pub fn served(&self, ticket: DispatchTicket, news: &EndpointNews) {
-        self.served_at(ticket, news, Instant::now());
-    }
-
-    /// Takes the answer of a plain service that came at a time.
-    pub fn served_at(&self, mut ticket: DispatchTicket, news: &EndpointNews, now: Instant) {
+    pub fn served(&self, mut ticket: DispatchTicket, news: &EndpointNews, now: Instant) {
         let mut state = self.lock();
         state.heard(ticket.slot, ticket.lease, news, now);
         state.succeeded(&ticket, 0, now);
@@ -240,12 +215,7 @@
     }
 
     /// Takes the failure of an attempt.
-    pub fn failed(&self, ticket: DispatchTicket, kind: ErrorKind) {
-        self.failed_at(ticket, kind, Instant::now());
-    }
-
-    /// Takes the failure of an attempt at a time.
-    pub fn failed_at(&self, mut ticket: DispatchTicket, kind: ErrorKind, now: Instant) {
+    pub fn failed(&self, mut ticket: DispatchTicket, kind: ErrorKind, now: Instant) {
         self.lock().failed(&ticket, kind, now);
         ticket.settled = true;
     }
--- a/wagtaildoor/tests/routing_table.rs
+++ b/wagtaildoor/tests/routing_table.rs
@@ -87,8 +87,8 @@
 /// Places, sends and answers one request.
 fn run_one(table: &RoutingTable, levels: &[LevelPrefix], now: Instant) -> PlacementChoice {
     let choice = table.place(&query(levels, now), now).expect("an endpoint");
-    let ticket = table.dispatched_at(&choice, now);
-    table.answered_at(ticket, &done(&choice), levels, now);
+    let ticket = table.dispatched(&choice, now);
+    table.answered(ticket, &done(&choice), levels, now);
     choice
 }
 
@@ -295,7 +295,7 @@
     let table = RoutingTable::with_seed(policy, 1, start);
     table.take_all_endpoints(&[drafter("d1")], start);
     let choice = table.place(&query(&[], start), start).expect("an endpoint");
-    let ticket = table.dispatched_at(&choice, start);
+    let ticket = table.dispatched(&choice, start);
     let full = table.place(&query(&[], start), start);
     assert_eq!(full.err(), Some(ErrorKind::Overloaded));
     drop(ticket);
