Publish hosts to entries by themselves

The keeper learns hosts and endpoints from different sources and at different times; a host that is gone still needs a whole view, since the changes cannot tell of it.

--- a/wagtaildoor/src/view_board.rs
+++ b/wagtaildoor/src/view_board.rs
@@ -46,6 +46,7 @@
         EndpointNews,
         EndpointView,
         EntryFrame,
+        HostView,
         KeeperFrame,
         KeeperView,
         PrefixNews,
@@ -133,6 +134,12 @@
         self.announce(version);
     }
 
+    /// Takes in the entry hosts as they are now known.
+    pub fn publish_hosts(&self, hosts: Vec<HostView>) {
+        let version = self.state().put_host_list(hosts, Instant::now());
+        self.announce(version);
+    }
+
     /// Passes cache news on.
     pub fn publish_news(&self, news: PrefixNews) {
         // Without an entry there is nobody to tell.
--- a/wagtaildoor/src/view_state.rs
+++ b/wagtaildoor/src/view_state.rs
@@ -1,7 +1,10 @@
 //! The view a keeper has in force, with the version of each of its parts.
 
 use std::{
-    collections::HashMap,
+    collections::{
+        HashMap,
+        HashSet, //
+    },
     time::Duration, //
 };
 
@@ -109,6 +112,21 @@
         self.version
     }
 
+    /// Takes in the whole list of hosts and gives the newest version.
+    pub fn put_host_list(&mut self, hosts: Vec<HostView>, now: Instant) -> ViewVersion {
+        let Some(view) = &self.view else {
+            return self.version;
+        };
+        if lost_host(&view.hosts, &hosts) {
+            let mut changed = self.snapshot(view, now);
+            changed.hosts = hosts;
+            self.put_whole(changed, now);
+        } else {
+            self.put_hosts(hosts);
+        }
+        self.version
+    }
+
     /// The frames that lead an entry from a version to the newest one.
     pub fn since(&self, sent: &mut ViewVersion, now: Instant) -> Vec<KeeperFrame> {
         let mut frames = Vec::new();
@@ -148,11 +166,7 @@
             .endpoints
             .iter()
             .any(|endpoint| !endpoints.contains_key(&endpoint.id));
-        let lost_host = held
-            .hosts
-            .iter()
-            .any(|host| view.hosts.iter().all(|other| other.id != host.id));
-        held.head != view.head || lost_endpoint || lost_host
+        held.head != view.head || lost_endpoint || lost_host(&held.hosts, &view.hosts)
     }
 
     /// Puts a whole view in force.
@@ -247,6 +261,12 @@
         .collect()
 }
 
+/// Whether a host is missing from a new list.
+fn lost_host(held: &[HostView], hosts: &[HostView]) -> bool {
+    let named: HashSet<&HostId> = hosts.iter().map(|host| &host.id).collect();
+    held.iter().any(|host| !named.contains(&host.id))
+}
+
 /// The change that puts an endpoint in force.
 fn changed(endpoint: &EndpointView, version: ViewVersion, now: Instant) -> EndpointChange {
     EndpointChange {
--- a/wagtaildoor/tests/view_board.rs
+++ b/wagtaildoor/tests/view_board.rs
@@ -212,6 +212,15 @@
     board.publish(changed.clone());
     let frame = entry.next().await;
     assert_eq!(frame, KeeperFrame::Hosts(vec![host("h2", 1)]));
+    board.publish_hosts(vec![host("h1", 2), host("h2", 1)]);
+    let frame = entry.next().await;
+    assert_eq!(frame, KeeperFrame::Hosts(vec![host("h1", 2)]));
+    changed.hosts = vec![host("h1", 2)];
+    board.publish_hosts(changed.hosts.clone());
+    let KeeperFrame::View(shrunk) = entry.next().await else {
+        panic!("no view after a host went");
+    };
+    assert_eq!(shrunk.hosts, changed.hosts);
     // A lost endpoint or a new head needs the whole view.
     changed.endpoints.truncate(2);
     board.publish(changed.clone());
