Check idempotency keys before the log is asked

A key that is missing or not a UUIDv7 is refused at the entry; every spelling of a key is brought into one, so that two spellings are one key.

--- a/wagtaildoor/src/lib.rs
+++ b/wagtaildoor/src/lib.rs
@@ -1,17 +1,13 @@
 //! Coordination parts of a router for language-model traffic with long shared prompts.
 
-mod candidates;
-mod endpoint_slot;
-mod table_state;
-
-mod table_state;
-
 pub mod breaker;
+mod candidates;
 pub mod clock;
 pub mod config_chain;
 pub mod config_change;
 pub mod config_follower;
 pub mod config_publisher;
+mod endpoint_slot;
 pub mod error;
 pub mod frame;
 pub mod generation_map;
@@ -31,6 +27,7 @@
 pub mod schema;
 pub mod settings;
 pub mod stream_check;
+mod table_state;
 pub mod template_file;
 pub mod timeline;
 pub mod view_board;
--- a/wagtaildoor_entry/src/once_run.rs
+++ b/wagtaildoor_entry/src/once_run.rs
@@ -5,6 +5,7 @@
 use tokio::time::Instant;
 use uuid::Uuid;
 use wagtaildoor::{
+    claim_policy::DISPATCH_WINDOW,
     error::{
         ErrorKind,
         RequestError,
@@ -41,8 +42,6 @@
     },
 };
 
-/// Time from asking for a claim within which the request may be written to an endpoint.
-pub const DISPATCH_WINDOW: Duration = Duration::from_secs(5);
 /// Longest wait for a record to be read back.
 const RECORD_WAIT: Duration = Duration::from_secs(10);
 /// Wait between two look-ups at a service that does not answer.
--- a/wagtaildoor_entry/src/routes.rs
+++ b/wagtaildoor_entry/src/routes.rs
@@ -23,19 +23,24 @@
 };
 use tokio::sync::mpsc;
 use wagtaildoor::{
+    claim_key,
     error::{
         ErrorKind,
         RequestError,
         Result, //
     },
-    ids::RequestId,
+    ids::{
+        RequestId,
+        RequestKey, //
+    },
     prompt,
     schema::{
         ChatRequest,
         CompletionRequest,
         EventKind,
         EventPage,
-        PoolKind, //
+        PoolKind,
+        Template, //
     },
     timeline::{
         EventDraft,
@@ -329,11 +334,12 @@
     let token = head.token.as_deref();
     let grant = access::grant(configuration, token, template, PoolKind::Service)?;
     let value: serde_json::Value = caller_body::parse(&body)?;
+    let key = checked_key(grant.template, head.key)?;
     scope.note_received(grant);
     Ok(ServiceRun {
         account: grant.account.clone(),
         body: value.to_string().into(),
-        key: head.key,
+        key,
         pool: grant.pool.clone(),
         received: scope.received,
         request: scope.request.clone(),
@@ -342,6 +348,22 @@
     })
 }
 
+/// The one spelling of a request's key; non-idempotent requests must have one.
+fn checked_key(template: &Template, key: Option<Box<str>>) -> Result<Option<RequestKey>> {
+    if template.repeatable {
+        return Ok(key);
+    }
+    let key = key.ok_or_else(|| {
+        let detail = "this request may run only once: it needs an Idempotency-Key header";
+        RequestError::new(ErrorKind::KeyMissing, detail)
+    })?;
+    let key = claim_key::canonical(&key).map_err(|_| {
+        let detail = format!("the Idempotency-Key \"{key}\" is not a UUIDv7");
+        RequestError::new(ErrorKind::KeyMalformed, detail)
+    })?;
+    Ok(Some(key))
+}
+
 /// The error of a request that was refused before the log was asked about its key.
 fn before_claim(error: RequestError, keyed: bool) -> RequestError {
     if !keyed {
--- a/wagtaildoor_entry/src/server.rs
+++ b/wagtaildoor_entry/src/server.rs
@@ -116,7 +116,7 @@
     Ok(Arc::new(EntryState {
         view: link.view(),
         link,
-        table: Arc::new(RoutingTable::default()),
+        table: Arc::new(RoutingTable::new()),
         clients: HttpClients::new()?,
         metrics: EntryMetrics::new()?,
         runs: TaskTracker::new(),
