Explain a request in plain sentences; show the time line as a page

Managers ask whether a request ran and why it went where it did. The explanation is a fold over the request's events in causal order; what is on record goes before what a caller was told, and a refusal of a kind that this release does not know counts as not run only when no endpoint had been chosen. The page is one file with no script and nothing loaded from elsewhere, so it can be sent on as it is.

Ruled out: wording made by the processes alone, since a verdict needs events of several of them.

--- /dev/null
+++ b/wagtaildoor/src/explain.rs
@@ -0,0 +1,323 @@
+//! Says in plain sentences what happened to a request, and whether it ran.
+
+use serde::Serialize;
+
+use crate::{
+    error::{
+        ErrorKind,
+        RunOutcome, //
+    },
+    ids::{
+        AccountId,
+        EndpointId,
+        HostId,
+        RequestId, //
+    },
+    schema::{
+        EventKind,
+        TimelineEvent, //
+    },
+    timeline::wall_time,
+};
+
+/// Whether a request ran, as far as its events tell.
+#[derive(Clone, Copy, Debug, Eq, PartialEq, Serialize)]
+#[serde(rename_all = "snake_case")]
+pub enum RunVerdict {
+    /// It ran.
+    Ran,
+    /// It did not run again: an earlier copy had run, and its answer was given.
+    Replayed,
+    /// It did not run.
+    NotRun,
+    /// It may have run.
+    Unknown,
+    /// No end is on record.
+    UnderWay,
+}
+
+/// One step of a request.
+#[derive(Clone, Debug, Eq, PartialEq, Serialize)]
+pub struct ExplainedStep {
+    /// Time since the request's first event, in milliseconds.
+    pub after_ms: u64,
+    /// Host that saw it.
+    pub host: HostId,
+    /// Program that saw it.
+    pub process: Box<str>,
+    /// What happened.
+    pub sentence: Box<str>,
+}
+
+/// What happened to a request.
+#[derive(Clone, Debug, Eq, PartialEq, Serialize)]
+pub struct Explanation {
+    /// Request.
+    pub request: RequestId,
+    /// Client account that asked.
+    pub account: Option<AccountId>,
+    /// When it was first seen, in milliseconds since the Unix epoch.
+    pub first_ms: u64,
+    /// Host that first saw it.
+    pub host: HostId,
+    /// Endpoints that were chosen, in order.
+    pub endpoints: Vec<EndpointId>,
+    /// Steps, causes before effects.
+    pub steps: Vec<ExplainedStep>,
+    /// Whether it ran.
+    pub verdict: RunVerdict,
+    /// Whether it ran and why, as sentences.
+    pub conclusion: Box<str>,
+}
+
+/// Explains a request from its events, which are in causal order; `None` without any.
+pub fn explain(request: &str, events: &[TimelineEvent]) -> Option<Explanation> {
+    let belongs = |event: &&TimelineEvent| event.request.as_deref() == Some(request);
+    let own: Vec<&TimelineEvent> = events.iter().filter(belongs).collect();
+    let first = own.first()?;
+    let first_ms = first.stamp.wall_ms;
+    let mut story = RequestStory::default();
+    for event in &own {
+        story.take(event);
+    }
+    Some(Explanation {
+        request: request.into(),
+        account: own.iter().find_map(|event| event.account.clone()),
+        first_ms,
+        host: first.host.clone(),
+        endpoints: endpoints(&own),
+        steps: own.iter().map(|event| step(event, first_ms)).collect(),
+        verdict: story.verdict(),
+        conclusion: story.conclusion().into(),
+    })
+}
+
+impl Explanation {
+    /// The explanation as text, a sentence a line.
+    pub fn text(&self) -> String {
+        let account = self.account.as_deref().unwrap_or("an unknown account");
+        let mut text = format!(
+            "Request {} of {account} reached host {} on {}.\n",
+            self.request,
+            self.host,
+            wall_time::text(self.first_ms),
+        );
+        for step in &self.steps {
+            let line = format!(
+                "{:>8} ms  {} ({} on {})\n",
+                step.after_ms, step.sentence, step.process, step.host
+            );
+            text.push_str(&line);
+        }
+        text.push_str(&self.conclusion);
+        text.push('\n');
+        text
+    }
+}
+
+/// The endpoints chosen, each once.
+fn endpoints(events: &[&TimelineEvent]) -> Vec<EndpointId> {
+    let mut chosen: Vec<EndpointId> = Vec::new();
+    for event in events {
+        if let Some(endpoint) = &event.endpoint {
+            if !chosen.contains(endpoint) {
+                chosen.push(endpoint.clone());
+            }
+        }
+    }
+    chosen
+}
+
+/// One event as a step.
+fn step(event: &TimelineEvent, first_ms: u64) -> ExplainedStep {
+    ExplainedStep {
+        after_ms: event.stamp.wall_ms.saturating_sub(first_ms),
+        host: event.host.clone(),
+        process: event.process.clone(),
+        sentence: sentence(event).into(),
+    }
+}
+
+/// An event as a sentence.
+fn sentence(event: &TimelineEvent) -> String {
+    let detail = event.detail.trim().trim_end_matches('.');
+    match opening(event.kind) {
+        _ if detail.is_empty() => {
+            format!("{}.", capital(&event.kind.to_string().replace('_', " ")))
+        }
+        "" => format!("{}.", capital(detail)),
+        opening => format!("{opening}: {detail}."),
+    }
+}
+
+/// What a sentence of this kind opens with; nothing where the detail says it all.
+fn opening(kind: EventKind) -> &'static str {
+    match kind {
+        EventKind::RequestPlaced => "An endpoint was chosen",
+        EventKind::RequestDispatched => "The request was sent",
+        EventKind::FirstToken => "The answer began",
+        EventKind::StreamResumed => "The answer broke off and was taken up again elsewhere",
+        EventKind::RequestRetried => "That try failed, and another one was made",
+        EventKind::AnswerCrossed => "A piece of another answer came and was kept from the caller",
+        EventKind::RequestAnswered => "The caller got the whole answer",
+        EventKind::CallerGone => "The caller hung up",
+        EventKind::RequestRefused => "The request was refused",
+        EventKind::ClaimAsked => "It may run only once, so the log was asked first",
+        EventKind::ClaimWon => "It may run",
+        EventKind::ClaimLost => "It may not run",
+        EventKind::ClaimReleased => "The right to run it was given back unused",
+        EventKind::ClaimUnknown => "It became uncertain whether it ran",
+        EventKind::ClaimSettled => "The uncertainty was settled",
+        EventKind::OutcomeRecorded => "It ran",
+        EventKind::OutcomeReplayed => "The caller got an answer, and nothing ran twice",
+        _ => "",
+    }
+}
+
+/// A text with a capital at its start.
+fn capital(text: &str) -> String {
+    let mut letters = text.chars();
+    match letters.next() {
+        Some(first) => first.to_uppercase().chain(letters).collect(),
+        None => String::new(),
+    }
+}
+
+/// What the events so far say of a request's run.
+#[derive(Debug, Default)]
+struct RequestStory {
+    /// An endpoint was chosen.
+    placed: bool,
+    /// A whole answer came.
+    answered: bool,
+    /// It is on record that it ran.
+    recorded: bool,
+    /// The answer of an earlier copy was given.
+    replayed: bool,
+    /// It is uncertain whether it ran.
+    uncertain: bool,
+    /// The claim was given back.
+    released: bool,
+    /// The caller hung up.
+    caller_gone: bool,
+    /// What the caller was told instead of an answer.
+    refusal: Option<Refusal>,
+}
+
+/// A refusal that a caller got.
+#[derive(Debug)]
+struct Refusal {
+    /// Its sentence.
+    detail: Box<str>,
+    /// What it said of the run; `None` when its kind is not of this release.
+    outcome: Option<RunOutcome>,
+}
+
+impl RequestStory {
+    /// Takes over one event.
+    fn take(&mut self, event: &TimelineEvent) {
+        match event.kind {
+            EventKind::RequestPlaced | EventKind::RequestDispatched => self.placed = true,
+            EventKind::RequestAnswered => self.answered = true,
+            EventKind::OutcomeRecorded => self.recorded = true,
+            EventKind::OutcomeReplayed => self.replayed = true,
+            EventKind::ClaimUnknown => self.uncertain = true,
+            EventKind::ClaimReleased => self.released = true,
+            EventKind::ClaimSettled => self.settle(&event.detail),
+            EventKind::CallerGone => self.caller_gone = true,
+            EventKind::RequestRefused => self.refusal = Some(Refusal::of(&event.detail)),
+            _ => {}
+        }
+    }
+
+    /// Takes over a settlement.
+    fn settle(&mut self, detail: &str) {
+        self.uncertain = false;
+        match detail.contains(&RunOutcome::NotRun.to_string()) {
+            true => self.released = true,
+            false => self.recorded = true,
+        }
+    }
+
+    /// Whether the request ran. What is on record goes before what a caller was told.
+    fn verdict(&self) -> RunVerdict {
+        if self.replayed {
+            return RunVerdict::Replayed;
+        }
+        if self.answered || self.recorded {
+            return RunVerdict::Ran;
+        }
+        if self.released {
+            return RunVerdict::NotRun;
+        }
+        if self.uncertain {
+            return RunVerdict::Unknown;
+        }
+        match &self.refusal {
+            Some(refusal) => refusal.verdict(self.placed),
+            None if self.caller_gone && self.placed => RunVerdict::Unknown,
+            None => RunVerdict::UnderWay,
+        }
+    }
+
+    /// The verdict in sentences.
+    fn conclusion(&self) -> String {
+        let told = self.refusal.as_ref();
+        let told = told.map(|refusal| format!(" The caller was told: {}.", refusal.detail));
+        let mut text = self.verdict_sentence().to_string();
+        text.push_str(&told.unwrap_or_default());
+        if self.caller_gone {
+            text.push_str(" The caller hung up before the end.");
+        }
+        text
+    }
+
+    /// The verdict in one sentence.
+    fn verdict_sentence(&self) -> &'static str {
+        match self.verdict() {
+            RunVerdict::Ran if self.refusal.is_some() => {
+                "In short: it ran, but the caller did not get the answer."
+            }
+            RunVerdict::Ran => "In short: it ran, and the caller's answer is whole.",
+            RunVerdict::Replayed => {
+                "In short: it did not run again. An earlier copy had run, and the caller got the \
+                 answer on record."
+            }
+            RunVerdict::NotRun => "In short: it did not run.",
+            RunVerdict::Unknown => {
+                "In short: it is not known whether it ran. A request that may not be repeated \
+                 stays in `wtd unresolved` until that is settled."
+            }
+            RunVerdict::UnderWay => {
+                "In short: no end is on record. It is under way, its process stopped, or the end \
+                 was not found."
+            }
+        }
+    }
+}
+
+impl Refusal {
+    /// The refusal that an event tells of: the kind's name, then its sentence.
+    fn of(detail: &str) -> Self {
+        let named = |kind: &&ErrorKind| {
+            let rest = detail.strip_prefix(&kind.to_string());
+            rest.is_some_and(|rest| rest.starts_with(':') || rest.is_empty())
+        };
+        let kind = ErrorKind::ALL.iter().find(named);
+        Self {
+            detail: detail.trim_end_matches('.').into(),
+            outcome: kind.map(|kind| kind.answer().outcome),
+        }
+    }
+
+    /// Whether the request ran, by what the caller was told.
+    fn verdict(&self, placed: bool) -> RunVerdict {
+        match self.outcome {
+            Some(RunOutcome::Ran) => RunVerdict::Ran,
+            Some(RunOutcome::NotRun) => RunVerdict::NotRun,
+            Some(RunOutcome::Unknown) => RunVerdict::Unknown,
+            None if placed => RunVerdict::Unknown,
+            None => RunVerdict::NotRun,
+        }
+    }
+}
--- a/wagtaildoor/src/lib.rs
+++ b/wagtaildoor/src/lib.rs
@@ -4,8 +4,6 @@
 mod endpoint_slot;
 mod table_state;
 
-mod table_state;
-
 pub mod breaker;
 pub mod clock;
 pub mod config_chain;
@@ -13,6 +11,7 @@
 pub mod config_follower;
 pub mod config_publisher;
 pub mod error;
+pub mod explain;
 pub mod frame;
 pub mod generation_map;
 pub mod ids;
--- a/wagtaildoor/src/timeline.rs
+++ b/wagtaildoor/src/timeline.rs
@@ -27,8 +27,10 @@
     },
 };
 
+pub mod html;
 pub mod log_lines;
 pub mod merge;
+pub mod wall_time;
 
 /// Message of the log lines that carry an event.
 pub const EVENT_MESSAGE: &str = "timeline event";
--- /dev/null
+++ b/wagtaildoor/src/timeline/html.rs
@@ -0,0 +1,190 @@
+//! A time line as one self-contained HTML page, with a lane for each process.
+
+use std::fmt::Write;
+
+use crate::{
+    schema::{
+        EventKind,
+        TimelineEvent, //
+    },
+    timeline::{
+        merge::{
+            self,
+            MergedTimeline,
+            ProcessLane, //
+        },
+        wall_time,
+    },
+};
+
+/// Start of the page. No script and nothing from elsewhere: it opens from a file, anywhere.
+const HEAD: &str = "<!doctype html>
+<html lang=\"en\">
+<head>
+<meta charset=\"utf-8\">
+<meta http-equiv=\"Content-Security-Policy\" content=\"default-src 'none'; style-src 'unsafe-inline'\">
+<meta name=\"viewport\" content=\"width=device-width, initial-scale=1\">
+<title>wagtaildoor time line</title>
+<style>
+body { font: 14px/1.4 system-ui, sans-serif; margin: 1rem; color: #1b1b1b; background: #fff; }
+h1 { font-size: 1.3rem; margin: 0 0 .3rem; }
+table { border-collapse: collapse; }
+th { position: sticky; top: 0; background: #f2f2f2; text-align: left; }
+th, td { padding: .25rem .5rem; vertical-align: top; border-left: 1px solid #d8d8d8; }
+tr { border-top: 1px solid #eee; }
+td.time { white-space: nowrap; font-variant-numeric: tabular-nums; color: #555; border-left: 0; }
+div.event { border-left: 4px solid #777; padding: .1rem .4rem; min-width: 14rem; max-width: 26rem; }
+div.event b { display: block; }
+div.event small { color: #555; overflow-wrap: anywhere; }
+.done { border-color: #1a7f37; background: #effaf1; }
+.trouble { border-color: #b3261e; background: #fdf0ef; }
+.once { border-color: #6f42c1; background: #f6f1fd; }
+.config { border-color: #0b61a4; background: #eef6fd; }
+p.missing { color: #b3261e; }
+</style>
+</head>
+<body>
+";
+
+/// The page for a time line; `missing` names processes that did not answer.
+pub fn page(timeline: &MergedTimeline, missing: &[String]) -> String {
+    let lanes = merge::lanes(&timeline.events);
+    let mut page = String::from(HEAD);
+    page.push_str("<h1>Time line</h1>\n");
+    push_summary(&mut page, timeline, &lanes, missing);
+    page.push_str("<table>\n<thead><tr><th>Time</th>");
+    for lane in &lanes {
+        let (host, process) = (escaped(&lane.host), escaped(&lane.process));
+        push(&mut page, format_args!("<th>{host}<br>{process}</th>"));
+    }
+    page.push_str("</tr></thead>\n<tbody>\n");
+    for event in &timeline.events {
+        push_row(&mut page, event, &lanes);
+    }
+    page.push_str("</tbody>\n</table>\n</body>\n</html>\n");
+    page
+}
+
+/// Adds formatted text.
+fn push(page: &mut String, text: std::fmt::Arguments<'_>) {
+    // Writing to a string cannot fail.
+    let _ = page.write_fmt(text);
+}
+
+/// Adds what the page shows, and what it lacks.
+fn push_summary(
+    page: &mut String,
+    timeline: &MergedTimeline,
+    lanes: &[ProcessLane],
+    missing: &[String],
+) {
+    let (events, processes) = (timeline.events.len(), lanes.len());
+    push(
+        page,
+        format_args!(
+            "<p>{events} events of {processes} processes, causes before effects. Times are UTC.</p>\n"
+        ),
+    );
+    if timeline.dropped > 0 {
+        let dropped = timeline.dropped;
+        push(
+            page,
+            format_args!("<p class=\"missing\">{dropped} older events are no longer kept.</p>\n"),
+        );
+    }
+    for one in missing {
+        let one = escaped(one);
+        push(
+            page,
+            format_args!("<p class=\"missing\">Not in this page: {one}</p>\n"),
+        );
+    }
+}
+
+/// Adds one event, in the column of its process.
+fn push_row(page: &mut String, event: &TimelineEvent, lanes: &[ProcessLane]) {
+    let time = wall_time::text(event.stamp.wall_ms);
+    let counter = event.stamp.counter;
+    push(
+        page,
+        format_args!("<tr><td class=\"time\">{time} +{counter}</td>"),
+    );
+    let own = ProcessLane::of(event);
+    for lane in lanes {
+        page.push_str("<td>");
+        if *lane == own {
+            push_event(page, event);
+        }
+        page.push_str("</td>");
+    }
+    page.push_str("</tr>\n");
+}
+
+/// Adds the box of an event.
+fn push_event(page: &mut String, event: &TimelineEvent) {
+    let class = class(event.kind);
+    let kind = escaped(&event.kind.to_string().replace('_', " "));
+    let detail = escaped(&event.detail);
+    push(
+        page,
+        format_args!("<div class=\"event {class}\"><b>{kind}</b>{detail}"),
+    );
+    let facts = [
+        ("request", &event.request),
+        ("account", &event.account),
+        ("endpoint", &event.endpoint),
+    ];
+    for (name, value) in facts {
+        if let Some(value) = value {
+            let value = escaped(value);
+            push(page, format_args!("<br><small>{name} {value}</small>"));
+        }
+    }
+    page.push_str("</div>");
+}
+
+/// How an event looks.
+fn class(kind: EventKind) -> &'static str {
+    match kind {
+        EventKind::RequestAnswered | EventKind::OutcomeReplayed => "done",
+        EventKind::RequestRefused
+        | EventKind::RequestRetried
+        | EventKind::StreamResumed
+        | EventKind::AnswerCrossed
+        | EventKind::CallerGone
+        | EventKind::ClaimUnknown
+        | EventKind::ConfigRefused
+        | EventKind::ViewLost
+        | EventKind::PlatformLost
+        | EventKind::EndpointGone
+        | EventKind::PeerSuspected
+        | EventKind::PeerGone
+        | EventKind::LeaseLost
+        | EventKind::OrderRefused
+        | EventKind::RolloutStopped => "trouble",
+        EventKind::ClaimAsked
+        | EventKind::ClaimWon
+        | EventKind::ClaimLost
+        | EventKind::ClaimReleased
+        | EventKind::ClaimSettled
+        | EventKind::OutcomeRecorded => "once",
+        EventKind::ConfigPublished | EventKind::ConfigInForce => "config",
+        _ => "plain",
+    }
+}
+
+/// A text with nothing in it that HTML reads as its own.
+pub fn escaped(text: &str) -> String {
+    let mut safe = String::with_capacity(text.len());
+    for letter in text.chars() {
+        match letter {
+            '&' => safe.push_str("&amp;"),
+            '<' => safe.push_str("&lt;"),
+            '>' => safe.push_str("&gt;"),
+            '"' => safe.push_str("&quot;"),
+            '\'' => safe.push_str("&#39;"),
+            letter => safe.push(letter),
+        }
+    }
+    safe
+}
--- /dev/null
+++ b/wagtaildoor/src/timeline/wall_time.rs
@@ -0,0 +1,19 @@
+//! Wall times as text, in UTC.
+
+use time::{
+    format_description::BorrowedFormatItem,
+    macros::format_description,
+    OffsetDateTime, //
+};
+
+/// Form of a wall time.
+const FORM: &[BorrowedFormatItem<'static>] =
+    format_description!("[year]-[month]-[day] [hour]:[minute]:[second].[subsecond digits:3] UTC");
+
+/// A wall time in milliseconds since the Unix epoch, as text.
+pub fn text(wall_ms: u64) -> String {
+    let since_epoch = i128::from(wall_ms) * 1_000_000;
+    let moment = OffsetDateTime::from_unix_timestamp_nanos(since_epoch);
+    let text = moment.ok().and_then(|moment| moment.format(FORM).ok());
+    text.unwrap_or_else(|| format!("{wall_ms} ms"))
+}
--- a/wagtaildoor/tests/timeline.rs
+++ b/wagtaildoor/tests/timeline.rs
@@ -23,6 +23,7 @@
         TimelineEvent, //
     },
     timeline::{
+        html,
         log_lines,
         merge,
         EventDraft,
@@ -228,3 +229,30 @@
     let property = merged_in_causal_order as fn(Vec<MessageStep>) -> bool;
     seeds::check("timeline", property);
 }
+
+#[test]
+fn the_page_has_a_lane_for_each_process_and_escapes_everything() {
+    let hostile = "<script>alert('x')</script>&\"";
+    let recorders = [
+        EventRecorder::new("north-1", "entry", 10, silent()),
+        EventRecorder::new("north-1", "keeper", 10, silent()),
+        EventRecorder::new(hostile, "entry", 10, silent()),
+    ];
+    for recorder in &recorders {
+        let draft = draft(hostile, hostile).account(hostile).endpoint(hostile);
+        recorder.record(draft);
+    }
+    let filter = EventFilter::default();
+    let mut merged = merge::merge(recorders.iter().map(|one| one.page(&filter)), &filter);
+    merged.dropped = 7;
+    let page = html::page(&merged, &[hostile.to_string()]);
+    assert_eq!(page.matches("<th>").count(), 1 + recorders.len());
+    assert_eq!(page.matches("<div class=\"event").count(), recorders.len());
+    assert!(page.contains("7 older events are no longer kept"));
+    assert!(page.contains("Not in this page: &lt;script&gt;"));
+    assert!(!page.contains("<script"), "{page}");
+    let elsewhere = ["http:", "https:", "src=", "href=", "@import", "url("];
+    for word in elsewhere {
+        assert!(!page.contains(word), "{word}");
+    }
+}
