--- a/wagtaildoor/src/lib.rs
+++ b/wagtaildoor/src/lib.rs
@@ -9,6 +9,7 @@
 pub mod config_publisher;
 mod endpoint_slot;
 pub mod error;
+pub mod explain;
 pub mod frame;
 pub mod generation_map;
 pub mod ids;
