--- a/wagtaildoor_fakes/src/http_server.rs
+++ b/wagtaildoor_fakes/src/http_server.rs
@@ -118,20 +118,21 @@
         ended.cancelled().await;
         shutdown.notify();
     });
-    let mut task = tokio::spawn(async move {
+    let task = tokio::spawn(async move {
         let result = server.launch().await;
         result.map(drop).map_err(failed)
     });
-    tokio::select! {
-        address = listening => {
-            let address = address.map_err(|_| ServerError::NotListening)?;
-            Ok(ServerHandle { address, token, task })
-        }
-        result = &mut task => {
-            result.unwrap_or(Err(ServerError::NotListening))?;
-            Err(ServerError::NotListening)
-        }
-    }
+    // The sender goes with a server that fails, which then says why.
+    let Ok(address) = listening.await else {
+        let result = task.await;
+        result.unwrap_or(Err(ServerError::NotListening))?;
+        return Err(ServerError::NotListening);
+    };
+    Ok(ServerHandle {
+        address,
+        token,
+        task,
+    })
 }
 
 /// Tells the bound address once the server listens.
--- a/wagtaildoor_fakes/tests/fake_engine.rs
+++ b/wagtaildoor_fakes/tests/fake_engine.rs
@@ -375,6 +375,22 @@
     assert_eq!(engine.counts().cancelled, 2);
 }
 
+#[tokio::test(start_paused = true)]
+async fn a_reader_who_leaves_the_queue_costs_nothing() {
+    let engine = FakeEngine::new(EngineProfile {
+        batch_limit: 1,
+        ..EngineProfile::default()
+    });
+    let _running = engine.generate(request_for("a")).expect("it is taken");
+    let waiting = engine.generate(request_for("b")).expect("it is taken");
+    time::sleep(Duration::from_millis(1)).await;
+    assert_eq!(engine.load_report().queued, 1);
+    drop(waiting);
+    time::sleep(Duration::from_millis(1)).await;
+    assert_eq!(engine.load_report().queued, 0);
+    assert_eq!(engine.counts().prompt_tokens, 1);
+}
+
 #[tokio::test(start_paused = true)]
 async fn a_crash_cuts_streams_and_empties_the_cache() {
     let engine = FakeEngine::new(EngineProfile::default());
