Give the stand-ins the platform's base URL to register at

Cause: the demo gives one base URL of the platform for registration and for weights; the program wanted the URLs of the list and of the weight store, and a registration went to a path that does not exist. Ruled out: mounting the routes twice; one meaning is easier to explain. Conclusion: the tests over sockets and of the program pass with base URLs.

--- a/wagtaildoor_fakes/src/cli.rs
+++ b/wagtaildoor_fakes/src/cli.rs
@@ -35,7 +35,11 @@
             "checks-fencing",
             "Refuse orders with an old fencing number",
         ))
-        .arg(text("weights", "URL", "Base URL of the weight store"))
+        .arg(text(
+            "weights",
+            "URL",
+            "Base URL of the platform to load weights from",
+        ))
         .arg(number(
             "weights-version",
             "1",
@@ -112,7 +116,7 @@
         .arg(text(
             "register",
             "URL",
-            "Base URL of the list to register at",
+            "Base URL of the platform to register at",
         ))
 }
 
@@ -175,7 +179,7 @@
     pub pool: String,
     /// Failure domain.
     pub domain: String,
-    /// List to register at.
+    /// Platform to register at.
     pub register: Option<String>,
 }
 
--- a/wagtaildoor_fakes/src/registration.rs
+++ b/wagtaildoor_fakes/src/registration.rs
@@ -43,11 +43,11 @@
 }
 
 impl ListRegistration {
-    /// The entry of an endpoint at a list's base URL.
-    pub fn new(list_url: &str, endpoint: ListedEndpoint, client: Client) -> Self {
-        let base = list_url.trim_end_matches('/');
+    /// The entry of an endpoint in the list of the platform at a base URL.
+    pub fn new(platform_url: &str, endpoint: ListedEndpoint, client: Client) -> Self {
+        let base = platform_url.trim_end_matches('/');
         Self {
-            url: format!("{base}/endpoints/{}", endpoint.id).into(),
+            url: format!("{base}/list/endpoints/{}", endpoint.id).into(),
             endpoint,
             client,
         }
--- a/wagtaildoor_fakes/src/weight_source.rs
+++ b/wagtaildoor_fakes/src/weight_source.rs
@@ -33,15 +33,16 @@
 /// The platform's weight store over HTTP, or none.
 #[derive(Clone, Debug)]
 pub struct WeightSource {
-    /// URL of the store; `None` loads at full speed.
+    /// Base URL of the platform; `None` loads at full speed.
     url: Option<Box<str>>,
     /// HTTP client.
     client: Client,
 }
 
 impl WeightSource {
-    /// A source at a base URL, or none.
+    /// A source at the platform's base URL, or none.
     pub fn new(url: Option<Box<str>>, client: Client) -> Self {
+        let url = url.map(|url| url.trim_end_matches('/').into());
         Self { url, client }
     }
 
@@ -62,7 +63,7 @@
     async fn begin(&self, alone: Duration) -> Option<LoadDelay> {
         let url = self.url.as_ref()?;
         let alone_ms = u64::try_from(alone.as_millis()).unwrap_or(u64::MAX);
-        let call = self.client.post(format!("{url}/loads"));
+        let call = self.client.post(format!("{url}/weights/loads"));
         let response = call.json(&LoadBegin { alone_ms }).send().await.ok()?;
         response.json().await.ok()
     }
--- a/wagtaildoor_fakes/tests/http_stand_ins.rs
+++ b/wagtaildoor_fakes/tests/http_stand_ins.rs
@@ -68,13 +68,13 @@
 const PATIENCE: Duration = Duration::from_secs(20);
 
 /// An engine's server, and the engine.
-async fn engine_server(weights_url: Option<Box<str>>) -> (StandIn, FakeEngine) {
+async fn engine_server(platform_url: Option<Box<str>>) -> (StandIn, FakeEngine) {
     let engine = FakeEngine::new(EngineProfile {
         load_time: Duration::from_millis(20),
         decode_per_token: Duration::from_millis(1),
         ..EngineProfile::default()
     });
-    let source = WeightSource::new(weights_url, Client::new());
+    let source = WeightSource::new(platform_url, Client::new());
     let mounted = engine.clone();
     let server = StandIn::start(|server| http_engine::mount(server, mounted, source)).await;
     (server, engine)
@@ -219,8 +219,8 @@
 #[tokio::test]
 async fn orders_are_taken_and_old_ones_refused() {
     let platform = platform_server().await;
-    let weights_url = platform.url("/weights").into();
-    let (server, engine) = engine_server(Some(weights_url)).await;
+    let platform_url = platform.url("/").into();
+    let (server, engine) = engine_server(Some(platform_url)).await;
     let mut order = EngineOrder {
         fencing: 5,
         kind: OrderKind::LoadWeights,
@@ -339,8 +339,8 @@
     let platform = platform_server().await;
     let address = ([127, 0, 0, 1], 9).into();
     let listed = registration::live_endpoint("d1", address, "drafter", "kl-a");
-    let list_url = platform.url("/list/");
-    let entry = ListRegistration::new(&list_url, listed.clone(), platform.client.clone());
+    let platform_url = platform.url("/");
+    let entry = ListRegistration::new(&platform_url, listed.clone(), platform.client.clone());
     let read = || async {
         let list = platform.get("/list").await.json().await;
         let list: PlatformList = list.expect("a list");
--- a/wagtaildoor_fakes/tests/program.rs
+++ b/wagtaildoor_fakes/tests/program.rs
@@ -116,14 +116,14 @@
 async fn an_engine_is_listed_while_it_runs() {
     let folder = TestFolder::new("listed");
     let mut platform = RunningProgram::start(&folder.path, "platform", &["platform"]);
-    let list_url = format!("http://{}/list", platform.address);
+    let platform_url = format!("http://{}", platform.address);
     let arguments = [
         "engine",
         "--id=d1",
         "--pool=drafter",
         "--domain=kl-a",
         "--register",
-        &list_url,
+        &platform_url,
     ];
     let mut engine = RunningProgram::start(&folder.path, "engine", &arguments);
     let mut listed = read_list(platform.address).await;
