--- /dev/null
+++ b/wagtaildoor/src/claim_policy.rs
@@ -0,0 +1,71 @@
+//! The times that claims go by, the same on all hosts.
+
+use std::time::Duration;
+
+/// Time from asking for a claim within which its request may be written to an endpoint.
+pub const DISPATCH_WINDOW: Duration = Duration::from_secs(5);
+/// Time after the window before an operator's "not run" can count.
+const SETTLEMENT_MARGIN: Duration = Duration::from_secs(25);
+/// Longest time by which keys expire before the log may drop their claims.
+const KEY_MARGIN: Duration = Duration::from_secs(3600);
+/// Longest time by which a caller's clock may be ahead of the log's.
+const KEY_SKEW: Duration = Duration::from_secs(300);
+/// Longest wait of a copy of a request for the outcome of the first.
+const BUSY_WAIT: Duration = Duration::from_secs(2);
+/// Shortest time between two appends to one stream.
+const APPEND_SPACING: Duration = Duration::from_millis(4);
+/// Longest wait for the answer to an append.
+const APPEND_TIMEOUT: Duration = Duration::from_secs(5);
+/// Wait before records without an answer are appended again.
+const SETTLE_WAIT: Duration = Duration::from_millis(250);
+
+/// The times that claims go by.
+///
+/// Streams, retention, window and margins decide what a record means, so all hosts must have the
+/// same; the rest is each host's own.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct ClaimPolicy {
+    /// Streams the claims are spread over.
+    pub shards: u32,
+    /// How long the log keeps records.
+    pub retention: Duration,
+    /// Time by which keys expire before the log may drop their claims; greater than the skew.
+    pub key_margin: Duration,
+    /// Time by which a caller's clock may be ahead of the log's.
+    pub key_skew: Duration,
+    /// Time from asking for a claim within which its request may be written to an endpoint.
+    pub window: Duration,
+    /// Time after the window before an operator's "not run" can count.
+    pub margin: Duration,
+    /// Longest wait of a copy of a request for the outcome of the first.
+    pub busy_wait: Duration,
+    /// Shortest time between two appends to one stream.
+    pub append_spacing: Duration,
+    /// Longest wait for the answer to an append.
+    pub append_timeout: Duration,
+    /// Wait before records without an answer are appended again.
+    pub settle_wait: Duration,
+}
+
+impl ClaimPolicy {
+    /// The policy for a log with so many claim streams and such a retention.
+    pub fn new(shards: u32, retention: Duration) -> Self {
+        Self {
+            shards: shards.max(1),
+            retention,
+            key_margin: KEY_MARGIN.min(retention / 4),
+            key_skew: KEY_SKEW.min(retention / 12),
+            window: DISPATCH_WINDOW,
+            margin: SETTLEMENT_MARGIN,
+            busy_wait: BUSY_WAIT,
+            append_spacing: APPEND_SPACING,
+            append_timeout: APPEND_TIMEOUT,
+            settle_wait: SETTLE_WAIT,
+        }
+    }
+
+    /// Time from a claim's record after which an operator's "not run" can count.
+    pub fn settlement_wait(&self) -> Duration {
+        self.window + self.margin
+    }
+}
--- /dev/null
+++ b/wagtaildoor/src/claim_shard.rs
@@ -0,0 +1,238 @@
+//! One claim stream: reads it into a ledger, and appends what is queued in batches.
+
+use std::{
+    sync::{
+        Mutex,
+        MutexGuard,
+        PoisonError, //
+    },
+    time::Duration, //
+};
+
+use tokio::{
+    sync::{
+        watch,
+        Notify, //
+    },
+    time::{
+        self,
+        Instant, //
+    },
+};
+
+use crate::{
+    claim_key,
+    claim_ledger::{
+        ClaimLedger,
+        BATCH_VERSION, //
+    },
+    claim_policy::ClaimPolicy,
+    claim_queue::ClaimQueue,
+    ids::{
+        LogOffset,
+        StreamId, //
+    },
+    log_store::{
+        LogError,
+        LogStore, //
+    },
+    schema::{
+        ClaimBatch,
+        ClaimRecord,
+        LogPage, //
+    },
+};
+
+/// Records read at a time.
+const PAGE_RECORDS: usize = 256;
+/// Longest wait of one read for a new record.
+const READ_WAIT: Duration = Duration::from_millis(500);
+/// Wait after a call that the log refused.
+const RETRY_WAIT: Duration = Duration::from_millis(50);
+
+/// What was read of the stream, and what is on its way into it.
+pub(crate) struct ShardState {
+    /// State of the keys.
+    pub ledger: ClaimLedger,
+    /// Records on their way.
+    pub queue: ClaimQueue,
+    /// Offset of the next record to read.
+    cursor: LogOffset,
+    /// The log's time at the last read, in milliseconds since the Unix epoch.
+    log_ms: u64,
+    /// When the log last answered a read; `None` before its first answer.
+    log_seen: Option<Instant>,
+    /// The log dropped records before their time; older ones may be missing.
+    complete_since_ms: u64,
+}
+
+/// One claim stream.
+pub(crate) struct ClaimShard<L> {
+    /// Log.
+    log: L,
+    /// Name of the stream.
+    stream: StreamId,
+    /// Times that claims go by.
+    policy: ClaimPolicy,
+    /// What was read, and what is on its way.
+    state: Mutex<ShardState>,
+    /// Wakes the appender.
+    queued: Notify,
+    /// Rises with each page that was read.
+    pages: watch::Sender<u64>,
+}
+
+impl<L: LogStore> ClaimShard<L> {
+    /// A stream that was not read yet.
+    pub fn new(log: L, stream: StreamId, policy: ClaimPolicy) -> Self {
+        let state = ShardState {
+            ledger: ClaimLedger::new(policy.clone()),
+            queue: ClaimQueue::default(),
+            cursor: 1,
+            log_ms: 0,
+            log_seen: None,
+            complete_since_ms: 0,
+        };
+        Self {
+            log,
+            stream,
+            policy,
+            state: Mutex::new(state),
+            queued: Notify::new(),
+            pages: watch::Sender::new(0),
+        }
+    }
+
+    /// Tells of each page that is read.
+    pub fn pages(&self) -> watch::Receiver<u64> {
+        self.pages.subscribe()
+    }
+
+    /// Queues a record.
+    pub fn push(&self, record: ClaimRecord) {
+        self.lock().queue.push(record);
+        self.queued.notify_one();
+    }
+
+    /// Wakes the appender.
+    pub fn wake(&self) {
+        self.queued.notify_one();
+    }
+
+    /// Locks the state, also after a panic elsewhere.
+    pub fn lock(&self) -> MutexGuard<'_, ShardState> {
+        self.state.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// Reads the stream as it grows. Ends only with its task.
+    pub async fn tail(&self) {
+        loop {
+            let from = self.lock().cursor;
+            let read = self.log.read(&self.stream, from, PAGE_RECORDS, READ_WAIT);
+            match read.await {
+                Ok(page) => self.take_page(&page),
+                Err(_) => time::sleep(RETRY_WAIT).await,
+            }
+        }
+    }
+
+    /// Appends what is queued, one batch at a time. Ends only with its task.
+    pub async fn append(&self) {
+        loop {
+            let batch = {
+                let state = &mut *self.lock();
+                state.queue.next_batch(&state.ledger, Instant::now())
+            };
+            if batch.is_empty() {
+                self.wait_for_work().await;
+                continue;
+            }
+            self.append_batch(batch).await;
+            time::sleep(self.policy.append_spacing).await;
+        }
+    }
+
+    /// Waits until a record is queued, or one may go again.
+    async fn wait_for_work(&self) {
+        let due = self.lock().queue.next_due();
+        let earliest = Instant::now() + RETRY_WAIT;
+        match due {
+            Some(due) => {
+                let _ = time::timeout_at(due.max(earliest), self.queued.notified()).await;
+            }
+            None => self.queued.notified().await,
+        }
+    }
+
+    /// Appends one batch, and notes how that went.
+    async fn append_batch(&self, records: Vec<ClaimRecord>) {
+        let batch = ClaimBatch {
+            records,
+            version: BATCH_VERSION,
+        };
+        let data = serde_json::to_string(&batch).expect("a batch has string keys only");
+        let append = self.log.append(&self.stream, data.into());
+        let answer = time::timeout(self.policy.append_timeout, append).await;
+        let now = Instant::now();
+        let queue = &mut self.lock().queue;
+        match answer {
+            Ok(Ok(appended)) => queue.appended(appended.offset),
+            Ok(Err(LogError::Unavailable(_))) => queue.refused(now + RETRY_WAIT),
+            // The same records go again unless they are read back: the ledger takes each once.
+            Ok(Err(_)) | Err(_) => queue.uncertain(now + self.policy.settle_wait),
+        }
+    }
+
+    /// Takes one page.
+    fn take_page(&self, page: &LogPage) {
+        let now = Instant::now();
+        let state = &mut *self.lock();
+        if page.first > state.cursor {
+            state.note_gap(page, &self.policy);
+            state.queue.miss(now);
+        }
+        for record in &page.records {
+            state.ledger.take(record);
+            state.cursor = record.offset + 1;
+        }
+        state.log_ms = page.time_ms;
+        state.log_seen = Some(now);
+        state.ledger.expire(page.time_ms);
+        state.queue.prune(&state.ledger);
+        self.pages.send_modify(|pages| *pages += 1);
+    }
+}
+
+impl ShardState {
+    /// The log's time as far as this host can tell; `None` before its first answer.
+    pub fn log_now_ms(&self) -> Option<u64> {
+        let seen = self.log_seen?;
+        Some(self.log_ms + seen.elapsed().as_millis() as u64)
+    }
+
+    /// When the log last answered a read.
+    pub fn log_seen(&self) -> Option<Instant> {
+        self.log_seen
+    }
+
+    /// Whether every claim of a key must have been read.
+    pub fn covers(&self, key: &str, policy: &ClaimPolicy) -> bool {
+        if self.complete_since_ms == 0 {
+            return true;
+        }
+        let skew_ms = policy.key_skew.as_millis() as u64;
+        claim_key::made_ms(key).is_ok_and(|made_ms| made_ms >= self.complete_since_ms + skew_ms)
+    }
+
+    /// Goes on behind records that the log no longer keeps.
+    fn note_gap(&mut self, page: &LogPage, policy: &ClaimPolicy) {
+        self.cursor = page.first;
+        let retention_ms = policy.retention.as_millis() as u64;
+        // What was dropped came after the last read. Dropped sooner than the retention allows, its
+        // claims can be of keys that are still young.
+        let early = self.log_seen.is_some() && page.time_ms < self.log_ms + retention_ms;
+        if early {
+            self.complete_since_ms = page.time_ms;
+        }
+    }
+}
--- a/wagtaildoor/src/lib.rs
+++ b/wagtaildoor/src/lib.rs
@@ -1,5 +1,11 @@
 //! Coordination parts of a router for language-model traffic with long shared prompts.
 
+pub mod claim_key;
+pub mod claim_ledger;
+pub mod claim_policy;
+pub mod claim_queue;
+pub mod claim_service;
+mod claim_shard;
 pub mod clock;
 pub mod config_chain;
 pub mod config_change;
--- /dev/null
+++ b/wagtaildoor/tests/claim_service.rs
@@ -0,0 +1,343 @@
+//! Claims against a log with faults, case by case.
+
+use std::time::Duration;
+
+use tokio::time;
+use tokio_util::sync::CancellationToken;
+use uuid::{
+    ContextV7,
+    Timestamp,
+    Uuid, //
+};
+use wagtaildoor::{
+    claim_key::{
+        self,
+        KeyFault, //
+    },
+    claim_policy::ClaimPolicy,
+    claim_service::ClaimService,
+    ids::RequestKey,
+    schema::{
+        ClaimOutcome,
+        ClaimRecord,
+        ClaimRelease,
+        ClaimSettlement,
+        ClaimStart,
+        ClaimVerdict,
+        SettledAs, //
+    },
+};
+use wagtaildoor_fakes::fake_log::{
+    FakeLog,
+    LogFaults, //
+};
+
+/// How long the log keeps records.
+const RETENTION: Duration = Duration::from_secs(3600);
+/// The log's time at its start, in milliseconds since the Unix epoch.
+const STARTED_MS: u64 = 1_700_000_000_000;
+/// How long claims may take.
+const WAIT: Duration = Duration::from_secs(3);
+
+/// A log, and one host's service.
+struct ClaimBench {
+    /// Log, without faults.
+    log: FakeLog,
+    /// The host's link to it.
+    link: FakeLog,
+    /// The host's service.
+    service: ClaimService<FakeLog>,
+}
+
+impl ClaimBench {
+    /// A host on a new log.
+    fn new() -> Self {
+        let log = FakeLog::starting_at(RETENTION, STARTED_MS);
+        let link = log.link();
+        let service = start_service(&link);
+        Self { log, link, service }
+    }
+
+    /// Another host on the same log.
+    fn other(&self) -> ClaimService<FakeLog> {
+        start_service(&self.log)
+    }
+}
+
+/// A host's service, running.
+fn start_service(link: &FakeLog) -> ClaimService<FakeLog> {
+    let policy = ClaimPolicy::new(2, RETENTION);
+    let service = ClaimService::new(link.clone(), policy, CancellationToken::new());
+    tokio::spawn(service.clone().run());
+    service
+}
+
+/// A key made at a time.
+fn key_at(made_ms: u64) -> RequestKey {
+    let (seconds, rest_ms) = (made_ms / 1000, (made_ms % 1000) as u32);
+    let stamp = Timestamp::from_unix(ContextV7::new(), seconds, rest_ms * 1_000_000);
+    Uuid::new_v7(stamp).to_string().into()
+}
+
+/// A claim of a key.
+fn start(key: &RequestKey, attempt: &str) -> ClaimStart {
+    ClaimStart {
+        account: "school".into(),
+        attempt: attempt.into(),
+        body_hash: "b0".into(),
+        host: "h1".into(),
+        key: key.clone(),
+        request: "r1".into(),
+        template: "order".into(),
+    }
+}
+
+/// The outcome of an attempt.
+fn outcome(key: &RequestKey, attempt: &str) -> ClaimOutcome {
+    ClaimOutcome {
+        account: "school".into(),
+        answer: "{}".into(),
+        attempt: attempt.into(),
+        content_type: "application/json".into(),
+        key: key.clone(),
+        status: 200,
+    }
+}
+
+/// The release of an attempt.
+fn release(key: &RequestKey, attempt: &str) -> ClaimRecord {
+    ClaimRecord::Release(ClaimRelease {
+        account: "school".into(),
+        attempt: attempt.into(),
+        key: key.clone(),
+    })
+}
+
+/// An operator's settlement of an attempt.
+fn settlement(key: &RequestKey, attempt: &str, settled: SettledAs) -> ClaimRecord {
+    ClaimRecord::Settlement(ClaimSettlement {
+        account: "school".into(),
+        attempt: attempt.into(),
+        by: "ah".into(),
+        key: key.clone(),
+        note: "asked the printer".into(),
+        settled,
+    })
+}
+
+#[test]
+fn keys_are_judged_by_the_log() {
+    let policy = ClaimPolicy::new(1, RETENTION);
+    let now_ms = STARTED_MS;
+    let ms = |time: Duration| time.as_millis() as u64;
+    let life_ms = ms(RETENTION - policy.key_margin);
+    let cases = [
+        (key_at(now_ms), Ok(())),
+        (key_at(now_ms + ms(policy.key_skew)), Ok(())),
+        (
+            key_at(now_ms + ms(policy.key_skew) + 1),
+            Err(KeyFault::TooNew),
+        ),
+        (key_at(now_ms - life_ms), Ok(())),
+        (key_at(now_ms - life_ms - 1), Err(KeyFault::TooOld)),
+        (Uuid::new_v4().to_string().into(), Err(KeyFault::Malformed)),
+        ("order-17".into(), Err(KeyFault::Malformed)),
+    ];
+    for (key, expected) in cases {
+        assert_eq!(claim_key::check(&key, now_ms, &policy), expected, "{key}");
+    }
+    let key = key_at(now_ms);
+    assert_eq!(claim_key::canonical(&key.to_uppercase()), Ok(key));
+    assert!(policy.key_margin > policy.key_skew);
+}
+
+#[tokio::test(start_paused = true)]
+async fn one_attempt_wins_and_copies_get_its_answer() {
+    let bench = ClaimBench::new();
+    let other = bench.other();
+    let key = key_at(STARTED_MS);
+    let won = bench.service.claim(start(&key, "a"), WAIT).await;
+    assert!(matches!(won, ClaimVerdict::Won(_)), "{won:?}");
+    let busy = other.claim(start(&key, "b"), WAIT).await;
+    assert_eq!(busy, ClaimVerdict::Busy("a".into()));
+    let mut body = start(&key, "c");
+    body.body_hash = "b1".into();
+    let mismatch = other.claim(body, WAIT).await;
+    assert_eq!(mismatch, ClaimVerdict::Mismatch("a".into()));
+    let copy = tokio::spawn({
+        let (other, start) = (other.clone(), start(&key, "d"));
+        async move { other.claim(start, WAIT).await }
+    });
+    time::sleep(Duration::from_millis(100)).await;
+    let record = ClaimRecord::Outcome(outcome(&key, "a"));
+    assert!(bench.service.record(record, WAIT).await);
+    let done = copy.await.expect("no panic");
+    assert_eq!(done, ClaimVerdict::Done(outcome(&key, "a")));
+    // A release after the outcome changes nothing.
+    assert!(!bench.service.record(release(&key, "a"), WAIT).await);
+    let done = bench.service.claim(start(&key, "e"), WAIT).await;
+    assert_eq!(done, ClaimVerdict::Done(outcome(&key, "a")));
+}
+
+#[tokio::test(start_paused = true)]
+async fn claims_survive_the_faults_of_an_append() {
+    let none = LogFaults::default;
+    let cases = [
+        LogFaults {
+            lost_answers: 1,
+            ..none()
+        },
+        LogFaults {
+            lost_requests: 2,
+            ..none()
+        },
+        LogFaults {
+            late_appends: 1,
+            late_ms: 1000,
+            ..none()
+        },
+        LogFaults {
+            duplicates: 1,
+            ..none()
+        },
+        LogFaults {
+            slow_ms: 800,
+            ..none()
+        },
+    ];
+    for faults in cases {
+        let bench = ClaimBench::new();
+        bench.link.set_faults(faults.clone());
+        let key = key_at(STARTED_MS);
+        let won = bench.service.claim(start(&key, "a"), WAIT).await;
+        assert!(matches!(won, ClaimVerdict::Won(_)), "{faults:?}: {won:?}");
+        time::sleep(WAIT).await;
+        let busy = bench.other().claim(start(&key, "b"), WAIT).await;
+        assert_eq!(busy, ClaimVerdict::Busy("a".into()), "{faults:?}");
+    }
+}
+
+#[tokio::test(start_paused = true)]
+async fn an_outage_refuses_and_leaves_no_claim() {
+    let bench = ClaimBench::new();
+    time::sleep(WAIT).await;
+    let key = key_at(STARTED_MS);
+    bench.link.set_faults(LogFaults {
+        outage: true,
+        ..LogFaults::default()
+    });
+    let refused = bench.service.claim(start(&key, "a"), WAIT).await;
+    assert!(matches!(refused, ClaimVerdict::Refused(_)), "{refused:?}");
+    bench.link.set_faults(LogFaults::default());
+    time::sleep(WAIT).await;
+    assert_eq!(bench.log.counts().appends, 0);
+    let won = bench.other().claim(start(&key, "b"), WAIT).await;
+    assert!(matches!(won, ClaimVerdict::Won(_)), "{won:?}");
+}
+
+/// The claim appears after its asker was told "uncertain": the release behind it frees the key.
+#[tokio::test(start_paused = true)]
+async fn an_uncertain_claim_is_released() {
+    let bench = ClaimBench::new();
+    time::sleep(WAIT).await;
+    let key = key_at(STARTED_MS);
+    bench.link.set_faults(LogFaults {
+        late_appends: 100,
+        late_ms: 4000,
+        ..LogFaults::default()
+    });
+    let verdict = bench.service.claim(start(&key, "a"), WAIT).await;
+    assert!(matches!(verdict, ClaimVerdict::Uncertain(_)), "{verdict:?}");
+    bench.link.set_faults(LogFaults::default());
+    time::sleep(WAIT * 3).await;
+    let won = bench.other().claim(start(&key, "b"), WAIT).await;
+    assert!(matches!(won, ClaimVerdict::Won(_)), "{won:?}");
+}
+
+/// The connection to the entry goes while the claim is asked for.
+#[tokio::test(start_paused = true)]
+async fn a_dropped_claim_is_released() {
+    let bench = ClaimBench::new();
+    time::sleep(WAIT).await;
+    bench.link.set_faults(LogFaults {
+        slow_ms: 1000,
+        ..LogFaults::default()
+    });
+    let key = key_at(STARTED_MS);
+    let claim = bench.service.claim(start(&key, "a"), WAIT);
+    let dropped = time::timeout(Duration::from_millis(200), claim).await;
+    assert!(dropped.is_err());
+    time::sleep(WAIT * 3).await;
+    let won = bench.other().claim(start(&key, "b"), WAIT).await;
+    assert!(matches!(won, ClaimVerdict::Won(_)), "{won:?}");
+}
+
+#[tokio::test(start_paused = true)]
+async fn a_released_attempt_stays_out() {
+    let bench = ClaimBench::new();
+    let key = key_at(STARTED_MS);
+    // The release comes before the claim it gives up.
+    assert!(bench.service.record(release(&key, "a"), WAIT).await);
+    let refused = bench.other().claim(start(&key, "a"), WAIT).await;
+    assert!(matches!(refused, ClaimVerdict::Refused(_)), "{refused:?}");
+    let won = bench.service.claim(start(&key, "b"), WAIT).await;
+    assert!(matches!(won, ClaimVerdict::Won(_)), "{won:?}");
+}
+
+#[tokio::test(start_paused = true)]
+async fn settlements_count_only_after_the_window() {
+    let bench = ClaimBench::new();
+    let policy = ClaimPolicy::new(2, RETENTION);
+    let key = key_at(STARTED_MS);
+    bench.service.claim(start(&key, "a"), WAIT).await;
+    assert!(bench.service.unresolved().is_empty());
+    let not_run = settlement(&key, "a", SettledAs::NotRun);
+    assert!(!bench.service.record(not_run.clone(), WAIT).await);
+    time::sleep(policy.settlement_wait()).await;
+    assert_eq!(bench.service.unresolved().len(), 1);
+    assert!(bench.service.record(not_run, WAIT).await);
+    assert!(bench.service.unresolved().is_empty());
+    let won = bench.service.claim(start(&key, "b"), WAIT).await;
+    assert!(matches!(won, ClaimVerdict::Won(_)), "{won:?}");
+    let ran = settlement(&key, "b", SettledAs::Ran);
+    assert!(bench.service.record(ran, WAIT).await);
+    let settled = bench.other().claim(start(&key, "c"), WAIT).await;
+    assert_eq!(settled, ClaimVerdict::Settled("b".into()));
+}
+
+#[tokio::test(start_paused = true)]
+async fn old_keys_are_refused_and_forgotten() {
+    let bench = ClaimBench::new();
+    let key = key_at(STARTED_MS);
+    bench.service.claim(start(&key, "a"), WAIT).await;
+    bench
+        .service
+        .record(ClaimRecord::Outcome(outcome(&key, "a")), WAIT)
+        .await;
+    time::sleep(RETENTION + WAIT).await;
+    for service in [bench.service.clone(), bench.other()] {
+        let verdict = service.claim(start(&key, "b"), WAIT).await;
+        assert!(matches!(verdict, ClaimVerdict::Expired(_)), "{verdict:?}");
+    }
+}
+
+/// A log that drops records before their time must not let a key run again.
+#[tokio::test(start_paused = true)]
+async fn an_early_trim_is_noticed() {
+    let bench = ClaimBench::new();
+    let other = bench.other();
+    time::sleep(WAIT).await;
+    let key = key_at(STARTED_MS);
+    bench.link.set_faults(LogFaults {
+        outage: true,
+        ..LogFaults::default()
+    });
+    other.claim(start(&key, "a"), WAIT).await;
+    for shard in ["claims-0", "claims-1"] {
+        bench.log.trim(shard, 100);
+    }
+    bench.link.set_faults(LogFaults::default());
+    time::sleep(WAIT).await;
+    let verdict = bench.service.claim(start(&key, "b"), WAIT).await;
+    assert!(matches!(verdict, ClaimVerdict::Expired(_)), "{verdict:?}");
+}
