--- a/wagtaildoor/src/lib.rs
+++ b/wagtaildoor/src/lib.rs
@@ -2,6 +2,12 @@
 
 pub mod breaker;
 mod candidates;
+pub mod claim_key;
+pub mod claim_ledger;
+pub mod claim_policy;
+pub mod claim_queue;
+pub mod claim_service;
+mod claim_shard;
 pub mod clock;
 pub mod config_chain;
 pub mod config_change;
