Lay out wtd-bench with its first bench, added latency

Cause: the latency target of an entry needs a direct call and one through the entry side by side in one run, at a fixed rate whether earlier calls ended or not. Ruled out: starting the processes from the bench; it is given their addresses and ids, and reads what the kernel says of memory and processor time. Conclusion: it builds and prints its help; no figures yet.

--- /dev/null
+++ b/wagtaildoor_bench/src/latency.rs
@@ -0,0 +1,355 @@
+//! Added latency of an entry over a direct call, side by side in one run.
+
+use std::{
+    fs,
+    path::{
+        Path,
+        PathBuf, //
+    },
+    time::Duration,
+};
+
+use clap::{
+    value_parser,
+    Arg,
+    ArgAction,
+    ArgMatches,
+    Command, //
+};
+use hdrhistogram::Histogram;
+use reqwest::Client;
+use tokio::{
+    task::JoinSet,
+    time::{
+        self,
+        Instant,
+        MissedTickBehavior, //
+    },
+};
+use wagtaildoor::schema::EngineRequest;
+
+use crate::{
+    cli::{
+        BenchError,
+        Result, //
+    },
+    load_call::{
+        self,
+        CallTarget,
+        CallTimes, //
+    },
+    process_use::{
+        ProcessUse,
+        WatchedProcess, //
+    },
+};
+
+/// Name of the subcommand.
+pub const NAME: &str = "latency";
+/// Calls to each target before the measurement, to open connections and fill caches.
+const WARM_UP_CALLS: usize = 200;
+/// Longest wait for one call.
+const CALL_TIMEOUT: Duration = Duration::from_secs(10);
+/// Share of calls that may fail, in calls of a thousand.
+const FAILURES_PER_MILLE: usize = 1;
+/// Quantiles of the table.
+const QUANTILES: [f64; 4] = [0.5, 0.9, 0.99, 1.0];
+
+/// The subcommand.
+pub fn command() -> Command {
+    let text = |name: &'static str, value: &'static str, help: &'static str| {
+        Arg::new(name)
+            .long(name)
+            .value_name(value)
+            .help(help)
+            .required(true)
+    };
+    let number = |name: &'static str, default: &'static str, help: &'static str| {
+        text(name, "N", help)
+            .required(false)
+            .default_value(default)
+            .value_parser(value_parser!(u32))
+    };
+    let shared = text("shared", "FILE", "Text of the template's shared prompt")
+        .value_parser(value_parser!(PathBuf));
+    let process = text(
+        "process",
+        "NAME=PID",
+        "Process whose memory is told; may be repeated",
+    )
+    .required(false)
+    .action(ArgAction::Append);
+    Command::new(NAME)
+        .about("Added latency of an entry over a direct call to the engine")
+        .arg(text("entry", "URL", "Base URL of the entry"))
+        .arg(text("engine", "URL", "Base URL of the engine"))
+        .arg(text("token", "TOKEN", "Bearer token of the account"))
+        .arg(text("template", "NAME", "Template to ask for"))
+        .arg(text("pool", "NAME", "Pool of the engine"))
+        .arg(shared)
+        .arg(number(
+            "rate",
+            "500",
+            "Requests a second to each of the two",
+        ))
+        .arg(number(
+            "seconds",
+            "10",
+            "Length of the measurement, in seconds",
+        ))
+        .arg(number("tokens", "8", "Length of an answer, in tokens"))
+        .arg(process)
+}
+
+/// What is measured of one target.
+#[derive(Debug)]
+struct TargetTimes {
+    /// Name for the table.
+    name: &'static str,
+    /// Times to the first piece, in microseconds.
+    first: Histogram<u64>,
+    /// Times to the end, in microseconds.
+    whole: Histogram<u64>,
+    /// Calls that failed.
+    failures: usize,
+    /// What the last failure said.
+    last_failure: Box<str>,
+}
+
+/// How a measurement goes.
+#[derive(Clone, Copy, Debug)]
+struct LoadPlan {
+    /// Calls a second to each target.
+    rate: u32,
+    /// Length.
+    length: Duration,
+}
+
+/// Runs the bench and prints its tables.
+pub async fn run(matches: &ArgMatches) -> Result<()> {
+    let targets = targets(matches)?;
+    let number = |name: &str| *matches.get_one::<u32>(name).expect("clap has a default");
+    let plan = LoadPlan {
+        rate: number("rate").max(1),
+        length: Duration::from_secs(u64::from(number("seconds"))),
+    };
+    let client = Client::builder()
+        .no_proxy()
+        .tcp_nodelay(true)
+        .timeout(CALL_TIMEOUT)
+        .build()
+        .map_err(|error| BenchError::Setup(error.to_string().into()))?;
+    let processes = processes(matches)?;
+    for target in &targets {
+        warm_up(target, &client).await?;
+    }
+    let before = read_all(&processes)?;
+    let times = measure(&targets, &client, plan).await;
+    let after = read_all(&processes)?;
+    print_times(&times, plan);
+    print_processes(&processes, &before, &after, plan.length);
+    check_failures(&times)
+}
+
+/// The engine and the entry, asked for the same prompt.
+fn targets(matches: &ArgMatches) -> Result<[CallTarget; 2]> {
+    let text = |name: &str| matches.get_one::<String>(name).expect("clap requires it");
+    let max_tokens = *matches.get_one("tokens").expect("clap has a default");
+    let path: &PathBuf = matches.get_one("shared").expect("clap requires it");
+    let shared = read_text(path)?;
+    let prompt = "Add the phrase for a late bus, in two dialects.";
+    let request = EngineRequest {
+        adapter: "".into(),
+        attempt_id: "".into(),
+        cache_salt: "bench".into(),
+        levels: vec![shared.len() as u64],
+        max_tokens,
+        model: text("pool").as_str().into(),
+        priority: 1,
+        prompt: format!("{shared}{prompt}").into(),
+        request_id: "".into(),
+        resume_from: 0,
+        weights_version: 1,
+    };
+    let direct = CallTarget::Direct {
+        url: text("engine").as_str().into(),
+        request: Box::new(request),
+    };
+    let entry = CallTarget::Entry {
+        url: text("entry").as_str().into(),
+        token: text("token").as_str().into(),
+        template: text("template").as_str().into(),
+        prompt: prompt.into(),
+        max_tokens,
+    };
+    Ok([direct, entry])
+}
+
+/// Reads a text file.
+fn read_text(path: &Path) -> Result<String> {
+    fs::read_to_string(path)
+        .map_err(|error| BenchError::Setup(format!("{}: {error}", path.display()).into()))
+}
+
+/// Processes to watch.
+fn processes(matches: &ArgMatches) -> Result<Vec<WatchedProcess>> {
+    let texts = matches.get_many::<String>("process").into_iter().flatten();
+    texts
+        .map(|text| WatchedProcess::try_from(text.as_str()))
+        .collect()
+}
+
+/// What all processes use now.
+fn read_all(processes: &[WatchedProcess]) -> Result<Vec<ProcessUse>> {
+    processes.iter().map(WatchedProcess::read).collect()
+}
+
+/// Calls a target until it is warm.
+async fn warm_up(target: &CallTarget, client: &Client) -> Result<()> {
+    for _ in 0..WARM_UP_CALLS {
+        let result = target.call(client).await;
+        result.map_err(|error| BenchError::Setup(format!("warm-up: {error}").into()))?;
+    }
+    Ok(())
+}
+
+/// Calls both targets in turn at the rate, whether earlier calls have ended or not.
+async fn measure(targets: &[CallTarget; 2], client: &Client, plan: LoadPlan) -> [TargetTimes; 2] {
+    let mut times = [TargetTimes::new("direct"), TargetTimes::new("entry")];
+    let mut calls = JoinSet::new();
+    let mut ticks = time::interval(Duration::from_secs(1) / plan.rate);
+    ticks.set_missed_tick_behavior(MissedTickBehavior::Burst);
+    let end = Instant::now() + plan.length;
+    let mut swapped = false;
+    while ticks.tick().await < end {
+        // Which target goes first changes, so that neither always meets the other's load.
+        swapped = !swapped;
+        let order = if swapped { [1, 0] } else { [0, 1] };
+        for place in order {
+            let target = targets[place].clone();
+            let client = client.clone();
+            calls.spawn(async move { (place, target.call(&client).await) });
+        }
+        while let Some(Ok((place, result))) = calls.try_join_next() {
+            times[place].add(result);
+        }
+    }
+    while let Some(joined) = calls.join_next().await {
+        if let Ok((place, result)) = joined {
+            times[place].add(result);
+        }
+    }
+    times
+}
+
+impl TargetTimes {
+    /// No times yet.
+    fn new(name: &'static str) -> Self {
+        let histogram = || Histogram::new(3).expect("three digits are a valid precision");
+        Self {
+            name,
+            first: histogram(),
+            whole: histogram(),
+            failures: 0,
+            last_failure: "".into(),
+        }
+    }
+
+    /// Adds one call.
+    fn add(&mut self, result: load_call::Result<CallTimes>) {
+        match result {
+            Ok(times) => {
+                self.first.saturating_record(micros(times.first));
+                self.whole.saturating_record(micros(times.whole));
+            }
+            Err(error) => {
+                self.failures += 1;
+                self.last_failure = error.to_string().into();
+            }
+        }
+    }
+}
+
+/// A time in whole microseconds.
+fn micros(time: Duration) -> u64 {
+    u64::try_from(time.as_micros()).unwrap_or(u64::MAX)
+}
+
+/// Prints the times of both targets and their differences.
+fn print_times(times: &[TargetTimes; 2], plan: LoadPlan) {
+    println!(
+        "{} requests/s to each for {} s, in milliseconds",
+        plan.rate,
+        plan.length.as_secs()
+    );
+    println!();
+    println!("| time to | target | p50 | p90 | p99 | max | calls | failed |");
+    println!("|---|---|---:|---:|---:|---:|---:|---:|");
+    let [direct, entry] = times;
+    print_rows("first piece", [&direct.first, &entry.first], times);
+    print_rows("whole answer", [&direct.whole, &entry.whole], times);
+}
+
+/// Prints one kind of time for both targets, and what the entry adds.
+fn print_rows(what: &str, [direct, entry]: [&Histogram<u64>; 2], times: &[TargetTimes; 2]) {
+    let millis = |micros: f64| format!("{:.3}", micros / 1_000.0);
+    let row = |histogram: &Histogram<u64>| {
+        let cells = QUANTILES.map(|q| millis(histogram.value_at_quantile(q) as f64));
+        cells.join(" | ")
+    };
+    for (target, histogram) in times.iter().zip([direct, entry]) {
+        let cells = row(histogram);
+        let name = target.name;
+        let failures = target.failures;
+        println!(
+            "| {what} | {name} | {cells} | {} | {failures} |",
+            histogram.len()
+        );
+    }
+    let added = QUANTILES.map(|q| {
+        let difference = entry.value_at_quantile(q) as f64 - direct.value_at_quantile(q) as f64;
+        millis(difference)
+    });
+    println!("| {what} | added | {} | | |", added.join(" | "));
+}
+
+/// Prints what each process used.
+fn print_processes(
+    processes: &[WatchedProcess],
+    before: &[ProcessUse],
+    after: &[ProcessUse],
+    length: Duration,
+) {
+    if processes.is_empty() {
+        return;
+    }
+    println!();
+    println!("| process | memory, MiB | peak, MiB | processor, % of a core |");
+    println!("|---|---:|---:|---:|");
+    for (process, (before, after)) in processes.iter().zip(before.iter().zip(after)) {
+        let used = after.processor.saturating_sub(before.processor);
+        let share = 100.0 * used.as_secs_f64() / length.as_secs_f64();
+        let mib = |kib: u64| kib as f64 / 1024.0;
+        println!(
+            "| {} | {:.1} | {:.1} | {share:.1} |",
+            process.name,
+            mib(after.memory_kib),
+            mib(after.peak_kib)
+        );
+    }
+}
+
+/// Refuses figures of a run in which too many calls failed.
+fn check_failures(times: &[TargetTimes; 2]) -> Result<()> {
+    for target in times {
+        let calls = target.failures + usize::try_from(target.whole.len()).unwrap_or(usize::MAX);
+        if target.failures * 1_000 > calls * FAILURES_PER_MILLE {
+            let text = format!(
+                "{} of {calls} calls to {}, the last: {}",
+                target.failures, target.name, target.last_failure
+            );
+            return Err(BenchError::Failures(text.into()));
+        }
+    }
+    Ok(())
+}
