--- a/wagtaildoor_keeper/src/operators.rs
+++ b/wagtaildoor_keeper/src/operators.rs
@@ -2,7 +2,11 @@
 
 use std::{
     sync::Arc,
-    time::Duration, //
+    time::{
+        Duration,
+        SystemTime,
+        UNIX_EPOCH, //
+    },
 };
 
 use rocket::{
@@ -122,18 +126,25 @@
         .unresolved()
         .into_iter()
         .map(|claim| UnresolvedOrder {
-            account: claim.start.account,
-            age_ms: claim.age.as_millis() as u64,
-            attempt: claim.start.attempt,
-            host: claim.start.host,
-            key: claim.start.key,
-            request: claim.start.request,
-            template: claim.start.template,
+            account: claim.account,
+            age_ms: age_ms(claim.claimed_ms),
+            attempt: claim.attempt,
+            host: claim.host,
+            key: claim.key,
+            request: claim.request,
+            template: claim.template,
         })
         .collect();
     Json(UnresolvedPage { orders })
 }
 
+/// Time since a moment of the log, by this host's clock, in milliseconds.
+fn age_ms(moment_ms: u64) -> u64 {
+    let now = SystemTime::now().duration_since(UNIX_EPOCH);
+    let now_ms = now.map_or(0, |time| time.as_millis() as u64);
+    now_ms.saturating_sub(moment_ms)
+}
+
 /// Publishes changes.
 #[post("/publish", data = "<call>")]
 async fn publish(state: &Shared, call: Json<PublishCall>) -> Answer<PublishAnswer, PublishRefusal> {
--- a/wagtaildoor_keeper/src/server.rs
+++ b/wagtaildoor_keeper/src/server.rs
@@ -26,10 +26,8 @@
 };
 use tokio_util::sync::CancellationToken;
 use wagtaildoor::{
-    claim_service::{
-        ClaimPolicy,
-        ClaimService, //
-    },
+    claim_policy::ClaimPolicy,
+    claim_service::ClaimService,
     config_follower::ConfigFollower,
     ids::EndpointId,
     log_http::HttpLog,
@@ -119,11 +117,8 @@
         &platform.log_url,
         Duration::from_millis(platform.log_timeout_ms),
     )?;
-    let policy = ClaimPolicy {
-        shards: platform.claim_shards,
-        retention: Duration::from_millis(platform.retention_ms),
-        ..ClaimPolicy::default()
-    };
+    let retention = Duration::from_millis(platform.retention_ms);
+    let policy = ClaimPolicy::new(platform.claim_shards, retention);
     Ok(Arc::new(KeeperState {
         config: ConfigFollower::new(store.clone(), token.child_token()),
         claims: ClaimService::new(store.clone(), policy, token.child_token()),
