Give operators their tool: wtd

Operators check, publish and amend templates, and ask what happened. Every reading verb prints text or JSON; exit codes are in the help. Only what differs from the configuration in force is sent. A change goes to the next keeper only when the one before certainly did not get it; when its answer is lost, the tool says that it may yet be accepted, since a second copy would race with the first. Explanations and time lines are gathered from all keepers and entries, and name those that did not answer (exit code 5).

Man pages and completions under extra/ are written by scripts/extra, and a test compares them with what the tool generates now.

Ruled out: asking one keeper for other hosts' events, which hides a cut between failure domains from the operator.

Not run against live keepers yet.

--- a/wagtaildoor/src/settings/fault.rs
+++ b/wagtaildoor/src/settings/fault.rs
@@ -2,14 +2,17 @@
 
 use std::fmt;
 
-use serde::de::DeserializeOwned;
+use serde::{
+    de::DeserializeOwned,
+    Serialize, //
+};
 use serde_json::Value;
 
 /// Longest part of a faulty value that is shown, in characters.
 const SHOWN_VALUE_CHARACTERS: usize = 80;
 
 /// One fault of a file.
-#[derive(Clone, Debug, Eq, PartialEq)]
+#[derive(Clone, Debug, Eq, PartialEq, Serialize)]
 pub struct SettingsFault {
     /// File.
     pub file: Box<str>,
--- /dev/null
+++ b/wtd/src/cli.rs
@@ -0,0 +1,294 @@
+//! Command line of the tool.
+
+use std::path::PathBuf;
+
+use clap::{
+    value_parser,
+    Arg,
+    ArgAction,
+    Command, //
+};
+use clap_complete::Shell;
+
+use crate::exit::ExitKind;
+
+/// Settings file when none is named.
+pub const SETTINGS_FILE: &str = "wtd.ini";
+
+/// The command line.
+pub fn command() -> Command {
+    Command::new("wtd")
+        .version(env!("CARGO_PKG_VERSION"))
+        .about("Publishes templates to wagtaildoor, and tells what happened and why")
+        .after_help(exit_codes())
+        .subcommand_required(true)
+        .arg_required_else_help(true)
+        .arg(settings())
+        .subcommands([check(), publish(), amend(), templates(), status()])
+        .subcommands([explain(), timeline(), unresolved(), rollout()])
+        .subcommands([completions(), man()])
+}
+
+/// The exit codes, for the help.
+fn exit_codes() -> String {
+    let mut text = "Exit codes:\n".to_string();
+    for kind in ExitKind::ALL {
+        text.push_str(&format!("  {}  {}\n", kind.code(), kind.meaning()));
+    }
+    text.push_str("  2  The command line is wrong.");
+    text
+}
+
+/// The settings file, for every verb.
+fn settings() -> Arg {
+    Arg::new("settings")
+        .long("settings")
+        .value_name("FILE")
+        .global(true)
+        .default_value(SETTINGS_FILE)
+        .value_parser(value_parser!(PathBuf))
+        .help("INI file with the settings of this tool")
+}
+
+/// Output as JSON.
+fn json() -> Arg {
+    Arg::new("json")
+        .long("json")
+        .action(ArgAction::SetTrue)
+        .help("Print JSON instead of text")
+}
+
+/// Why a change is made.
+fn note() -> Arg {
+    Arg::new("note")
+        .long("note")
+        .value_name("TEXT")
+        .default_value("")
+        .help("Why, for the record")
+}
+
+/// Only show what would be sent.
+fn dry_run() -> Arg {
+    Arg::new("dry-run")
+        .long("dry-run")
+        .action(ArgAction::SetTrue)
+        .help("Only show what would be sent")
+}
+
+/// An option with a text.
+fn option(name: &'static str, value: &'static str, help: &'static str) -> Arg {
+    Arg::new(name).long(name).value_name(value).help(help)
+}
+
+/// Checks files.
+fn check() -> Command {
+    Command::new("check")
+        .about("Checks a folder of templates, or the settings of a program")
+        .arg(
+            Arg::new("folder")
+                .value_name("FOLDER")
+                .required_unless_present("program")
+                .conflicts_with("program")
+                .value_parser(value_parser!(PathBuf))
+                .help("Folder with accounts.ini, pools.ini and one file a template"),
+        )
+        .arg(
+            option(
+                "program",
+                "PROGRAM",
+                "Check the settings file as this program's",
+            )
+            .value_parser(["entry", "keeper", "operator"]),
+        )
+        .arg(json())
+}
+
+/// Publishes a folder.
+fn publish() -> Command {
+    Command::new("publish")
+        .about("Publishes what differs between a folder and the configuration in force")
+        .arg(
+            Arg::new("folder")
+                .value_name("FOLDER")
+                .required(true)
+                .value_parser(value_parser!(PathBuf))
+                .help("Folder with accounts.ini, pools.ini and one file a template"),
+        )
+        .arg(note())
+        .arg(
+            Arg::new("remove-absent")
+                .long("remove-absent")
+                .action(ArgAction::SetTrue)
+                .help("Remove templates in force that the folder does not have"),
+        )
+        .arg(dry_run())
+}
+
+/// Publishes single changes.
+fn amend() -> Command {
+    Command::new("amend")
+        .about("Publishes single files, removes templates, or raises weights")
+        .arg(
+            Arg::new("files")
+                .value_name("FILE")
+                .num_args(0..)
+                .value_parser(value_parser!(PathBuf))
+                .required_unless_present_any(["remove", "raise"])
+                .help("Template file, accounts.ini or pools.ini"),
+        )
+        .arg(option("remove", "TEMPLATE", "Remove a template").action(ArgAction::Append))
+        .arg(
+            option(
+                "raise",
+                "POOL=VERSION",
+                "Raise the weights version of a pool",
+            )
+            .action(ArgAction::Append),
+        )
+        .arg(note())
+        .arg(dry_run())
+}
+
+/// Shows templates.
+fn templates() -> Command {
+    Command::new("templates")
+        .about("Shows the templates in force, or one with its texts")
+        .arg(
+            Arg::new("template")
+                .value_name("TEMPLATE")
+                .help("Name of a template"),
+        )
+        .arg(json())
+}
+
+/// Shows keepers, hosts and endpoints.
+fn status() -> Command {
+    Command::new("status")
+        .about("Shows what each keeper sees, and endpoints and hosts as the first one sees them")
+        .arg(json())
+}
+
+/// Explains a request.
+fn explain() -> Command {
+    Command::new("explain")
+        .about("Says in sentences what happened to a request, why, and whether it ran")
+        .arg(
+            Arg::new("request")
+                .value_name("REQUEST")
+                .required(true)
+                .help("Request, as the answer's x-request-id gives it"),
+        )
+        .arg(logs())
+        .arg(json())
+}
+
+/// Collected logs instead of live processes.
+fn logs() -> Arg {
+    Arg::new("logs")
+        .long("logs")
+        .value_name("FILE")
+        .num_args(1..)
+        .value_parser(value_parser!(PathBuf))
+        .help("Read collected JSON logs instead of asking the processes")
+}
+
+/// Shows the time line.
+fn timeline() -> Command {
+    let time = |name, help| option(name, "MS", help).value_parser(value_parser!(u64));
+    Command::new("timeline")
+        .about("Shows the events of all processes, causes before effects")
+        .arg(option("request", "REQUEST", "Only events of this request"))
+        .arg(option(
+            "account",
+            "ACCOUNT",
+            "Only events of this client account",
+        ))
+        .arg(option(
+            "endpoint",
+            "ENDPOINT",
+            "Only events of this endpoint",
+        ))
+        .arg(option("host", "HOST", "Only events of this host"))
+        .arg(time(
+            "from",
+            "Only events from this time on, in ms since the Unix epoch",
+        ))
+        .arg(time(
+            "to",
+            "Only events up to this time, in ms since the Unix epoch",
+        ))
+        .arg(logs())
+        .arg(
+            Arg::new("html")
+                .long("html")
+                .value_name("FILE")
+                .value_parser(value_parser!(PathBuf))
+                .help("Write one HTML page, with a lane for each process"),
+        )
+        .arg(json())
+}
+
+/// Shows and settles orders without an outcome.
+fn unresolved() -> Command {
+    Command::new("unresolved")
+        .about("Shows orders of which it is not known whether they ran, or settles one")
+        .arg(json())
+        .arg(
+            option("settle", "KEY", "Settle the order with this key")
+                .requires("as")
+                .requires("note")
+                .conflicts_with("json"),
+        )
+        .arg(option(
+            "account",
+            "ACCOUNT",
+            "Client account of the order, where a key comes twice",
+        ))
+        .arg(
+            option("as", "OUTCOME", "What is found to be so")
+                .value_parser(["ran", "not_run"])
+                .requires("settle"),
+        )
+        .arg(option("note", "TEXT", "On what grounds").requires("settle"))
+}
+
+/// Shows and starts roll-outs of weights.
+fn rollout() -> Command {
+    Command::new("rollout")
+        .about("Shows which weights the endpoints serve, or raises a pool's weights")
+        .arg(Arg::new("pool").value_name("POOL").help("Name of a pool"))
+        .arg(
+            option("to", "VERSION", "Raise the pool's weights to this version")
+                .value_parser(value_parser!(u64))
+                .requires("pool")
+                .conflicts_with("json"),
+        )
+        .arg(note())
+        .arg(json())
+}
+
+/// Prints a completion script.
+fn completions() -> Command {
+    Command::new("completions")
+        .about("Prints a completion script for a shell")
+        .arg(
+            Arg::new("shell")
+                .value_name("SHELL")
+                .required(true)
+                .value_parser(value_parser!(Shell))
+                .help("Shell"),
+        )
+}
+
+/// Prints man pages.
+fn man() -> Command {
+    Command::new("man")
+        .about("Prints the man page of the tool, or writes those of all verbs")
+        .arg(
+            Arg::new("folder")
+                .long("folder")
+                .value_name("FOLDER")
+                .value_parser(value_parser!(PathBuf))
+                .help("Write the pages of all verbs into this folder"),
+        )
+}
--- /dev/null
+++ b/wtd/src/client.rs
@@ -0,0 +1,225 @@
+//! Calls to keepers and entries.
+
+use std::{
+    net::SocketAddr,
+    time::Duration, //
+};
+
+use futures_util::future;
+use reqwest::{
+    Client,
+    Response,
+    StatusCode,
+    Url, //
+};
+use serde::{
+    de::DeserializeOwned,
+    Serialize, //
+};
+use wagtaildoor::schema::OperatorSection;
+
+use crate::exit::{
+    Result,
+    ToolError, //
+};
+
+/// Longest wait for a keeper to take a change: it reads back from the log, and then waits for
+/// other hosts.
+const CHANGE_LIMIT: Duration = Duration::from_secs(20);
+
+/// Name and value of a query's parameter.
+#[derive(Clone, Debug)]
+pub struct QueryPart {
+    /// Name.
+    pub name: &'static str,
+    /// Value.
+    pub value: String,
+}
+
+/// What one process answered.
+#[derive(Clone, Debug)]
+pub struct ProcessAnswer<T> {
+    /// Address of the process.
+    pub address: SocketAddr,
+    /// Its answer, or why there is none.
+    pub answer: std::result::Result<T, Box<str>>,
+}
+
+/// What came of a change.
+#[derive(Clone, Debug)]
+pub enum ChangeAnswer<T, R> {
+    /// The keeper accepted it.
+    Accepted(T),
+    /// The keeper did not accept it, and says why.
+    Refused(R),
+}
+
+/// Calls to the processes that the settings name.
+#[derive(Clone, Debug)]
+pub struct OperatorClient {
+    /// HTTP client.
+    http: Client,
+    /// Who calls, and where the processes are.
+    pub settings: OperatorSection,
+}
+
+impl OperatorClient {
+    /// A client by the settings.
+    pub fn new(settings: OperatorSection) -> Result<Self> {
+        // A change must not be sent twice by the client library.
+        let http = Client::builder()
+            .no_proxy()
+            .retry(reqwest::retry::never())
+            .redirect(reqwest::redirect::Policy::none())
+            .connect_timeout(Duration::from_millis(settings.timeout_ms))
+            .build();
+        let http = http.map_err(|error| ToolError::NoAnswer(error.to_string().into()))?;
+        Ok(Self { http, settings })
+    }
+
+    /// Asks one process.
+    pub async fn get<T: DeserializeOwned>(
+        &self,
+        address: SocketAddr,
+        path: &str,
+        query: &[QueryPart],
+    ) -> ProcessAnswer<T> {
+        let answer = self.try_get(address, path, query).await;
+        ProcessAnswer {
+            address,
+            answer: answer.map_err(|error| plain(&error).into()),
+        }
+    }
+
+    /// Asks one process, with the library's own errors.
+    async fn try_get<T: DeserializeOwned>(
+        &self,
+        address: SocketAddr,
+        path: &str,
+        query: &[QueryPart],
+    ) -> reqwest::Result<T> {
+        let limit = Duration::from_millis(self.settings.timeout_ms);
+        let request = self.http.get(url(address, path, query)).timeout(limit);
+        let response = request.send().await?.error_for_status()?;
+        response.json().await
+    }
+
+    /// Asks all processes at once.
+    pub async fn get_all<T: DeserializeOwned>(
+        &self,
+        addresses: &[SocketAddr],
+        path: &str,
+        query: &[QueryPart],
+    ) -> Vec<ProcessAnswer<T>> {
+        let calls = addresses
+            .iter()
+            .map(|&address| self.get(address, path, query));
+        future::join_all(calls).await
+    }
+
+    /// Asks the keepers in their order until one answers.
+    pub async fn get_first<T: DeserializeOwned>(&self, path: &str) -> Result<T> {
+        let mut failures = Vec::new();
+        for &address in &self.settings.keepers {
+            match self.get(address, path, &[]).await.answer {
+                Ok(answer) => return Ok(answer),
+                Err(failure) => failures.push(format!("{address}: {failure}")),
+            }
+        }
+        Err(no_keeper(&failures))
+    }
+
+    /// Sends a change to the first keeper that can be reached.
+    ///
+    /// Another keeper is tried only when the first certainly did not get the change.
+    pub async fn change<B, T, R>(&self, path: &str, body: &B) -> Result<ChangeAnswer<T, R>>
+    where
+        B: Serialize,
+        T: DeserializeOwned,
+        R: DeserializeOwned,
+    {
+        let mut failures = Vec::new();
+        for &address in &self.settings.keepers {
+            let request = self.http.post(url(address, path, &[])).json(body);
+            match request.timeout(CHANGE_LIMIT).send().await {
+                Ok(response) => return change_answer(address, response).await,
+                Err(error) if error.is_connect() => {
+                    failures.push(format!("{address}: {}", plain(&error)));
+                }
+                Err(error) => return Err(open_change(address, &plain(&error))),
+            }
+        }
+        Err(no_keeper(&failures))
+    }
+}
+
+/// Reads the answer to a change.
+async fn change_answer<T, R>(address: SocketAddr, response: Response) -> Result<ChangeAnswer<T, R>>
+where
+    T: DeserializeOwned,
+    R: DeserializeOwned,
+{
+    let status = response.status();
+    let body = response.bytes().await;
+    let body = body.map_err(|error| open_change(address, &plain(&error)))?;
+    let malformed = |error: serde_json::Error| {
+        let shown = String::from_utf8_lossy(&body);
+        let problem = format!("status {status}, {error}: {}", shown.trim());
+        open_change(address, &problem)
+    };
+    if status == StatusCode::OK {
+        let accepted = serde_json::from_slice(&body).map_err(malformed)?;
+        return Ok(ChangeAnswer::Accepted(accepted));
+    }
+    let refused = serde_json::from_slice(&body).map_err(malformed)?;
+    Ok(ChangeAnswer::Refused(refused))
+}
+
+/// The error when no keeper could be reached.
+fn no_keeper(failures: &[String]) -> ToolError {
+    let failures = failures.join("; ");
+    ToolError::NoAnswer(format!("no keeper answered: {failures}").into())
+}
+
+/// The error when a keeper has a change and did not say what came of it.
+fn open_change(address: SocketAddr, problem: &str) -> ToolError {
+    let text = format!(
+        "the keeper at {address} did not say what came of the change: {problem}; it may yet be \
+         accepted: see `wtd status`"
+    );
+    ToolError::NoAnswer(text.into())
+}
+
+/// The address of a route.
+fn url(address: SocketAddr, path: &str, query: &[QueryPart]) -> Url {
+    let url = format!("http://{address}{path}");
+    let mut url = Url::parse(&url).expect("an address and a path make a URL");
+    if !query.is_empty() {
+        let mut pairs = url.query_pairs_mut();
+        for part in query {
+            pairs.append_pair(part.name, &part.value);
+        }
+    }
+    url
+}
+
+/// An error with the causes below it, without the address, which is shown beside it.
+fn plain(error: &reqwest::Error) -> String {
+    let mut text = match error.status() {
+        Some(status) => format!("status {status}"),
+        None if error.is_timeout() => "no answer in time".to_string(),
+        None if error.is_connect() => "cannot be reached".to_string(),
+        None if error.is_decode() => "its answer is malformed".to_string(),
+        None => "the call failed".to_string(),
+    };
+    let mut cause = std::error::Error::source(error);
+    let mut deepest = None;
+    while let Some(error) = cause {
+        deepest = Some(error.to_string());
+        cause = error.source();
+    }
+    if let Some(deepest) = deepest {
+        text.push_str(&format!(" ({deepest})"));
+    }
+    text
+}
--- a/wtd/src/main.rs
+++ b/wtd/src/main.rs
@@ -1,3 +1,13 @@
-//! Placeholder.
+//! Program of the operators' tool.
 
-fn main() {}
+use std::process::ExitCode;
+
+use wtd::{
+    cli,
+    run, //
+};
+
+#[tokio::main]
+async fn main() -> ExitCode {
+    run::run(&cli::command().get_matches()).await.into()
+}
--- /dev/null
+++ b/wtd/src/table.rs
@@ -0,0 +1,61 @@
+//! Plain tables for terminals.
+
+/// Blanks between two columns.
+const GAP: &str = "  ";
+
+/// Rows with a heading; columns are as wide as their widest cell.
+#[derive(Clone, Debug)]
+pub struct TextTable {
+    /// Rows, the heading first.
+    rows: Vec<Vec<String>>,
+}
+
+impl TextTable {
+    /// A table with its heading.
+    pub fn new(heading: &[&str]) -> Self {
+        let heading = heading.iter().map(ToString::to_string).collect();
+        Self {
+            rows: vec![heading],
+        }
+    }
+
+    /// Adds a row.
+    pub fn row(&mut self, cells: impl IntoIterator<Item = String>) {
+        self.rows.push(cells.into_iter().collect());
+    }
+
+    /// The table as lines.
+    pub fn text(&self) -> String {
+        let widths = self.widths();
+        let mut text = String::new();
+        for row in &self.rows {
+            let cells = row.iter().zip(&widths);
+            let cells: Vec<String> = cells
+                .map(|(cell, width)| format!("{cell:<width$}"))
+                .collect();
+            text.push_str(cells.join(GAP).trim_end());
+            text.push('\n');
+        }
+        text
+    }
+
+    /// The width of each column, in characters.
+    fn widths(&self) -> Vec<usize> {
+        let columns = self.rows.iter().map(Vec::len).max().unwrap_or(0);
+        let cells = |column: usize| self.rows.iter().filter_map(move |row| row.get(column));
+        let width = |column| cells(column).map(|cell| cell.chars().count()).max();
+        (0..columns)
+            .map(|column| width(column).unwrap_or(0))
+            .collect()
+    }
+}
+
+/// A duration in the largest unit that keeps it short.
+pub fn age(ms: u64) -> String {
+    match ms {
+        0..1_000 => format!("{ms} ms"),
+        1_000..120_000 => format!("{} s", ms / 1_000),
+        120_000..7_200_000 => format!("{} min", ms / 60_000),
+        _ => format!("{} h", ms / 3_600_000),
+    }
+}
--- /dev/null
+++ b/wtd/src/verbs/amend.rs
@@ -0,0 +1,85 @@
+//! `wtd amend`: single files, removals and newer weights.
+
+use clap::ArgMatches;
+use wagtaildoor::{
+    schema::{
+        ConfigChange,
+        Configuration,
+        WeightsChange, //
+    },
+    template_file::{
+        self,
+        difference, //
+    },
+};
+
+use crate::{
+    answer::VerbAnswer,
+    client::OperatorClient,
+    exit::{
+        Result,
+        ToolError, //
+    },
+    verbs::{
+        self,
+        publish, //
+    },
+};
+
+/// Publishes single changes.
+pub async fn run(client: &OperatorClient, matches: &ArgMatches) -> Result<VerbAnswer> {
+    let in_force: Configuration = client.get_first("/configuration").await?;
+    let mut wanted = template_file::read_files(&verbs::paths(matches, "files"), &in_force)?;
+    for template in matches.get_many::<String>("remove").unwrap_or_default() {
+        wanted.push(removal(&in_force, template)?);
+    }
+    for raise in matches.get_many::<String>("raise").unwrap_or_default() {
+        let raise = parse_raise(raise)?;
+        wanted.push(checked_raise(&in_force, raise)?);
+    }
+    let difference = difference::against(&in_force, wanted);
+    publish::send(client, matches, difference).await
+}
+
+/// The removal of a template that is in force.
+fn removal(in_force: &Configuration, template: &str) -> Result<ConfigChange> {
+    let mut templates = in_force.templates.iter();
+    if templates.any(|known| &*known.id == template) {
+        return Ok(ConfigChange::RemoveTemplate(template.into()));
+    }
+    let text = format!("no template {template} is in force");
+    Err(ToolError::NotFound(text.into()))
+}
+
+/// Reads `POOL=VERSION`.
+fn parse_raise(text: &str) -> Result<WeightsChange> {
+    let parts = text.split_once('=');
+    let parsed = parts.and_then(|(pool, version)| {
+        Some(WeightsChange {
+            pool: pool.into(),
+            version: version.parse().ok()?,
+        })
+    });
+    let problem = || {
+        let text = format!("--raise {text:?} is malformed; allowed: POOL=VERSION, as drafter=3");
+        ToolError::NotAccepted(text.into())
+    };
+    parsed.ok_or_else(problem)
+}
+
+/// A raise of weights that are in force; weights never go back.
+pub fn checked_raise(in_force: &Configuration, raise: WeightsChange) -> Result<ConfigChange> {
+    let pool = in_force.pools.iter().find(|pool| pool.id == raise.pool);
+    let Some(pool) = pool else {
+        let text = format!("no pool {} is in force", raise.pool);
+        return Err(ToolError::NotFound(text.into()));
+    };
+    if raise.version < pool.weights_version {
+        let text = format!(
+            "pool {} is at weights version {}, and weights never go back",
+            pool.id, pool.weights_version
+        );
+        return Err(ToolError::NotAccepted(text.into()));
+    }
+    Ok(ConfigChange::RaiseWeights(raise))
+}
--- /dev/null
+++ b/wtd/src/verbs/check.rs
@@ -0,0 +1,95 @@
+//! `wtd check`: are these files without faults?
+
+use std::path::Path;
+
+use clap::ArgMatches;
+use serde::Serialize;
+use wagtaildoor::{
+    schema::ConfigChange,
+    settings::{
+        self,
+        fault::{
+            SettingsErrors,
+            SettingsFault, //
+        },
+    },
+    template_file,
+};
+
+use crate::{
+    answer::VerbAnswer,
+    exit::{
+        ExitKind,
+        Result, //
+    },
+    verbs,
+};
+
+/// What was checked, and what was found.
+#[derive(Debug, Serialize)]
+struct CheckReport {
+    /// Folder or file.
+    path: String,
+    /// Nothing is wrong.
+    good: bool,
+    /// What it holds, in words.
+    holds: String,
+    /// Every fault.
+    faults: Vec<SettingsFault>,
+}
+
+/// Checks a folder or a settings file.
+pub fn run(matches: &ArgMatches) -> Result<VerbAnswer> {
+    let settings = verbs::path(matches, "settings").unwrap_or(Path::new(crate::cli::SETTINGS_FILE));
+    let folder = verbs::path(matches, "folder");
+    let path = folder.unwrap_or(settings);
+    let checked = match (verbs::text(matches, "program"), folder) {
+        (None, Some(folder)) => template_file::read_folder(folder).map(|all| contents(&all)),
+        (program, _) => check_settings(settings, program.unwrap_or("operator")),
+    };
+    let json = matches.get_flag("json");
+    let report = match checked {
+        Ok(holds) => CheckReport::new(path, holds, Vec::new()),
+        Err(errors) if json => CheckReport::new(path, String::new(), errors.faults),
+        Err(errors) => return Err(errors.into()),
+    };
+    let mut answer = VerbAnswer::of(json, &report, |report| {
+        format!("{}: good: {}\n", report.path, report.holds)
+    });
+    if !report.good {
+        answer.exit = ExitKind::Faults;
+    }
+    Ok(answer)
+}
+
+impl CheckReport {
+    /// A report on a path.
+    fn new(path: &Path, holds: String, faults: Vec<SettingsFault>) -> Self {
+        Self {
+            path: path.display().to_string(),
+            good: faults.is_empty(),
+            holds,
+            faults,
+        }
+    }
+}
+
+/// Checks the settings of a program.
+fn check_settings(path: &Path, program: &str) -> std::result::Result<String, SettingsErrors> {
+    match program {
+        "entry" => settings::read_entry(path).map(drop)?,
+        "keeper" => settings::read_keeper(path).map(drop)?,
+        _ => settings::read_operator(path).map(drop)?,
+    }
+    Ok(format!("settings of the {program}"))
+}
+
+/// What changes hold, in words.
+fn contents(changes: &[ConfigChange]) -> String {
+    let count = |is: fn(&ConfigChange) -> bool| changes.iter().filter(|change| is(change)).count();
+    let accounts = count(|change| matches!(change, ConfigChange::PutAccount(_)));
+    let pools = count(|change| matches!(change, ConfigChange::PutPool(_)));
+    let templates = count(|change| matches!(change, ConfigChange::PutTemplate(_)));
+    let texts = count(|change| matches!(change, ConfigChange::PutText(_)));
+    format!("{accounts} accounts, {pools} pools, {templates} templates, {texts} texts")
+}
--- /dev/null
+++ b/wtd/src/verbs/shell.rs
@@ -0,0 +1,91 @@
+//! `wtd completions` and `wtd man`: what a shell needs.
+
+use std::{
+    fs,
+    path::Path, //
+};
+
+use clap::{
+    ArgMatches,
+    Command, //
+};
+use clap_complete::Shell;
+use clap_mangen::Man;
+
+use crate::{
+    answer::VerbAnswer,
+    cli,
+    exit::{
+        Result,
+        ToolError, //
+    },
+    verbs,
+};
+
+/// A man page with its file name.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct ManPage {
+    /// File name.
+    pub name: String,
+    /// Page, in roff.
+    pub text: String,
+}
+
+/// Prints the completion script of a shell.
+pub fn completions(matches: &ArgMatches) -> VerbAnswer {
+    let shell = *matches.get_one::<Shell>("shell").expect("clap requires it");
+    VerbAnswer::text(completion_script(shell))
+}
+
+/// The completion script of a shell.
+pub fn completion_script(shell: Shell) -> String {
+    let mut script = Vec::new();
+    clap_complete::generate(shell, &mut cli::command(), "wtd", &mut script);
+    String::from_utf8_lossy(&script).into_owned()
+}
+
+/// Prints the tool's page, or writes all pages.
+pub fn man(matches: &ArgMatches) -> Result<VerbAnswer> {
+    let mut pages = man_pages();
+    let Some(folder) = verbs::path(matches, "folder") else {
+        return Ok(VerbAnswer::text(pages.swap_remove(0).text));
+    };
+    for page in &pages {
+        write(&folder.join(&page.name), &page.text)?;
+    }
+    let text = format!("{} pages are in {}.\n", pages.len(), folder.display());
+    Ok(VerbAnswer::text(text))
+}
+
+/// The pages of the tool and of its verbs, the tool's first.
+pub fn man_pages() -> Vec<ManPage> {
+    let mut command = cli::command().disable_help_subcommand(true);
+    command.build();
+    let mut pages = vec![page(&command)];
+    pages.extend(command.get_subcommands().map(page));
+    pages
+}
+
+/// The page of one command.
+fn page(command: &Command) -> ManPage {
+    let name = command
+        .get_display_name()
+        .unwrap_or_else(|| command.get_name());
+    let named = command.clone().name(name.to_string());
+    let man = Man::new(named);
+    let mut text = Vec::new();
+    man.render(&mut text)
+        .expect("memory takes all that is written");
+    ManPage {
+        name: man.get_filename(),
+        text: String::from_utf8_lossy(&text).into_owned(),
+    }
+}
+
+/// Writes a file.
+fn write(path: &Path, text: &str) -> Result<()> {
+    fs::write(path, text).map_err(|error| ToolError::File {
+        path: path.display().to_string().into(),
+        error,
+    })
+}
--- /dev/null
+++ b/wtd/src/verbs/timeline.rs
@@ -0,0 +1,133 @@
+//! `wtd timeline`: the events of all processes.
+
+use std::{
+    fs,
+    path::Path, //
+};
+
+use clap::ArgMatches;
+use serde::Serialize;
+use wagtaildoor::{
+    schema::TimelineEvent,
+    timeline::{
+        html,
+        wall_time,
+        EventFilter, //
+    },
+};
+
+use crate::{
+    answer::VerbAnswer,
+    client::OperatorClient,
+    exit::{
+        Result,
+        ToolError, //
+    },
+    gather::{
+        self,
+        GatheredTimeline, //
+    },
+    verbs,
+};
+
+/// A time line as JSON.
+#[derive(Debug, Serialize)]
+struct TimelineReport {
+    /// Older events that are no longer kept, in events.
+    dropped: u64,
+    /// Processes that did not answer.
+    missing: Vec<String>,
+    /// Events, causes before effects.
+    events: Vec<TimelineEvent>,
+}
+
+/// Shows the time line of the live processes.
+pub async fn run(client: &OperatorClient, matches: &ArgMatches) -> Result<VerbAnswer> {
+    let gathered = gather::live(client, &filter(matches)).await;
+    let addresses = client.settings.keepers.len() + client.settings.entries.len();
+    if gathered.missing.len() == addresses {
+        let text = format!("no process answered: {}", gathered.missing.join("; "));
+        return Err(ToolError::NoAnswer(text.into()));
+    }
+    answer(matches, gathered)
+}
+
+/// Shows the time line of collected logs.
+pub fn run_logs(matches: &ArgMatches) -> Result<VerbAnswer> {
+    let logs = verbs::paths(matches, "logs");
+    answer(matches, gather::from_logs(&logs, &filter(matches))?)
+}
+
+/// The events that are asked for.
+fn filter(matches: &ArgMatches) -> EventFilter {
+    let text = |name| verbs::text(matches, name).map(Box::from);
+    EventFilter {
+        request: text("request"),
+        account: text("account"),
+        endpoint: text("endpoint"),
+        host: text("host"),
+        from_ms: matches.get_one("from").copied(),
+        to_ms: matches.get_one("to").copied(),
+    }
+}
+
+/// The time line in the form that is asked for.
+fn answer(matches: &ArgMatches, gathered: GatheredTimeline) -> Result<VerbAnswer> {
+    if let Some(file) = verbs::path(matches, "html") {
+        return write_page(file, &gathered);
+    }
+    let report = TimelineReport {
+        dropped: gathered.timeline.dropped,
+        missing: gathered.missing,
+        events: gathered.timeline.events,
+    };
+    let answer = VerbAnswer::of(matches.get_flag("json"), &report, text);
+    let answer = answer.missing(&report.missing);
+    Ok(match report.dropped {
+        0 => answer,
+        dropped => answer.warning(format!("{dropped} older events are no longer kept")),
+    })
+}
+
+/// Writes the page.
+fn write_page(file: &Path, gathered: &GatheredTimeline) -> Result<VerbAnswer> {
+    let page = html::page(&gathered.timeline, &gathered.missing);
+    fs::write(file, page).map_err(|error| ToolError::File {
+        path: file.display().to_string().into(),
+        error,
+    })?;
+    let events = gathered.timeline.events.len();
+    let text = format!("{events} events are in {}.\n", file.display());
+    Ok(VerbAnswer::text(text).missing(&gathered.missing))
+}
+
+/// Events, one a line.
+fn text(report: &TimelineReport) -> String {
+    report.events.iter().map(line).collect()
+}
+
+/// One event.
+fn line(event: &TimelineEvent) -> String {
+    let mut line = format!(
+        "{} +{} {}/{} {}",
+        wall_time::text(event.stamp.wall_ms),
+        event.stamp.counter,
+        event.host,
+        event.process,
+        event.kind,
+    );
+    let facts = [
+        ("request", &event.request),
+        ("account", &event.account),
+        ("endpoint", &event.endpoint),
+    ];
+    for (name, value) in facts {
+        if let Some(value) = value {
+            line.push_str(&format!(" {name}={value}"));
+        }
+    }
+    // A detail may carry what an endpoint sent; line ends would pass for other events.
+    let detail = event.detail.replace(char::is_control, " ");
+    line.push_str(&format!(": {detail}\n"));
+    line
+}
--- /dev/null
+++ b/wtd/src/verbs/unresolved.rs
@@ -0,0 +1,108 @@
+//! `wtd unresolved`: orders of which it is not known whether they ran.
+
+use clap::ArgMatches;
+use wagtaildoor::schema::{
+    ClaimSettlement,
+    SettleAnswer,
+    SettledAs,
+    UnresolvedOrder,
+    UnresolvedPage, //
+};
+
+use crate::{
+    answer::VerbAnswer,
+    client::{
+        ChangeAnswer,
+        OperatorClient, //
+    },
+    exit::{
+        Result,
+        ToolError, //
+    },
+    table::{
+        self,
+        TextTable, //
+    },
+    verbs,
+};
+
+/// Shows the orders, or settles one.
+pub async fn run(client: &OperatorClient, matches: &ArgMatches) -> Result<VerbAnswer> {
+    let page: UnresolvedPage = client.get_first("/unresolved").await?;
+    match verbs::text(matches, "settle") {
+        Some(key) => settle(client, matches, key, page.orders).await,
+        None => {
+            let json = matches.get_flag("json");
+            Ok(VerbAnswer::of(json, &page.orders, |orders| text(orders)))
+        }
+    }
+}
+
+/// Puts on record whether an order ran.
+async fn settle(
+    client: &OperatorClient,
+    matches: &ArgMatches,
+    key: &str,
+    orders: Vec<UnresolvedOrder>,
+) -> Result<VerbAnswer> {
+    let account = verbs::text(matches, "account");
+    let order = only(key, account, orders)?;
+    let settled = verbs::text(matches, "as").expect("clap requires it");
+    let settlement = ClaimSettlement {
+        account: order.account,
+        key: order.key,
+        attempt: order.attempt,
+        settled: SettledAs::try_from(settled).expect("clap lets only these through"),
+        by: client.settings.name.clone(),
+        note: verbs::text(matches, "note")
+            .expect("clap requires it")
+            .into(),
+    };
+    match client.change("/settle", &settlement).await? {
+        ChangeAnswer::Accepted(SettleAnswer { settled: true, .. }) => {
+            let text = format!("Settled as {settled}: {key} of {}.\n", settlement.account);
+            Ok(VerbAnswer::text(text))
+        }
+        ChangeAnswer::Accepted(answer) | ChangeAnswer::Refused(answer) => {
+            Err(ToolError::NotAccepted(answer.reason))
+        }
+    }
+}
+
+/// The one order of a key.
+fn only(key: &str, account: Option<&str>, orders: Vec<UnresolvedOrder>) -> Result<UnresolvedOrder> {
+    let wanted = |order: &UnresolvedOrder| {
+        &*order.key == key && account.is_none_or(|account| &*order.account == account)
+    };
+    let mut found: Vec<UnresolvedOrder> = orders.into_iter().filter(wanted).collect();
+    match (found.pop(), found.is_empty()) {
+        (Some(order), true) => Ok(order),
+        (None, _) => {
+            let text = format!("no unresolved order has the key {key}");
+            Err(ToolError::NotFound(text.into()))
+        }
+        (Some(_), false) => {
+            let text = format!("several accounts have an order with the key {key}: give --account");
+            Err(ToolError::NotFound(text.into()))
+        }
+    }
+}
+
+/// Orders as a table.
+fn text(orders: &[UnresolvedOrder]) -> String {
+    if orders.is_empty() {
+        return "No order is unresolved.\n".to_string();
+    }
+    let mut table = TextTable::new(&["ACCOUNT", "TEMPLATE", "KEY", "REQUEST", "HOST", "SINCE"]);
+    for order in orders {
+        table.row([
+            order.account.to_string(),
+            order.template.to_string(),
+            order.key.to_string(),
+            order.request.to_string(),
+            order.host.to_string(),
+            format!("{} ago", table::age(order.age_ms)),
+        ]);
+    }
+    table.text()
+}
