Test that an early settlement in the log does not free a key

Cause: the service refuses an early "not run" itself, so the table did not reach the ledger's own check: with that check turned round, all 10 tests passed. A settlement appended by another way now reaches it.

The claims as they stand: the first claim of a free key by offset has it; a losing, released, expired or settled attempt is barred for good, so that its late or repeated records change nothing; `Won` is said only of a claim that was read back; a claim that may be in the log when its wait ends, or whose asker goes, is followed by a release; "not run" by an operator counts only after the dispatch window and a margin. Ruled out: claims that lapse by time, since a paused holder would run the request a second time.

Mutations seen to fail: a release that bars nothing (2 tests fail), a claim given up without a release (2), an early trim not noticed (1), an early "not run" that counts (1, the new test).

--- a/wagtaildoor/tests/claim_service.rs
+++ b/wagtaildoor/tests/claim_service.rs
@@ -17,7 +17,9 @@
     claim_policy::ClaimPolicy,
     claim_service::ClaimService,
     ids::RequestKey,
+    log_store::LogStore,
     schema::{
+        ClaimBatch,
         ClaimOutcome,
         ClaimRecord,
         ClaimRelease,
@@ -305,6 +307,26 @@
     assert_eq!(settled, ClaimVerdict::Settled("b".into()));
 }
 
+/// A settlement that comes into the log by another way than the service, too early.
+#[tokio::test(start_paused = true)]
+async fn an_early_settlement_in_the_log_does_not_count() {
+    let bench = ClaimBench::new();
+    let key = key_at(STARTED_MS);
+    bench.service.claim(start(&key, "a"), WAIT).await;
+    let batch = ClaimBatch {
+        records: vec![settlement(&key, "a", SettledAs::NotRun)],
+        version: 1,
+    };
+    let data = serde_json::to_string(&batch).expect("a batch");
+    for shard in ["claims-0", "claims-1"] {
+        let append = bench.log.append(shard, data.clone().into());
+        append.await.expect("no fault");
+    }
+    time::sleep(WAIT).await;
+    let busy = bench.service.claim(start(&key, "b"), WAIT).await;
+    assert_eq!(busy, ClaimVerdict::Busy("a".into()));
+}
+
 #[tokio::test(start_paused = true)]
 async fn old_keys_are_refused_and_forgotten() {
     let bench = ClaimBench::new();
