Run a request at most once in a task of its own, over any keeper and endpoint

Cause: the promise is made by the order of steps between claim, write and outcome, so that order must run in proofs without sockets and in daemons with them. The window opens before the claim is asked for and is looked at right before each write; "not run" is said only after the release of a claim that was held was read back; a caller that hangs up cuts nothing; an outcome that an unreachable log does not take holds the answer back no longer than the caller's deadline and is tried again behind it.

Ruled out: saying "not run" after an undecided claim was released. Another attempt may have had the key and run it meanwhile.

--- /dev/null
+++ b/wagtaildoor/src/claim_run.rs
@@ -0,0 +1,324 @@
+//! Runs a non-idempotent request at most once: claim, dispatch, outcome, answer.
+
+use std::{
+    future::Future,
+    time::Duration, //
+};
+
+use tokio::{
+    task::JoinHandle,
+    time::{
+        self,
+        Instant, //
+    },
+};
+
+use crate::{
+    claim_policy::DISPATCH_WINDOW,
+    claim_service::ClaimService,
+    error::{
+        ErrorKind,
+        RequestError,
+        Result, //
+    },
+    ids::AttemptId,
+    log_store::LogStore,
+    schema::{
+        ClaimOutcome,
+        ClaimRecord,
+        ClaimRelease,
+        ClaimStart,
+        ClaimVerdict, //
+    },
+};
+
+/// Longest wait of a caller for its outcome or release to be on record.
+const RECORD_WAIT: Duration = Duration::from_secs(5);
+/// Time for which an outcome that is not on record yet is tried again.
+const RECORD_LIMIT: Duration = Duration::from_secs(600);
+/// Wait between two attempts to find out whether a request ran.
+const LOOK_UP_PAUSE: Duration = Duration::from_millis(200);
+/// Largest answer that is kept on record, in bytes.
+const ANSWER_LIMIT_BYTES: usize = 64 * 1024;
+
+/// Decides claims, and puts records into the log.
+pub trait ClaimAsker: Clone + Send + Sync + 'static {
+    /// Claims a key. An attempt asks once only; only `Won` lets it run.
+    fn claim(&self, start: ClaimStart, wait: Duration)
+        -> impl Future<Output = ClaimVerdict> + Send;
+
+    /// Puts a record into the log; tells whether it was read back.
+    fn record(&self, record: ClaimRecord, wait: Duration) -> impl Future<Output = bool> + Send;
+}
+
+impl<L: LogStore> ClaimAsker for ClaimService<L> {
+    async fn claim(&self, start: ClaimStart, wait: Duration) -> ClaimVerdict {
+        ClaimService::claim(self, start, wait).await
+    }
+
+    async fn record(&self, record: ClaimRecord, wait: Duration) -> bool {
+        ClaimService::record(self, record, wait).await
+    }
+}
+
+/// Writes a request to an endpoint.
+pub trait OnceDispatcher: Send + Sync + 'static {
+    /// Whether the endpoints themselves run each key at most once.
+    fn checks_request_keys(&self) -> bool;
+
+    /// Writes the request to an endpoint, and waits for its answer.
+    ///
+    /// Right before each write it looks whether the window is open, and writes nothing if not.
+    fn dispatch(
+        &self,
+        start: &ClaimStart,
+        window: DispatchWindow,
+    ) -> impl Future<Output = DispatchEnd> + Send;
+
+    /// Asks the service what it knows of the key.
+    fn look_up(&self, start: &ClaimStart) -> impl Future<Output = LookUp> + Send;
+}
+
+/// Time within which a request may be written to an endpoint.
+#[derive(Clone, Copy, Debug)]
+pub struct DispatchWindow {
+    /// When it closes; `None` never.
+    closes: Option<Instant>,
+}
+
+impl DispatchWindow {
+    /// The window of a claim that is asked for now, at the earliest.
+    pub fn opened(asked: Instant) -> Self {
+        Self {
+            closes: Some(asked + DISPATCH_WINDOW),
+        }
+    }
+
+    /// Whether the request may be written now.
+    pub fn is_open(&self) -> bool {
+        self.closes.is_none_or(|closes| Instant::now() < closes)
+    }
+}
+
+/// Answer of an endpoint.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct OnceAnswer {
+    /// HTTP status.
+    pub status: u16,
+    /// Media type.
+    pub content_type: Box<str>,
+    /// Body.
+    pub body: Box<str>,
+}
+
+/// How a dispatch ended.
+#[derive(Clone, Debug)]
+pub enum DispatchEnd {
+    /// The endpoint answered.
+    Answered(OnceAnswer),
+    /// Certainly no endpoint ran it.
+    NotRun(RequestError),
+    /// It was written, and no answer came.
+    Unknown(Box<str>),
+}
+
+/// What a service knows of a key.
+#[derive(Clone, Debug)]
+pub enum LookUp {
+    /// It ran, with this answer.
+    Ran(OnceAnswer),
+    /// The service has not seen the key so far.
+    NotSeen,
+    /// The service did not say, or has no look-up.
+    Silent,
+}
+
+/// What a caller gets.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct OnceReply {
+    /// Answer of the endpoint.
+    pub answer: OnceAnswer,
+    /// It is the answer to an earlier copy of the request.
+    pub replayed: bool,
+}
+
+/// The one attempt of a non-idempotent request.
+pub struct OnceRun<A, D> {
+    /// Decides claims.
+    pub claims: A,
+    /// Writes to endpoints.
+    pub dispatcher: D,
+    /// The claim.
+    pub start: ClaimStart,
+    /// When the caller stops waiting.
+    pub deadline: Instant,
+}
+
+impl<A: ClaimAsker, D: OnceDispatcher> OnceRun<A, D> {
+    /// Runs in a task of its own, which goes on when the caller hangs up.
+    pub fn spawn(self) -> JoinHandle<Result<OnceReply>> {
+        tokio::spawn(self.run())
+    }
+
+    /// Runs to the end. Must not be dropped before: `spawn` keeps it.
+    async fn run(self) -> Result<OnceReply> {
+        // Taken before the claim is asked for, and so before the log's time of the claim.
+        let window = DispatchWindow::opened(Instant::now());
+        let wait = self.remaining().min(DISPATCH_WINDOW);
+        match self.claims.claim(self.start.clone(), wait).await {
+            ClaimVerdict::Won(_) => self.won(window).await,
+            ClaimVerdict::Busy(holder) => self.busy(holder).await,
+            verdict => not_won(verdict),
+        }
+    }
+
+    /// Dispatches the request, and puts on record what came of it.
+    async fn won(&self, window: DispatchWindow) -> Result<OnceReply> {
+        let end = if window.is_open() {
+            self.dispatcher.dispatch(&self.start, window).await
+        } else {
+            let detail = "the time between claim and dispatch was over";
+            DispatchEnd::NotRun(RequestError::new(ErrorKind::DeadlineUnreachable, detail))
+        };
+        match end {
+            DispatchEnd::Answered(answer) => Ok(self.ran(&self.start.attempt, answer, false).await),
+            DispatchEnd::NotRun(error) => Err(self.release(error).await),
+            DispatchEnd::Unknown(detail) => self.settle(detail).await,
+        }
+    }
+
+    /// Another attempt has the key: the service may tell that it ran.
+    async fn busy(&self, holder: AttemptId) -> Result<OnceReply> {
+        let looked = time::timeout_at(self.deadline, self.dispatcher.look_up(&self.start)).await;
+        if let Ok(LookUp::Ran(answer)) = looked {
+            return Ok(self.ran(&holder, answer, true).await);
+        }
+        not_won(ClaimVerdict::Busy(holder))
+    }
+
+    /// Puts an answer on record, so that later copies of the request get it too.
+    async fn ran(&self, attempt: &AttemptId, answer: OnceAnswer, replayed: bool) -> OnceReply {
+        let kept = answer.body.len() <= ANSWER_LIMIT_BYTES;
+        let record = ClaimRecord::Outcome(ClaimOutcome {
+            account: self.start.account.clone(),
+            answer: if kept { answer.body.clone() } else { "".into() },
+            attempt: attempt.clone(),
+            content_type: if kept {
+                answer.content_type.clone()
+            } else {
+                "".into()
+            },
+            key: self.start.key.clone(),
+            status: answer.status,
+        });
+        let wait = self.remaining().min(RECORD_WAIT);
+        if !self.claims.record(record.clone(), wait).await {
+            // The answer is not held back any longer for an unreachable log.
+            tokio::spawn(record_later(self.claims.clone(), record));
+        }
+        OnceReply { answer, replayed }
+    }
+
+    /// Gives the claim up; "not run" is said only when that is on record.
+    async fn release(&self, error: RequestError) -> RequestError {
+        let release = ClaimRecord::Release(ClaimRelease {
+            account: self.start.account.clone(),
+            attempt: self.start.attempt.clone(),
+            key: self.start.key.clone(),
+        });
+        if self.claims.record(release, RECORD_WAIT).await {
+            return error;
+        }
+        let detail = format!("{error}; this copy did not run, but that is not on record yet");
+        RequestError::new(ErrorKind::KeyUnchecked, detail)
+    }
+
+    /// Finds out whether a request ran whose answer was lost.
+    async fn settle(&self, detail: Box<str>) -> Result<OnceReply> {
+        match time::timeout_at(self.deadline, self.find()).await {
+            Ok(answer) => Ok(self.ran(&self.start.attempt, answer, false).await),
+            Err(_) => {
+                let detail = format!("the request was sent, and no answer came: {detail}");
+                Err(RequestError::new(ErrorKind::OutcomeUnknown, detail))
+            }
+        }
+    }
+
+    /// Asks the service until it tells an answer. Where it runs each key at most once, the request
+    /// is also sent again.
+    async fn find(&self) -> OnceAnswer {
+        loop {
+            let looked = self.dispatcher.look_up(&self.start).await;
+            if let LookUp::Ran(answer) = looked {
+                return answer;
+            }
+            if self.dispatcher.checks_request_keys() {
+                let unbounded = DispatchWindow { closes: None };
+                let end = self.dispatcher.dispatch(&self.start, unbounded).await;
+                if let DispatchEnd::Answered(answer) = end {
+                    return answer;
+                }
+            }
+            time::sleep(LOOK_UP_PAUSE).await;
+        }
+    }
+
+    /// Time for which the caller still waits.
+    fn remaining(&self) -> Duration {
+        self.deadline.saturating_duration_since(Instant::now())
+    }
+}
+
+/// Goes on trying to put an outcome on record.
+async fn record_later<A: ClaimAsker>(claims: A, record: ClaimRecord) {
+    let limit = Instant::now() + RECORD_LIMIT;
+    while Instant::now() < limit {
+        if claims.record(record.clone(), RECORD_WAIT).await {
+            return;
+        }
+        time::sleep(LOOK_UP_PAUSE).await;
+    }
+}
+
+/// The answer when an attempt may not run the key.
+pub fn not_won(verdict: ClaimVerdict) -> Result<OnceReply> {
+    let fail = |kind, detail: &str| Err(RequestError::new(kind, detail));
+    match verdict {
+        ClaimVerdict::Done(outcome) => replay(outcome),
+        ClaimVerdict::Won(_) => fail(ErrorKind::Internal, "a won claim was not run"),
+        ClaimVerdict::Busy(_) => fail(
+            ErrorKind::KeyInProgress,
+            "another copy of this request has the key, and its outcome is not on record yet",
+        ),
+        ClaimVerdict::Mismatch(_) => fail(
+            ErrorKind::KeyMismatch,
+            "the key came before with another body; this request did not run",
+        ),
+        ClaimVerdict::Settled(_) => fail(
+            ErrorKind::AnswerNotKept,
+            "the key has run; its answer is not on record",
+        ),
+        ClaimVerdict::Expired(detail) => fail(ErrorKind::KeyExpired, &detail),
+        ClaimVerdict::Refused(detail) | ClaimVerdict::Uncertain(detail) => {
+            let detail = format!("{detail}; this copy did not run");
+            fail(ErrorKind::PlatformUnavailable, &detail)
+        }
+    }
+}
+
+/// The recorded answer to an earlier copy.
+fn replay(outcome: ClaimOutcome) -> Result<OnceReply> {
+    if outcome.content_type.is_empty() {
+        let detail = "the key has run; its answer was too large to keep";
+        return Err(RequestError::new(ErrorKind::AnswerNotKept, detail));
+    }
+    let answer = OnceAnswer {
+        status: outcome.status,
+        content_type: outcome.content_type,
+        body: outcome.answer,
+    };
+    Ok(OnceReply {
+        answer,
+        replayed: true,
+    })
+}
--- a/wagtaildoor/src/lib.rs
+++ b/wagtaildoor/src/lib.rs
@@ -6,6 +6,7 @@
 pub mod claim_ledger;
 pub mod claim_policy;
 pub mod claim_queue;
+pub mod claim_run;
 pub mod claim_service;
 mod claim_shard;
 pub mod clock;
--- a/wagtaildoor_fakes/src/lib.rs
+++ b/wagtaildoor_fakes/src/lib.rs
@@ -1,6 +1,7 @@
 //! Stand-ins for endpoints and platform, each with switches for its faults.
 
 pub mod cli;
+pub mod effect_service;
 pub mod fake_engine;
 pub mod fake_kv;
 pub mod fake_list;
