--- a/wagtaildoor/src/routing_table.rs
+++ b/wagtaildoor/src/routing_table.rs
@@ -182,7 +182,7 @@
 
     /// Takes the head of an answer: start, weights and queue of the endpoint.
     pub fn heard(&self, ticket: &DispatchTicket, news: &EndpointNews, now: Instant) {
-        self.lock().heard(ticket.slot, ticket.lease, news, now);
+        self.lock().heard(ticket, news, now);
     }
 
     /// Takes the first token of an answer.
@@ -208,7 +208,7 @@
     /// Takes the answer of a plain service.
     pub fn served(&self, mut ticket: DispatchTicket, news: &EndpointNews, now: Instant) {
         let mut state = self.lock();
-        state.heard(ticket.slot, ticket.lease, news, now);
+        state.heard(&ticket, news, now);
         state.succeeded(&ticket, 0, now);
         ticket.settled = true;
         drop(state);
--- a/wagtaildoor/src/table_state.rs
+++ b/wagtaildoor/src/table_state.rs
@@ -173,25 +173,23 @@
         }
     }
 
-    /// Takes the head of an answer.
-    pub fn heard(
-        &mut self,
-        index: SlotIndex,
-        lease: u32,
-        news: &EndpointNews,
-        now: Instant,
-    ) -> bool {
-        let Some(slot) = leased(&mut self.slots, index, lease) else {
+    /// Takes the head of an answer; whether it is about the endpoint's present start.
+    ///
+    /// The answer is only known to be younger than its request: the endpoint may have started
+    /// anew since, and a keeper may have told of that before the answer was read.
+    pub fn heard(&mut self, ticket: &DispatchTicket, news: &EndpointNews, now: Instant) -> bool {
+        let Some(slot) = leased(&mut self.slots, ticket.slot, ticket.lease) else {
             return false;
         };
-        let change = slot.take_incarnation(&news.boot_id, news.weights_version, now);
+        let sent_at = ticket.sent_at;
+        let change = slot.take_incarnation(&news.boot_id, news.weights_version, sent_at);
         if change == IncarnationChange::Outdated {
             return false;
         }
         slot.load.take_word(None, news.queued, now);
         if change == IncarnationChange::Renewed {
             let weights_version = slot.weights_version;
-            self.residency.reset(index, weights_version);
+            self.residency.reset(ticket.slot, weights_version);
         }
         true
     }
@@ -225,7 +223,7 @@
             weights_version: done.weights_version,
             queued: done.queued,
         };
-        let current = self.heard(ticket.slot, ticket.lease, &news, now);
+        let current = self.heard(ticket, &news, now);
         self.succeeded(
             ticket,
             done.prompt_tokens.saturating_sub(done.cached_tokens),
