Run print orders and fees through the library's one claim run

Cause: the entry had a claim run of its own beside the library's.

Also: the time line now says when a lookup was sent and answered (explain said "no end is on record" for a lookup that was answered), and the stand-ins end within a second of their signal (the platform took 30,008 ms of its grace time on an open read).

--- a/wagtaildoor/src/placement.rs
+++ b/wagtaildoor/src/placement.rs
@@ -126,7 +126,7 @@
             PlacementReason::ShortestWait => {
                 write!(
                     f,
-                    "the prompt shares nothing, and this one has the shortest queue"
+                    "no shared prompt counts here, and this one has the shortest queue"
                 )
             }
         }
--- a/wagtaildoor_entry/src/service_run.rs
+++ b/wagtaildoor_entry/src/service_run.rs
@@ -33,8 +33,7 @@
 
 use crate::{
     engine_call::CallError,
-    model_run,
-    once_run::OnceRun,
+    model_run, once_run,
     service_call::{
         self,
         ServiceAnswer,
@@ -82,13 +81,35 @@
     /// Runs the request to its end.
     pub async fn run(self) -> Result<ServiceReply> {
         if !self.template.repeatable {
-            return OnceRun::new(self).run().await;
+            let key = self.key.clone().ok_or_else(|| {
+                let detail = "this request may run only once, and has no key";
+                RequestError::new(ErrorKind::KeyMissing, detail)
+            })?;
+            return once_run::run(self, key).await;
         }
         let limit = self.deadline();
-        match tokio::time::timeout_at(limit, self.attempts()).await {
+        let result = match tokio::time::timeout_at(limit, self.attempts()).await {
             Ok(result) => result,
             Err(_) => Err(self.late()),
+        };
+        if let Ok(reply) = &result {
+            self.note_answered(reply);
         }
+        result
+    }
+
+    /// Notes that the caller's answer is whole.
+    pub fn note_answered(&self, reply: &ServiceReply) {
+        let time = self.received.elapsed().as_millis();
+        let detail = format!(
+            "answered with status {} after {time} ms",
+            reply.answer.status
+        );
+        let draft = self.draft(EventKind::RequestAnswered, detail);
+        self.state.recorder.record(match &reply.endpoint {
+            Some(endpoint) => draft.endpoint(endpoint.clone()),
+            None => draft,
+        });
     }
 
     /// Tries endpoints until one answers.
@@ -124,6 +145,8 @@
     ) -> std::result::Result<ServiceReply, CallError> {
         let now = || Instant::now().into_std();
         let ticket = self.state.table.dispatched(choice, now());
+        let detail = format!("attempt {} goes to {}", call.attempt, choice.endpoint);
+        self.note_at(EventKind::RequestDispatched, choice, detail);
         let client = if self.template.repeatable {
             &self.state.clients.repeatable
         } else {
--- a/wagtaildoor_fakes/src/http_server.rs
+++ b/wagtaildoor_fakes/src/http_server.rs
@@ -29,7 +29,7 @@
 /// Time an idle connection is kept, in seconds.
 const KEEP_ALIVE_S: u32 = 300;
 /// Time to go on with requests in work once the server ends, in seconds.
-const GRACE_S: u32 = 30;
+const GRACE_S: u32 = 1;
 /// Time after that for connections to end, in seconds.
 const MERCY_S: u32 = 1;
 /// Largest body, in mebibytes.
