--- a/wagtaildoor/src/explain.rs
+++ b/wagtaildoor/src/explain.rs
@@ -102,12 +102,14 @@
             self.host,
             wall_time::text(self.first_ms),
         );
+        let mut told_by = None;
         for step in &self.steps {
-            let line = format!(
-                "{:>8} ms  {} ({} on {})\n",
-                step.after_ms, step.sentence, step.process, step.host
-            );
-            text.push_str(&line);
+            let teller = (&step.process, &step.host);
+            if told_by != Some(teller) {
+                text.push_str(&format!("As {} on {} saw it:\n", step.process, step.host));
+                told_by = Some(teller);
+            }
+            text.push_str(&format!("{:>8} ms  {}\n", step.after_ms, step.sentence));
         }
         text.push_str(&self.conclusion);
         text.push('\n');
@@ -153,6 +155,7 @@
 /// What a sentence of this kind opens with; nothing where the detail says it all.
 fn opening(kind: EventKind) -> &'static str {
     match kind {
+        EventKind::RequestReceived => "The request came in",
         EventKind::RequestPlaced => "An endpoint was chosen",
         EventKind::RequestDispatched => "The request was sent",
         EventKind::FirstToken => "The answer began",
--- a/wagtaildoor/src/settings.rs
+++ b/wagtaildoor/src/settings.rs
@@ -6,6 +6,7 @@
 };
 
 use serde::de::DeserializeOwned;
+use serde_json::Value;
 
 use crate::{
     schema::{
@@ -67,5 +68,38 @@
     let mut faults = FaultList::new(name);
     let file = IniFile::parse(text, &mut faults);
     let value = SchemaReader::new(SCHEMA).file(definition, &file, &mut faults);
+    for pair in PAIRS {
+        pair.check(&value, &mut faults);
+    }
     faults.typed(value)
 }
+
+/// Keys of a section that are set together or not at all.
+struct KeyPair {
+    /// Section.
+    section: &'static str,
+    /// Both keys.
+    keys: [&'static str; 2],
+}
+
+/// All such keys.
+const PAIRS: [KeyPair; 1] = [KeyPair {
+    section: "listen",
+    keys: ["tls_certificate", "tls_key"],
+}];
+
+impl KeyPair {
+    /// Checks what was read.
+    fn check(&self, value: &Value, faults: &mut FaultList) {
+        let set = |key: &str| value[self.section].get(key).is_some();
+        let [first, second] = self.keys;
+        let (absent, present) = match (set(first), set(second)) {
+            (true, false) => (second, first),
+            (false, true) => (first, second),
+            _ => return,
+        };
+        let allowed = format!("both, or neither, of {first} and {second}");
+        let problem = format!("is missing beside {present}");
+        faults.key(self.section, absent, &problem, &allowed);
+    }
+}
--- a/wagtaildoor/tests/explain.rs
+++ b/wagtaildoor/tests/explain.rs
@@ -215,9 +215,9 @@
     let text = explain::explain(REQUEST, &told).expect("events").text();
     let expected = [
         "Request 0190-request of school reached host north-1 on 2023-11-14 22:13:20.001 UTC.",
-        "0 ms  School asked for draft. (entry on north-1)",
-        "1 ms  An endpoint was chosen: sent to drafter-1: it holds the prompt. (entry on north-1)",
-        "2 ms  Endpoint restarted. (entry on north-1)",
+        "As entry on north-1 saw it:\n       0 ms  The request came in: school asked for draft.\n",
+        "1 ms  An endpoint was chosen: sent to drafter-1: it holds the prompt.\n",
+        "2 ms  Endpoint restarted.\n",
         "In short: no end is on record.",
     ];
     for line in expected {
--- a/wagtaildoor/tests/settings.rs
+++ b/wagtaildoor/tests/settings.rs
@@ -147,6 +147,11 @@
             "[listen]\ntls_key =",
             "tls_key = \"\" is too short",
         ),
+        (
+            "half a pair",
+            "[listen]\ntls_key = a.key",
+            "[listen] tls_certificate is missing beside",
+        ),
         (
             "long value",
             &format!("[logging]\nlevel = {}", "x".repeat(500)),
--- a/wtd/src/answer.rs
+++ b/wtd/src/answer.rs
@@ -41,7 +41,7 @@
         if !missing.is_empty() {
             self.exit = ExitKind::Partial;
         }
-        let warnings = missing.iter().map(|one| format!("no answer from {one}"));
+        let warnings = missing.iter().map(|one| format!("not complete: {one}"));
         self.warnings.extend(warnings);
         self
     }
--- a/wtd/src/gather.rs
+++ b/wtd/src/gather.rs
@@ -26,6 +26,7 @@
         Result,
         ToolError, //
     },
+    table,
 };
 
 /// A time line, and what it lacks.
@@ -69,8 +70,8 @@
         })?;
         let reading = log_lines::read(&String::from_utf8_lossy(&bytes));
         if reading.malformed > 0 {
-            let lines = reading.malformed;
-            missing.push(format!("{path}: {lines} lines are malformed"));
+            let lines = table::counted(reading.malformed, "malformed line");
+            missing.push(format!("{path}: {lines}"));
         }
         pages.push(reading.page);
     }
--- a/wtd/src/table.rs
+++ b/wtd/src/table.rs
@@ -59,3 +59,11 @@
         _ => format!("{} h", ms / 3_600_000),
     }
 }
+
+/// A number with its noun.
+pub fn counted(number: usize, noun: &str) -> String {
+    match number {
+        1 => format!("1 {noun}"),
+        number => format!("{number} {noun}s"),
+    }
+}
--- a/wtd/src/verbs/check.rs
+++ b/wtd/src/verbs/check.rs
@@ -22,7 +22,7 @@
         ExitKind,
         Result, //
     },
-    verbs,
+    table, verbs,
 };
 
 /// What was checked, and what was found.
@@ -86,10 +86,17 @@
 
 /// What changes hold, in words.
 fn contents(changes: &[ConfigChange]) -> String {
-    let count = |is: fn(&ConfigChange) -> bool| changes.iter().filter(|change| is(change)).count();
-    let accounts = count(|change| matches!(change, ConfigChange::PutAccount(_)));
-    let pools = count(|change| matches!(change, ConfigChange::PutPool(_)));
-    let templates = count(|change| matches!(change, ConfigChange::PutTemplate(_)));
-    let texts = count(|change| matches!(change, ConfigChange::PutText(_)));
-    format!("{accounts} accounts, {pools} pools, {templates} templates, {texts} texts")
+    let count = |noun: &str, is: fn(&ConfigChange) -> bool| {
+        let number = changes.iter().filter(|change| is(change)).count();
+        table::counted(number, noun)
+    };
+    let accounts = count("account", |change| {
+        matches!(change, ConfigChange::PutAccount(_))
+    });
+    let pools = count("pool", |change| matches!(change, ConfigChange::PutPool(_)));
+    let templates = count("template", |change| {
+        matches!(change, ConfigChange::PutTemplate(_))
+    });
+    let texts = count("text", |change| matches!(change, ConfigChange::PutText(_)));
+    format!("{accounts}, {pools}, {templates}, {texts}")
 }
--- a/wtd/src/verbs/publish.rs
+++ b/wtd/src/verbs/publish.rs
@@ -28,7 +28,7 @@
         Result,
         ToolError, //
     },
-    verbs,
+    table, verbs,
 };
 
 /// Characters of a hash that are shown.
@@ -100,11 +100,11 @@
 fn accepted_text(call: &PublishCall, accepted: PublishAnswer) -> VerbAnswer {
     let PublishAnswer { head, held, behind } = accepted;
     let mut text = format!(
-        "Accepted as configuration {} ({}):\n{}Held by {} hosts: {}.\n",
+        "Accepted as configuration {} ({}):\n{}Held by {}: {}.\n",
         head.sequence,
         shortened(&head.hash),
         listed(&call.changes),
-        held.len(),
+        table::counted(held.len(), "host"),
         held.join(", "),
     );
     if !behind.is_empty() {
@@ -147,8 +147,8 @@
 fn words(change: &ConfigChange) -> String {
     match change {
         ConfigChange::PutText(text) => {
-            let bytes = text.text.len();
-            format!("text {} of {bytes} bytes", shortened(&text.hash))
+            let size = table::counted(text.text.len(), "byte");
+            format!("text {} of {size}", shortened(&text.hash))
         }
         ConfigChange::PutAccount(account) => format!("account {}", account.id),
         ConfigChange::PutPool(pool) => format!("pool {}", pool.id),
--- a/wtd/src/verbs/timeline.rs
+++ b/wtd/src/verbs/timeline.rs
@@ -27,7 +27,7 @@
         self,
         GatheredTimeline, //
     },
-    verbs,
+    table, verbs,
 };
 
 /// A time line as JSON.
@@ -96,8 +96,8 @@
         path: file.display().to_string().into(),
         error,
     })?;
-    let events = gathered.timeline.events.len();
-    let text = format!("{events} events are in {}.\n", file.display());
+    let events = table::counted(gathered.timeline.events.len(), "event");
+    let text = format!("Wrote {events} to {}.\n", file.display());
     Ok(VerbAnswer::text(text).missing(&gathered.missing))
 }
 
--- a/wtd/tests/verbs.rs
+++ b/wtd/tests/verbs.rs
@@ -341,7 +341,7 @@
     .await;
     let answer = answer.expect("a page");
     assert_eq!(answer.exit, ExitKind::Partial);
-    assert!(answer.warnings[0].contains("1 lines are malformed"));
+    assert!(answer.warnings[0].contains("1 malformed line"));
     let page = fs::read_to_string(page).expect("a page");
     assert!(
         page.contains("&lt;script&gt;") && !page.contains("<script"),
