Remember the homes of a prefix until the pool changes

Cause: the homes of a prefix took one hash for each replica at each placement, so that the time grew with the pool.

Ruled out: a ring of virtual points, which moves more homes when a replica goes, and a two-step hash over groups, which is uneven when groups differ in size.

--- a/wagtaildoor/src/candidates.rs
+++ b/wagtaildoor/src/candidates.rs
@@ -20,15 +20,12 @@
         PlacementQuery,
         PlacementReason, //
     },
-    rendezvous::HomeList,
+    rendezvous::HomeMember,
     residency::{
         HoldingState,
         SlotIndex, //
     },
-    table_state::{
-        PoolMembers,
-        TableState, //
-    },
+    table_state::TableState,
 };
 
 /// Result of a choice.
@@ -55,7 +52,7 @@
         let mut list = self.gather(query, now)?;
         let mut best = self.cheapest(query, &list, now);
         if best.is_none() {
-            list.add_all(&self.pools[query.pool]);
+            list.add_all(self.pools[query.pool].homes.members());
             best = self.cheapest(query, &list, now);
         }
         let (candidate, cost) = best.ok_or_else(|| self.shortage(query, &list, now))?;
@@ -68,22 +65,17 @@
 
     /// Endpoints to compare: holders, homes and a few drawn ones.
     fn gather(&mut self, query: &PlacementQuery, now: Instant) -> Result<CandidateList> {
-        let pool = self.pools.get(query.pool).ok_or(ErrorKind::NoEndpoint)?;
         let mut list = CandidateList::new();
         self.add_holders(query, &mut list);
-        self.add_homes(query, pool, &mut list, now);
-        if pool.members.len() <= self.policy.compare_all {
-            list.add_all(pool);
+        self.add_homes(query, &mut list, now)?;
+        let members = self.pools[query.pool].homes.members();
+        if members.len() <= self.policy.compare_all {
+            list.add_all(members);
             return Ok(list);
         }
         for _ in 0..self.policy.randoms {
-            let drawn = self.rng.random_range(0..pool.members.len());
-            list.add(
-                pool.members[drawn].slot,
-                CandidateSource::Random,
-                0.0,
-                NO_RANK,
-            );
+            let drawn = self.rng.random_range(0..members.len());
+            list.add(members[drawn].slot, CandidateSource::Random, 0.0, NO_RANK);
         }
         Ok(list)
     }
@@ -108,26 +100,31 @@
 
     /// Adds the homes of each level, the outermost first.
     fn add_homes(
-        &self,
+        &mut self,
         query: &PlacementQuery,
-        pool: &PoolMembers,
         list: &mut CandidateList,
         now: Instant,
-    ) {
+    ) -> Result<()> {
         let mut rank = 0;
         for level in query.levels {
+            let wanted = self.homes_wanted(level.id, now);
             let known = self.residency.holders(level.id).next().is_some();
             let belief = match known {
                 true => 0.0,
                 false => self.policy.home_belief * level.tokens as f64,
             };
-            let homes = HomeList::of(level.id, &pool.members, self.homes_wanted(level.id, now));
-            for (place, slot) in homes.slots().enumerate() {
+            let pool = self.pools.get_mut(query.pool);
+            let homes = pool.ok_or(ErrorKind::NoEndpoint)?.homes.homes(level.id);
+            for (place, slot) in homes.slots().take(wanted).enumerate() {
                 let cached = belief / (place + 1) as f64;
                 list.add(slot, CandidateSource::Home, cached, rank);
                 rank += 1;
             }
         }
+        match self.pools.contains_key(query.pool) {
+            true => Ok(()),
+            false => Err(ErrorKind::NoEndpoint),
+        }
     }
 
     /// Homes of a level, more when it is in demand.
@@ -315,9 +312,9 @@
         }
     }
 
-    /// Adds all endpoints of a pool, over the limit too.
-    fn add_all(&mut self, pool: &PoolMembers) {
-        for member in &pool.members {
+    /// Adds all members of a pool, over the limit too.
+    fn add_all(&mut self, members: &[HomeMember]) {
+        for member in members {
             if self
                 .candidates
                 .iter()
--- a/wagtaildoor/src/table_state.rs
+++ b/wagtaildoor/src/table_state.rs
@@ -33,7 +33,10 @@
         PlacementPolicy, //
     },
     prefix::LevelPrefix,
-    rendezvous::HomeMember,
+    rendezvous::{
+        HomeMember,
+        HomeMembers, //
+    },
     residency::{
         ResidencyIndex,
         SlotIndex, //
@@ -59,7 +62,7 @@
 #[derive(Debug, Default)]
 pub(crate) struct PoolMembers {
     /// Live endpoints.
-    pub members: Vec<HomeMember>,
+    pub homes: HomeMembers,
     /// Rates of its engines.
     pub rates: EngineRates,
 }
@@ -327,19 +330,22 @@
 
     /// Lists the live endpoints of each pool anew.
     fn rebuild_pools(&mut self) {
-        for pool in self.pools.values_mut() {
-            pool.members.clear();
-        }
+        let mut members: HashMap<&PoolId, Vec<HomeMember>> = HashMap::new();
         for (index, slot) in self.slots.iter().enumerate() {
             let Some(slot) = slot else { continue };
-            let pool = self.pools.entry(slot.pool.clone()).or_default();
+            let live = members.entry(&slot.pool).or_default();
             if slot.state == EndpointState::Live {
-                pool.members.push(HomeMember {
+                live.push(HomeMember {
                     slot: index as SlotIndex,
                     hash: slot.hash,
                 });
             }
         }
+        self.pools.retain(|id, _| members.contains_key(id));
+        for (id, members) in members {
+            let pool = self.pools.entry(id.clone()).or_default();
+            pool.homes = HomeMembers::new(members);
+        }
     }
 }
 
--- /dev/null
+++ b/wagtaildoor_bench/benches/placement.rs
@@ -0,0 +1,209 @@
+//! Time of a placement by the number of replicas, with percentiles.
+
+use std::{
+    hint,
+    time::{
+        Duration,
+        Instant, //
+    },
+};
+
+use criterion::{
+    BenchmarkId,
+    Criterion, //
+};
+use hdrhistogram::Histogram;
+use wagtaildoor::{
+    placement::{
+        PlacementPolicy,
+        PlacementQuery, //
+    },
+    prefix::{
+        self,
+        LevelPrefix, //
+    },
+    routing_table::RoutingTable,
+    schema::{
+        EndpointState,
+        EndpointView,
+        EngineDone, //
+    },
+};
+
+/// Numbers of replicas: one deployment of today, one region, and the whole aim.
+const REPLICAS: [usize; 3] = [18, 170, 1_200];
+/// Client accounts.
+const ACCOUNTS: usize = 64;
+/// Documents of each account.
+const DOCUMENTS: usize = 16;
+/// Tokens of each prompt.
+const PROMPT_TOKENS: u64 = 4_000;
+/// Requests that make the tables known before the measurement.
+const WARM_REQUESTS: usize = 20_000;
+/// Placements whose times are counted.
+const SAMPLES: usize = 200_000;
+
+/// A table with what it is asked.
+struct WarmTable {
+    /// Table.
+    table: RoutingTable,
+    /// Levels of the prompts in use.
+    prompts: Vec<Vec<LevelPrefix>>,
+    /// Time on the table's clock.
+    now: Instant,
+}
+
+impl WarmTable {
+    /// A table that has seen requests to so many replicas.
+    fn new(replicas: usize) -> Self {
+        let now = Instant::now();
+        let table = RoutingTable::with_seed(PlacementPolicy::default(), 1, now);
+        let views: Vec<EndpointView> = (0..replicas).map(view).collect();
+        table.take_all_endpoints(&views, now);
+        let mut warm = Self {
+            table,
+            prompts: prompts(),
+            now,
+        };
+        for number in 0..WARM_REQUESTS {
+            warm.request(number);
+        }
+        warm
+    }
+
+    /// Levels of a request; a few prompts are hot.
+    fn levels(&self, number: usize) -> &[LevelPrefix] {
+        let place = match number % 2 {
+            0 => number % 8,
+            _ => number.wrapping_mul(7_919) % self.prompts.len(),
+        };
+        &self.prompts[place]
+    }
+
+    /// The question of a request.
+    fn query<'a>(&self, levels: &'a [LevelPrefix]) -> PlacementQuery<'a> {
+        PlacementQuery {
+            pool: "assistant",
+            domain: "savannah",
+            weights_version: 1,
+            levels,
+            prompt_tokens: PROMPT_TOKENS,
+            deadline: self.now + Duration::from_secs(600),
+            exclude: &[],
+        }
+    }
+
+    /// Places, sends and answers one request.
+    fn request(&mut self, number: usize) {
+        let levels = self.levels(number).to_vec();
+        self.now += Duration::from_millis(1);
+        let Ok(choice) = self.table.place(&self.query(&levels), self.now) else {
+            return;
+        };
+        let mut ticket = self.table.dispatched(&choice, self.now);
+        self.table.first_token(&mut ticket, self.now);
+        let done = EngineDone {
+            boot_id: choice.boot_id.clone(),
+            weights_version: 1,
+            chunks: 1,
+            prompt_tokens: PROMPT_TOKENS,
+            cached_tokens: choice.expected_cached_tokens,
+            queued: 0,
+            level_blocks: Vec::new(),
+        };
+        self.table.answered(ticket, &done, &levels, self.now);
+    }
+
+    /// Time of one placement.
+    fn sample(&self, number: usize) -> Duration {
+        let query = self.query(self.levels(number));
+        let before = Instant::now();
+        let choice = self.table.place(&query, self.now);
+        let elapsed = before.elapsed();
+        hint::black_box(choice).expect("an endpoint");
+        elapsed
+    }
+}
+
+/// A replica.
+fn view(number: usize) -> EndpointView {
+    EndpointView {
+        id: format!("assistant-{number}").into(),
+        address: "127.0.0.1:9".parse().expect("an address"),
+        pool: "assistant".into(),
+        domain: ["savannah", "woodford", "st-james", "belmont"][number % 4].into(),
+        state: EndpointState::Live,
+        boot_id: format!("boot-{number}").into(),
+        weights_version: 1,
+        running: 4,
+        queued: 0,
+        report_age_ms: 0,
+    }
+}
+
+/// Levels of every prompt in use.
+fn prompts() -> Vec<Vec<LevelPrefix>> {
+    let mut prompts = Vec::with_capacity(ACCOUNTS * DOCUMENTS);
+    for account in 0..ACCOUNTS {
+        let glossary = format!("glossary {account} ").repeat(600);
+        for document in 0..DOCUMENTS {
+            let dialect = format!("dialect {document} ").repeat(100);
+            let levels = prefix::level_prefixes(
+                &format!("account-{account}"),
+                "assistant",
+                "",
+                1,
+                &[&*glossary, &*dialect],
+            );
+            prompts.push(levels);
+        }
+    }
+    prompts
+}
+
+/// Mean times by criterion.
+fn means(criterion: &mut Criterion) {
+    let mut group = criterion.benchmark_group("placement");
+    for replicas in REPLICAS {
+        let warm = WarmTable::new(replicas);
+        let mut number = 0;
+        group.bench_function(BenchmarkId::from_parameter(replicas), |bencher| {
+            bencher.iter(|| {
+                number += 1;
+                let query = warm.query(warm.levels(number));
+                warm.table.place(&query, warm.now)
+            });
+        });
+    }
+    group.finish();
+}
+
+/// Percentiles, which criterion does not give.
+fn percentiles() {
+    for replicas in REPLICAS {
+        let warm = WarmTable::new(replicas);
+        let mut times =
+            Histogram::<u64>::new_with_bounds(1, 1_000_000_000, 3).expect("a histogram");
+        for number in 0..SAMPLES {
+            let elapsed = warm.sample(number);
+            times.saturating_record(elapsed.as_nanos() as u64);
+        }
+        println!(
+            "placement/{replicas}: p50 {} ns, p99 {} ns, p99.9 {} ns of {SAMPLES}",
+            times.value_at_quantile(0.5),
+            times.value_at_quantile(0.99),
+            times.value_at_quantile(0.999),
+        );
+    }
+}
+
+fn main() {
+    let mut criterion = Criterion::default()
+        .sample_size(30)
+        .warm_up_time(Duration::from_millis(500))
+        .measurement_time(Duration::from_secs(2))
+        .configure_from_args();
+    means(&mut criterion);
+    criterion.final_summary();
+    percentiles();
+}
