Let colours of the time line's page apply, and say when weights are unknown

A weights version of 0 means that the endpoint has not spoken yet; `wtd rollout` now says "not known".

--- a/wagtaildoor/src/timeline/html.rs
+++ b/wagtaildoor/src/timeline/html.rs
@@ -36,10 +36,10 @@
 div.event { border-left: 4px solid #777; padding: .1rem .4rem; min-width: 14rem; max-width: 26rem; }
 div.event b { display: block; }
 div.event small { color: #555; overflow-wrap: anywhere; }
-.done { border-color: #1a7f37; background: #effaf1; }
-.trouble { border-color: #b3261e; background: #fdf0ef; }
-.once { border-color: #6f42c1; background: #f6f1fd; }
-.config { border-color: #0b61a4; background: #eef6fd; }
+div.done { border-color: #1a7f37; background: #effaf1; }
+div.trouble { border-color: #b3261e; background: #fdf0ef; }
+div.once { border-color: #6f42c1; background: #f6f1fd; }
+div.config { border-color: #0b61a4; background: #eef6fd; }
 p.missing { color: #b3261e; }
 </style>
 </head>
--- a/wtd/src/verbs/rollout.rs
+++ b/wtd/src/verbs/rollout.rs
@@ -109,7 +109,10 @@
     for report in reports {
         let versions = report.versions.iter();
         let versions: Vec<String> = versions
-            .map(|(version, count)| format!("{count} at {version}"))
+            .map(|(version, count)| match version {
+                0 => format!("{count} not known"),
+                version => format!("{count} at {version}"),
+            })
             .collect();
         table.row([
             report.pool.to_string(),
