--- a/wagtaildoor/src/table_state.rs
+++ b/wagtaildoor/src/table_state.rs
@@ -33,7 +33,10 @@
         PlacementPolicy, //
     },
     prefix::LevelPrefix,
-    rendezvous::HomeMember,
+    rendezvous::{
+        HomeMember,
+        HomeMembers, //
+    },
     residency::{
         ResidencyIndex,
         SlotIndex, //
@@ -59,7 +62,7 @@
 #[derive(Debug, Default)]
 pub(crate) struct PoolMembers {
     /// Live endpoints.
-    pub members: Vec<HomeMember>,
+    pub homes: HomeMembers,
     /// Rates of its engines.
     pub rates: EngineRates,
 }
@@ -173,25 +176,23 @@
         }
     }
 
-    /// Takes the head of an answer.
-    pub fn heard(
-        &mut self,
-        index: SlotIndex,
-        lease: u32,
-        news: &EndpointNews,
-        now: Instant,
-    ) -> bool {
-        let Some(slot) = leased(&mut self.slots, index, lease) else {
+    /// Takes the head of an answer; whether it is about the endpoint's present start.
+    ///
+    /// The answer is only known to be younger than its request: the endpoint may have started
+    /// anew since, and a keeper may have told of that before the answer was read.
+    pub fn heard(&mut self, ticket: &DispatchTicket, news: &EndpointNews, now: Instant) -> bool {
+        let Some(slot) = leased(&mut self.slots, ticket.slot, ticket.lease) else {
             return false;
         };
-        let change = slot.take_incarnation(&news.boot_id, news.weights_version, now);
+        let sent_at = ticket.sent_at;
+        let change = slot.take_incarnation(&news.boot_id, news.weights_version, sent_at);
         if change == IncarnationChange::Outdated {
             return false;
         }
         slot.load.take_word(None, news.queued, now);
         if change == IncarnationChange::Renewed {
             let weights_version = slot.weights_version;
-            self.residency.reset(index, weights_version);
+            self.residency.reset(ticket.slot, weights_version);
         }
         true
     }
@@ -225,7 +226,7 @@
             weights_version: done.weights_version,
             queued: done.queued,
         };
-        let current = self.heard(ticket.slot, ticket.lease, &news, now);
+        let current = self.heard(ticket, &news, now);
         self.succeeded(
             ticket,
             done.prompt_tokens.saturating_sub(done.cached_tokens),
@@ -329,19 +330,22 @@
 
     /// Lists the live endpoints of each pool anew.
     fn rebuild_pools(&mut self) {
-        for pool in self.pools.values_mut() {
-            pool.members.clear();
-        }
+        let mut members: HashMap<&PoolId, Vec<HomeMember>> = HashMap::new();
         for (index, slot) in self.slots.iter().enumerate() {
             let Some(slot) = slot else { continue };
-            let pool = self.pools.entry(slot.pool.clone()).or_default();
+            let live = members.entry(&slot.pool).or_default();
             if slot.state == EndpointState::Live {
-                pool.members.push(HomeMember {
+                live.push(HomeMember {
                     slot: index as SlotIndex,
                     hash: slot.hash,
                 });
             }
         }
+        self.pools.retain(|id, _| members.contains_key(id));
+        for (id, members) in members {
+            let pool = self.pools.entry(id.clone()).or_default();
+            pool.homes = HomeMembers::new(members);
+        }
     }
 }
 
