--- a/wagtaildoor_entry/src/metrics.rs
+++ b/wagtaildoor_entry/src/metrics.rs
@@ -11,13 +11,19 @@
     },
     KeyValue,
 };
-use opentelemetry_sdk::metrics::SdkMeterProvider;
+use opentelemetry_sdk::{
+    metrics::SdkMeterProvider,
+    Resource, //
+};
 use prometheus::{
     Registry,
     TextEncoder, //
 };
 use wagtaildoor::error::ErrorKind;
 
+/// Name of the program in its metrics.
+const SERVICE: &str = "wagtaildoor-entry";
+
 /// Result of building the metrics.
 pub type Result<T> = std::result::Result<T, opentelemetry_sdk::error::OTelSdkError>;
 
@@ -58,7 +64,11 @@
         let exporter = opentelemetry_prometheus::exporter()
             .with_registry(registry.clone())
             .build()?;
-        let provider = SdkMeterProvider::builder().with_reader(exporter).build();
+        let resource = Resource::builder().with_service_name(SERVICE).build();
+        let provider = SdkMeterProvider::builder()
+            .with_resource(resource)
+            .with_reader(exporter)
+            .build();
         let meter = provider.meter("wagtaildoor_entry");
         let counter = |name: &'static str, about: &'static str| {
             meter.u64_counter(name).with_description(about).build()
--- a/wagtaildoor_keeper/src/metrics.rs
+++ b/wagtaildoor_keeper/src/metrics.rs
@@ -8,13 +8,19 @@
     },
     KeyValue,
 };
-use opentelemetry_sdk::metrics::SdkMeterProvider;
+use opentelemetry_sdk::{
+    metrics::SdkMeterProvider,
+    Resource, //
+};
 use prometheus::{
     Registry,
     TextEncoder, //
 };
 use wagtaildoor::schema::ClaimVerdict;
 
+/// Name of the program in its metrics.
+const SERVICE: &str = "wagtaildoor-keeper";
+
 /// Result of building the metrics.
 pub type Result<T> = std::result::Result<T, opentelemetry_sdk::error::OTelSdkError>;
 
@@ -53,7 +59,11 @@
         let exporter = opentelemetry_prometheus::exporter()
             .with_registry(registry.clone())
             .build()?;
-        let provider = SdkMeterProvider::builder().with_reader(exporter).build();
+        let resource = Resource::builder().with_service_name(SERVICE).build();
+        let provider = SdkMeterProvider::builder()
+            .with_resource(resource)
+            .with_reader(exporter)
+            .build();
         let meter = provider.meter("wagtaildoor_keeper");
         Ok(Self {
             claims: meter
