--- /dev/null
+++ b/wagtaildoor_daemon/src/cli.rs
@@ -0,0 +1,86 @@
+//! Command line of a daemon.
+
+use std::{
+    fmt::Display,
+    path::{
+        Path,
+        PathBuf, //
+    },
+    process::ExitCode,
+};
+
+use clap::{
+    value_parser,
+    Arg,
+    ArgAction,
+    ArgMatches,
+    Command, //
+};
+
+/// The command line of a daemon.
+pub fn command(name: &'static str, about: &'static str) -> Command {
+    Command::new(name)
+        .version(env!("CARGO_PKG_VERSION"))
+        .about(about)
+        .arg(
+            Arg::new("settings")
+                .long("settings")
+                .value_name("FILE")
+                .required(true)
+                .value_parser(value_parser!(PathBuf))
+                .help("INI file with the settings"),
+        )
+        .arg(
+            Arg::new("check")
+                .long("check")
+                .action(ArgAction::SetTrue)
+                .help("Check the settings and exit: 0 when they are good, 1 when not"),
+        )
+}
+
+/// What the command line asks for.
+#[derive(Clone, Debug)]
+pub struct CliOptions {
+    /// Settings file.
+    pub settings: PathBuf,
+    /// Only check the settings.
+    pub check: bool,
+}
+
+impl From<ArgMatches> for CliOptions {
+    fn from(mut matches: ArgMatches) -> Self {
+        Self {
+            settings: matches.remove_one("settings").expect("clap requires it"),
+            check: matches.get_flag("check"),
+        }
+    }
+}
+
+impl CliOptions {
+    /// Reads the settings; gives the exit code instead when the program is to end here.
+    pub fn read<S, E: Display>(
+        &self,
+        read: impl FnOnce(&Path) -> Result<S, E>,
+    ) -> Result<S, ExitCode> {
+        let settings = read(&self.settings).map_err(|errors| {
+            eprintln!("{errors}");
+            ExitCode::FAILURE
+        })?;
+        if self.check {
+            println!("{}: good", self.settings.display());
+            return Err(ExitCode::SUCCESS);
+        }
+        Ok(settings)
+    }
+}
+
+/// The exit code for how a daemon ended.
+pub fn exit_code<E: Display>(name: &str, result: Result<(), E>) -> ExitCode {
+    match result {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(error) => {
+            eprintln!("{name}: {error}");
+            ExitCode::FAILURE
+        }
+    }
+}
--- a/wagtaildoor_entry/src/lib.rs
+++ b/wagtaildoor_entry/src/lib.rs
@@ -4,7 +4,6 @@
 pub mod caller_answer;
 pub mod caller_body;
 pub mod caller_head;
-pub mod cli;
 pub mod engine_call;
 pub mod http_clients;
 pub mod metrics;
--- a/wagtaildoor_entry/src/main.rs
+++ b/wagtaildoor_entry/src/main.rs
@@ -3,33 +3,22 @@
 use std::process::ExitCode;
 
 use wagtaildoor::settings;
-use wagtaildoor_entry::{
-    cli::{
-        self,
-        CliOptions, //
-    },
-    server,
+use wagtaildoor_daemon::cli::{
+    self,
+    CliOptions, //
 };
+use wagtaildoor_entry::server;
+
+/// Name of the program.
+const NAME: &str = "wagtaildoor-entry";
+/// What it does.
+const ABOUT: &str = "Answers callers: routes their requests to endpoints";
 
 #[tokio::main]
 async fn main() -> ExitCode {
-    let options = CliOptions::from(cli::command().get_matches());
-    let settings = match settings::read_entry(&options.settings) {
-        Ok(settings) => settings,
-        Err(errors) => {
-            eprintln!("{errors}");
-            return ExitCode::FAILURE;
-        }
-    };
-    if options.check {
-        println!("{}: good", options.settings.display());
-        return ExitCode::SUCCESS;
-    }
-    match server::run(settings).await {
-        Ok(()) => ExitCode::SUCCESS,
-        Err(error) => {
-            eprintln!("wagtaildoor-entry: {error}");
-            ExitCode::FAILURE
-        }
+    let options = CliOptions::from(cli::command(NAME, ABOUT).get_matches());
+    match options.read(settings::read_entry) {
+        Ok(settings) => cli::exit_code(NAME, server::run(settings).await),
+        Err(code) => code,
     }
 }
--- a/wagtaildoor_entry/src/metrics.rs
+++ b/wagtaildoor_entry/src/metrics.rs
@@ -6,33 +6,21 @@
     metrics::{
         Counter,
         Histogram,
-        MeterProvider,
         UpDownCounter, //
     },
     KeyValue,
 };
-use opentelemetry_sdk::metrics::SdkMeterProvider;
-use prometheus::{
-    Registry,
-    TextEncoder, //
-};
 use wagtaildoor::error::ErrorKind;
-
-/// Result of building the metrics.
-pub type Result<T> = std::result::Result<T, opentelemetry_sdk::error::OTelSdkError>;
-
-/// Bounds of the histograms of time, in seconds.
-const TIME_BOUNDS_S: [f64; 12] = [
-    0.005, 0.01, 0.025, 0.05, 0.1, 0.25, 0.48, 1.0, 2.5, 5.0, 10.0, 30.0,
-];
+use wagtaildoor_daemon::metric_registry::{
+    MetricRegistry,
+    Result, //
+};
 
 /// Instruments of the entry.
 #[derive(Clone, Debug)]
 pub struct EntryMetrics {
     /// Where the instruments are read.
-    registry: Registry,
-    /// Keeps the instruments alive.
-    _provider: SdkMeterProvider,
+    registry: MetricRegistry,
     /// Requests received.
     requests: Counter<u64>,
     /// Requests that ended in an error, by kind.
@@ -54,23 +42,9 @@
 impl EntryMetrics {
     /// Instruments in a registry of their own.
     pub fn new() -> Result<Self> {
-        let registry = Registry::new();
-        let exporter = opentelemetry_prometheus::exporter()
-            .with_registry(registry.clone())
-            .build()?;
-        let provider = SdkMeterProvider::builder().with_reader(exporter).build();
-        let meter = provider.meter("wagtaildoor_entry");
-        let counter = |name: &'static str, about: &'static str| {
-            meter.u64_counter(name).with_description(about).build()
-        };
-        let times = |name: &'static str, about: &'static str| {
-            meter
-                .f64_histogram(name)
-                .with_unit("s")
-                .with_description(about)
-                .with_boundaries(TIME_BOUNDS_S.to_vec())
-                .build()
-        };
+        let registry = MetricRegistry::new("wagtaildoor_entry")?;
+        let counter = |name, about| registry.counter(name, about);
+        let times = |name, about| registry.times(name, about);
         Ok(Self {
             requests: counter("entry_requests", "Requests received"),
             refusals: counter("entry_refusals", "Requests that ended in an error, by kind"),
@@ -80,14 +54,14 @@
                 "Chunks of another request or attempt, dropped",
             ),
             prompt_tokens: counter("entry_prompt_tokens", "Prompt tokens, cached or computed"),
-            in_flight: meter
+            in_flight: registry
+                .meter()
                 .i64_up_down_counter("entry_in_flight")
                 .with_description("Requests in work")
                 .build(),
             first_token: times("entry_first_token", "Time to the first token"),
             whole_answer: times("entry_whole_answer", "Time to the end of the answer"),
             registry,
-            _provider: provider,
         })
     }
 
@@ -134,8 +108,6 @@
 
     /// All instruments as text.
     pub fn text(&self) -> String {
-        TextEncoder::new()
-            .encode_to_string(&self.registry.gather())
-            .unwrap_or_default()
+        self.registry.text()
     }
 }
--- a/wagtaildoor_entry/src/server.rs
+++ b/wagtaildoor_entry/src/server.rs
@@ -7,11 +7,7 @@
 };
 
 use rocket::{
-    config::{
-        LogLevel,
-        Shutdown,
-        TlsConfig, //
-    },
+    config::TlsConfig,
     fairing::AdHoc,
     Config, //
 };
@@ -47,6 +43,7 @@
         EventRecorder, //
     },
 };
+use wagtaildoor_daemon::http_server;
 
 use crate::{
     http_clients::HttpClients,
@@ -57,8 +54,6 @@
 
 /// Name of the program in logs and time lines.
 const PROCESS: &str = "wagtaildoor-entry";
-/// Time the server gives connections beyond our own drain, in seconds.
-const GRACE_S: u32 = 1;
 /// Time between two looks at the drain.
 const DRAIN_STEP: Duration = Duration::from_millis(50);
 
@@ -154,29 +149,16 @@
     }
 }
 
-/// Settings of the HTTP server: its own signals are off, since the drain goes first.
+/// Settings of the HTTP server.
 fn server_config(listen: &ListenSection) -> Config {
-    let shutdown = Shutdown {
-        ctrlc: false,
-        signals: Default::default(),
-        grace: GRACE_S,
-        mercy: GRACE_S,
-        force: true,
-        ..Shutdown::default()
-    };
     let tls = listen
         .tls_certificate
         .as_deref()
         .zip(listen.tls_key.as_deref())
         .map(|(certificate, key)| TlsConfig::from_paths(certificate, key));
     Config {
-        address: listen.address.ip(),
-        port: listen.address.port(),
-        log_level: LogLevel::Off,
-        cli_colors: false,
         tls,
-        shutdown,
-        ..Config::release_default()
+        ..http_server::config(listen.address)
     }
 }
 
--- a/wagtaildoor_keeper/src/lib.rs
+++ b/wagtaildoor_keeper/src/lib.rs
@@ -1,6 +1,5 @@
 //! Coordination daemon of wagtaildoor, one on each entry host.
 
-pub mod cli;
 pub mod entries;
 pub mod entry_calls;
 pub mod metrics;
--- a/wagtaildoor_keeper/src/main.rs
+++ b/wagtaildoor_keeper/src/main.rs
@@ -3,33 +3,22 @@
 use std::process::ExitCode;
 
 use wagtaildoor::settings;
-use wagtaildoor_keeper::{
-    cli::{
-        self,
-        CliOptions, //
-    },
-    server,
+use wagtaildoor_daemon::cli::{
+    self,
+    CliOptions, //
 };
+use wagtaildoor_keeper::server;
+
+/// Name of the program.
+const NAME: &str = "wagtaildoor-keeper";
+/// What it does.
+const ABOUT: &str = "Coordinates: log, list, endpoints and peers, for the entries";
 
 #[tokio::main]
 async fn main() -> ExitCode {
-    let options = CliOptions::from(cli::command().get_matches());
-    let settings = match settings::read_keeper(&options.settings) {
-        Ok(settings) => settings,
-        Err(errors) => {
-            eprintln!("{errors}");
-            return ExitCode::FAILURE;
-        }
-    };
-    if options.check {
-        println!("{}: good", options.settings.display());
-        return ExitCode::SUCCESS;
-    }
-    match server::run(settings).await {
-        Ok(()) => ExitCode::SUCCESS,
-        Err(error) => {
-            eprintln!("wagtaildoor-keeper: {error}");
-            ExitCode::FAILURE
-        }
+    let options = CliOptions::from(cli::command(NAME, ABOUT).get_matches());
+    match options.read(settings::read_keeper) {
+        Ok(settings) => cli::exit_code(NAME, server::run(settings).await),
+        Err(code) => code,
     }
 }
--- a/wagtaildoor_keeper/src/metrics.rs
+++ b/wagtaildoor_keeper/src/metrics.rs
@@ -1,30 +1,25 @@
 //! Metrics of the keeper, by opentelemetry, for `/metrics`.
 
+use std::time::Duration;
+
 use opentelemetry::{
     metrics::{
         Counter,
-        Gauge,
-        MeterProvider, //
+        Gauge, //
     },
     KeyValue,
 };
-use opentelemetry_sdk::metrics::SdkMeterProvider;
-use prometheus::{
-    Registry,
-    TextEncoder, //
-};
 use wagtaildoor::schema::ClaimVerdict;
-
-/// Result of building the metrics.
-pub type Result<T> = std::result::Result<T, opentelemetry_sdk::error::OTelSdkError>;
+use wagtaildoor_daemon::metric_registry::{
+    MetricRegistry,
+    Result, //
+};
 
 /// Instruments of the keeper.
 #[derive(Clone, Debug)]
 pub struct KeeperMetrics {
     /// Where the instruments are read.
-    registry: Registry,
-    /// Keeps the instruments alive.
-    _provider: SdkMeterProvider,
+    registry: MetricRegistry,
     /// Claims, by verdict.
     claims: Counter<u64>,
     /// Sequence number of the configuration in force.
@@ -49,17 +44,10 @@
 impl KeeperMetrics {
     /// Instruments in a registry of their own.
     pub fn new() -> Result<Self> {
-        let registry = Registry::new();
-        let exporter = opentelemetry_prometheus::exporter()
-            .with_registry(registry.clone())
-            .build()?;
-        let provider = SdkMeterProvider::builder().with_reader(exporter).build();
-        let meter = provider.meter("wagtaildoor_keeper");
+        let registry = MetricRegistry::new("wagtaildoor_keeper")?;
+        let meter = registry.meter();
         Ok(Self {
-            claims: meter
-                .u64_counter("keeper_claims")
-                .with_description("Claims of entries, by verdict")
-                .build(),
+            claims: registry.counter("keeper_claims", "Claims of entries, by verdict"),
             config_sequence: meter
                 .u64_gauge("keeper_config_sequence")
                 .with_description("Sequence number of the configuration in force")
@@ -74,7 +62,6 @@
                 .with_description("Endpoints known")
                 .build(),
             registry,
-            _provider: provider,
         })
     }
 
@@ -95,12 +82,10 @@
 
     /// All instruments as text, with these readings.
     pub fn text(&self, readings: MetricReadings) -> String {
-        let age = std::time::Duration::from_millis(readings.platform_age_ms);
+        let age = Duration::from_millis(readings.platform_age_ms);
         self.config_sequence.record(readings.config_sequence, &[]);
         self.platform_age.record(age.as_secs_f64(), &[]);
         self.endpoints.record(readings.endpoints as u64, &[]);
-        TextEncoder::new()
-            .encode_to_string(&self.registry.gather())
-            .unwrap_or_default()
+        self.registry.text()
     }
 }
--- a/wagtaildoor_keeper/src/operators.rs
+++ b/wagtaildoor_keeper/src/operators.rs
@@ -51,8 +51,8 @@
         UnresolvedOrder,
         UnresolvedPage, //
     },
-    timeline::EventFilter,
 };
+use wagtaildoor_daemon::timeline_query::TimelineQuery;
 
 use crate::{
     metrics::MetricReadings,
@@ -288,24 +288,9 @@
 }
 
 /// Events of this process.
-#[get("/timeline?<request>&<account>&<endpoint>&<from_ms>&<to_ms>")]
-fn timeline(
-    state: &Shared,
-    request: Option<&str>,
-    account: Option<&str>,
-    endpoint: Option<&str>,
-    from_ms: Option<u64>,
-    to_ms: Option<u64>,
-) -> Json<EventPage> {
-    let filter = EventFilter {
-        request: request.map(Box::from),
-        account: account.map(Box::from),
-        endpoint: endpoint.map(Box::from),
-        from_ms,
-        to_ms,
-        ..EventFilter::default()
-    };
-    Json(state.recorder.page(&filter))
+#[get("/timeline?<query..>")]
+fn timeline(state: &Shared, query: TimelineQuery) -> Json<EventPage> {
+    Json(state.recorder.page(&query.into()))
 }
 
 /// No route fits, or the body is not what the route expects.
--- a/wagtaildoor_keeper/src/server.rs
+++ b/wagtaildoor_keeper/src/server.rs
@@ -7,13 +7,6 @@
 };
 
 use reqwest::Client;
-use rocket::{
-    config::{
-        LogLevel,
-        Shutdown, //
-    },
-    Config, //
-};
 use slog::info;
 use tokio::{
     net::TcpListener,
@@ -42,6 +35,7 @@
     timeline::EventRecorder,
     view_board::ViewBoard,
 };
+use wagtaildoor_daemon::http_server;
 
 use crate::{
     entries,
@@ -56,8 +50,6 @@
 const PROCESS: &str = "wagtaildoor-keeper";
 /// Longest wait for an answer of the list.
 const LIST_TIMEOUT: Duration = Duration::from_secs(2);
-/// Time the server gives connections at its end, in seconds.
-const GRACE_S: u32 = 1;
 
 /// Result of running a keeper.
 pub type Result<T> = std::result::Result<T, ServerError>;
@@ -90,7 +82,8 @@
     let state = build_state(settings, &token)?;
     let listener = TcpListener::bind(state.settings.serve.entries).await?;
     start_tasks(&state, client, listener, &token);
-    let server = rocket::custom(server_config(&state)).manage(Arc::clone(&state));
+    let server = rocket::custom(http_server::config(state.settings.serve.operators))
+        .manage(Arc::clone(&state));
     let server = operators::mount(server).ignite().await.map_err(Box::new)?;
     let stop = server.shutdown();
     let leaving = Arc::clone(&state);
@@ -186,24 +179,3 @@
         changed
     });
 }
-
-/// Settings of the HTTP server for operators.
-fn server_config(state: &KeeperState) -> Config {
-    let address = state.settings.serve.operators;
-    let shutdown = Shutdown {
-        ctrlc: false,
-        signals: Default::default(),
-        grace: GRACE_S,
-        mercy: GRACE_S,
-        force: true,
-        ..Shutdown::default()
-    };
-    Config {
-        address: address.ip(),
-        port: address.port(),
-        log_level: LogLevel::Off,
-        cli_colors: false,
-        shutdown,
-        ..Config::release_default()
-    }
-}
