--- a/wagtaildoor/src/claim_ledger.rs
+++ b/wagtaildoor/src/claim_ledger.rs
@@ -388,15 +388,16 @@
         }
     }
 
-    /// Whether a release is in force.
+    /// Whether a release is in force, and no other attempt had the key since.
     fn has_release(&self, release: &ClaimRelease) -> Option<bool> {
         let state = self.state(&release.account, &release.key)?;
+        let free = matches!(state.phase, KeyPhase::Free);
         match &state.phase {
             KeyPhase::Done { outcome, .. } if outcome.attempt == release.attempt => Some(false),
             KeyPhase::Settled { attempt, .. } if *attempt == release.attempt => Some(false),
             _ => match state.void_reason(&release.attempt)? {
-                VoidReason::Conflict => Some(false),
-                _ => Some(true),
+                VoidReason::Released => Some(free),
+                _ => Some(false),
             },
         }
     }
--- a/wagtaildoor/src/claim_run.rs
+++ b/wagtaildoor/src/claim_run.rs
@@ -27,8 +27,10 @@
         ClaimOutcome,
         ClaimRecord,
         ClaimRelease,
+        ClaimSettlement,
         ClaimStart,
-        ClaimVerdict, //
+        ClaimVerdict,
+        SettledAs, //
     },
 };
 
@@ -168,6 +170,7 @@
         match self.claims.claim(self.start.clone(), wait).await {
             ClaimVerdict::Won(_) => self.won(window).await,
             ClaimVerdict::Busy(holder) => self.busy(holder).await,
+            verdict @ ClaimVerdict::Settled(_) => self.settled(verdict).await,
             verdict => not_won(verdict),
         }
     }
@@ -181,28 +184,63 @@
             DispatchEnd::NotRun(RequestError::new(ErrorKind::DeadlineUnreachable, detail))
         };
         match end {
-            DispatchEnd::Answered(answer) => Ok(self.ran(&self.start.attempt, answer, false).await),
+            DispatchEnd::Answered(answer) => Ok(self.ran(answer).await),
             DispatchEnd::NotRun(error) => Err(self.release(error).await),
             DispatchEnd::Unknown(detail) => self.settle(detail).await,
         }
     }
 
     /// Another attempt has the key: the service may tell that it ran.
+    ///
+    /// The holder may have lost the key since. A settlement counts only while it has it, so that
+    /// nothing is put down to the wrong attempt.
     async fn busy(&self, holder: AttemptId) -> Result<OnceReply> {
+        let Some(answer) = self.look_up().await else {
+            return not_won(ClaimVerdict::Busy(holder));
+        };
+        let record = ClaimRecord::Settlement(ClaimSettlement {
+            account: self.start.account.clone(),
+            attempt: holder,
+            by: self.start.host.clone(),
+            key: self.start.key.clone(),
+            note: "the service's own record says that it ran".into(),
+            settled: SettledAs::Ran,
+        });
+        let claims = self.claims.clone();
+        tokio::spawn(async move { claims.record(record, RECORD_WAIT).await });
+        Ok(OnceReply {
+            answer,
+            replayed: true,
+        })
+    }
+
+    /// The key has run, and its answer is not on record: the service may have it.
+    async fn settled(&self, verdict: ClaimVerdict) -> Result<OnceReply> {
+        match self.look_up().await {
+            Some(answer) => Ok(OnceReply {
+                answer,
+                replayed: true,
+            }),
+            None => not_won(verdict),
+        }
+    }
+
+    /// The service's answer to the key, if it ran and the service tells.
+    async fn look_up(&self) -> Option<OnceAnswer> {
         let looked = time::timeout_at(self.deadline, self.dispatcher.look_up(&self.start)).await;
-        if let Ok(LookUp::Ran(answer)) = looked {
-            return Ok(self.ran(&holder, answer, true).await);
+        match looked {
+            Ok(LookUp::Ran(answer)) => Some(answer),
+            Ok(LookUp::NotSeen | LookUp::Silent) | Err(_) => None,
         }
-        not_won(ClaimVerdict::Busy(holder))
     }
 
     /// Puts an answer on record, so that later copies of the request get it too.
-    async fn ran(&self, attempt: &AttemptId, answer: OnceAnswer, replayed: bool) -> OnceReply {
+    async fn ran(&self, answer: OnceAnswer) -> OnceReply {
         let kept = answer.body.len() <= ANSWER_LIMIT_BYTES;
         let record = ClaimRecord::Outcome(ClaimOutcome {
             account: self.start.account.clone(),
             answer: if kept { answer.body.clone() } else { "".into() },
-            attempt: attempt.clone(),
+            attempt: self.start.attempt.clone(),
             content_type: if kept {
                 answer.content_type.clone()
             } else {
@@ -216,7 +254,10 @@
             // The answer is not held back any longer for an unreachable log.
             tokio::spawn(record_later(self.claims.clone(), record));
         }
-        OnceReply { answer, replayed }
+        OnceReply {
+            answer,
+            replayed: false,
+        }
     }
 
     /// Gives the claim up; "not run" is said only when that is on record.
@@ -236,7 +277,7 @@
     /// Finds out whether a request ran whose answer was lost.
     async fn settle(&self, detail: Box<str>) -> Result<OnceReply> {
         match time::timeout_at(self.deadline, self.find()).await {
-            Ok(answer) => Ok(self.ran(&self.start.attempt, answer, false).await),
+            Ok(answer) => Ok(self.ran(answer).await),
             Err(_) => {
                 let detail = format!("the request was sent, and no answer came: {detail}");
                 Err(RequestError::new(ErrorKind::OutcomeUnknown, detail))
