--- a/wagtaildoor_bench/src/latency.rs
+++ b/wagtaildoor_bench/src/latency.rs
@@ -245,7 +245,9 @@
 impl TargetTimes {
     /// No times yet.
     fn new(name: &'static str) -> Self {
-        let histogram = || Histogram::new(3).expect("three digits are a valid precision");
+        let most = micros(CALL_TIMEOUT * 2);
+        let histogram =
+            || Histogram::new_with_bounds(1, most, 3).expect("the bounds fit the precision");
         Self {
             name,
             first: histogram(),
--- a/wagtaildoor_fakes/src/cli.rs
+++ b/wagtaildoor_fakes/src/cli.rs
@@ -67,6 +67,11 @@
             "5000",
             "Time between two tokens, in microseconds",
         ))
+        .arg(number(
+            "decode-running-us",
+            "50",
+            "Added to that for each request in the batch, in microseconds",
+        ))
         .arg(number("load-ms", "5000", "Time to load weights, in ms"))
 }
 
@@ -218,9 +223,9 @@
         queue_limit: small("queue"),
         prefill_per_token: Duration::from_micros(number("prefill-us")),
         decode_per_token: Duration::from_micros(number("decode-us")),
+        decode_per_running: Duration::from_micros(number("decode-running-us")),
         checks_fencing: matches.get_flag("checks-fencing"),
         load_time: Duration::from_millis(number("load-ms")),
-        ..EngineProfile::default()
     }
 }
 
--- a/wagtaildoor_fakes/src/program.rs
+++ b/wagtaildoor_fakes/src/program.rs
@@ -84,10 +84,8 @@
             http_kv::mount(server, store)
         }
     };
-    let endpoint = matches
-        .try_contains_id("register")
-        .is_ok()
-        .then(|| EndpointOptions::from(matches));
+    let listed = ["engine", "service"].contains(&name);
+    let endpoint = listed.then(|| EndpointOptions::from(matches));
     serve(server, &listen, endpoint, client).await
 }
 
--- a/wagtaildoor_fakes/src/registration.rs
+++ b/wagtaildoor_fakes/src/registration.rs
@@ -22,7 +22,7 @@
 
 /// The list did not take the registration.
 #[derive(Debug, derive_more::Display, derive_more::Error)]
-#[display("cannot register at {url}: {detail}")]
+#[display("the list does not take {url}: {detail}")]
 pub struct RegistrationError {
     /// URL of the entry in the list.
     pub url: Box<str>,
