--- a/wagtaildoor/src/template_file.rs
+++ b/wagtaildoor/src/template_file.rs
@@ -13,6 +13,7 @@
 use serde_json::Value;
 
 use crate::{
+    config_change,
     schema::{
         Account,
         ConfigChange,
@@ -99,13 +100,7 @@
 
 /// Reads all INI files of a folder.
 pub fn read_folder(folder: &Path) -> Result<Vec<ConfigChange>> {
-    let empty = Configuration {
-        accounts: Vec::new(),
-        pools: Vec::new(),
-        templates: Vec::new(),
-        texts: Vec::new(),
-    };
-    read_files(&ini_files(folder)?, &empty)
+    read_files(&ini_files(folder)?, &config_change::empty())
 }
 
 /// Reads some INI files, which may name accounts and pools that are in force already.
@@ -185,8 +180,3 @@
         Ok(changes)
     }
 }
-
-/// The hash of a text, in hexadecimal.
-pub fn text_hash(text: &str) -> Box<str> {
-    blake3::hash(text.as_bytes()).to_hex().as_str().into()
-}
--- a/wagtaildoor/src/template_file/account.rs
+++ b/wagtaildoor/src/template_file/account.rs
@@ -6,6 +6,7 @@
 };
 
 use crate::{
+    config_change,
     schema::{
         Account,
         NamedValue, //
@@ -21,10 +22,7 @@
         },
         schema_reader::SchemaReader,
     },
-    template_file::{
-        text_hash,
-        Placed, //
-    },
+    template_file::Placed,
 };
 
 /// What the names of account sections start with.
@@ -131,7 +129,7 @@
                 let allowed = "8 or more visible ASCII characters without blanks";
                 faults.key(&name, TOKEN, "is no proper token", allowed);
             }
-            TOKEN => hash = text_hash(&key.value).into(),
+            TOKEN => hash = config_change::text_hash(&key.value).into(),
             TOKEN_HASH if !is_hash(&key.value) => {
                 faults.key(&name, TOKEN_HASH, "is no hash", "64 digits of 0-9 and a-f");
             }
--- a/wagtaildoor/src/template_file/template.rs
+++ b/wagtaildoor/src/template_file/template.rs
@@ -14,6 +14,7 @@
 };
 
 use crate::{
+    config_change,
     schema::{
         Level,
         LevelText,
@@ -29,7 +30,6 @@
     },
     template_file::{
         account,
-        text_hash,
         Placed, //
     },
 };
@@ -75,7 +75,7 @@
             continue;
         };
         if let Some(text) = read_level(folder, section, faults) {
-            let text_hash = text_hash(&text);
+            let text_hash = config_change::text_hash(&text);
             levels.push(Level {
                 name: name.into(),
                 text_hash: text_hash.clone(),
--- a/wagtaildoor/tests/template_file.rs
+++ b/wagtaildoor/tests/template_file.rs
@@ -13,6 +13,7 @@
 
 use folder::TestFolder;
 use wagtaildoor::{
+    config_change,
     schema::{
         Account,
         ConfigChange,
@@ -63,27 +64,7 @@
 
 /// The configuration that changes make out of nothing.
 fn configuration(changes: &[ConfigChange]) -> Configuration {
-    let mut made = empty();
-    for change in changes {
-        match change.clone() {
-            ConfigChange::PutText(text) => made.texts.push(text),
-            ConfigChange::PutAccount(account) => made.accounts.push(account),
-            ConfigChange::PutPool(pool) => made.pools.push(pool),
-            ConfigChange::PutTemplate(template) => made.templates.push(template),
-            other => panic!("a folder gives no {other:?}"),
-        }
-    }
-    made
-}
-
-/// A configuration with nothing in it.
-fn empty() -> Configuration {
-    Configuration {
-        accounts: Vec::new(),
-        pools: Vec::new(),
-        templates: Vec::new(),
-        texts: Vec::new(),
-    }
+    config_change::apply(&config_change::empty(), changes).expect("changes that fit together")
 }
 
 /// The template of a name.
@@ -117,7 +98,7 @@
     let order = template(&made, "print-order");
     assert!(!order.repeatable);
     assert_eq!((&*order.path, order.max_tokens), ("/orders/print", 0));
-    let token = template_file::text_hash("demo-school-board");
+    let token = config_change::text_hash("demo-school-board");
     assert_eq!(account(&made, "school-board").token_hash, token);
 }
 
@@ -142,7 +123,7 @@
 fn texts_carry_the_hash_of_their_content() {
     let changes = template_file::read_folder(&example("permits")).expect("no faults");
     for LevelText { hash, text } in configuration(&changes).texts {
-        assert_eq!(hash, template_file::text_hash(&text));
+        assert_eq!(hash, config_change::text_hash(&text));
     }
 }
 
