--- a/wagtaildoor_daemon/src/metric_registry.rs
+++ b/wagtaildoor_daemon/src/metric_registry.rs
@@ -8,7 +8,8 @@
 };
 use opentelemetry_sdk::{
     error::OTelSdkError,
-    metrics::SdkMeterProvider, //
+    metrics::SdkMeterProvider,
+    Resource, //
 };
 use prometheus::{
     Registry,
@@ -35,15 +36,19 @@
 }
 
 impl MetricRegistry {
-    /// A registry of its own.
-    pub fn new(name: &'static str) -> Result<Self> {
+    /// A registry of its own, for a program and its instruments' scope.
+    pub fn new(program: &'static str, scope: &'static str) -> Result<Self> {
         let registry = Registry::new();
         let exporter = opentelemetry_prometheus::exporter()
             .with_registry(registry.clone())
             .build()?;
-        let provider = SdkMeterProvider::builder().with_reader(exporter).build();
+        let resource = Resource::builder().with_service_name(program).build();
+        let provider = SdkMeterProvider::builder()
+            .with_resource(resource)
+            .with_reader(exporter)
+            .build();
         Ok(Self {
-            meter: provider.meter(name),
+            meter: provider.meter(scope),
             registry,
             _provider: provider,
         })
--- a/wagtaildoor_keeper/src/metrics.rs
+++ b/wagtaildoor_keeper/src/metrics.rs
@@ -44,7 +44,7 @@
 impl KeeperMetrics {
     /// Instruments in a registry of their own.
     pub fn new() -> Result<Self> {
-        let registry = MetricRegistry::new("wagtaildoor_keeper")?;
+        let registry = MetricRegistry::new("wagtaildoor-keeper", "wagtaildoor_keeper")?;
         let meter = registry.meter();
         Ok(Self {
             claims: registry.counter("keeper_claims", "Claims of entries, by verdict"),
