Admit fairly and early, and keep extra attempts within a budget

Cause: a large account must not shut out small ones, a request that would be too late should hear so at once, and failing endpoints must not be met with ever more attempts.

- Queues are fair by weight and cost (start-time fair queuing) inside classes of urgency, the earliest deadline first within an account; one turn of 16 goes to the least urgent class.
A full queue gives up the latest waiter of the account that waits with most for its weight.
- A request is refused at once when those who would be served before it, times the time between two releases, pass its deadline.
- Account limits: each host grants its equal part, which the balancer makes fair enough.
Ruled out: counting over hosts, which needs agreement for a limit that is no promise.
- Retries and hedges take from a budget in proportion to first attempts.
- Reports are set against own requests by the time they were true: a lagging report no longer swallows what was sent after it.
The table test of load_view found that a fresh report counted own requests twice.

--- /dev/null
+++ b/wagtaildoor/src/fair_queue.rs
@@ -0,0 +1,311 @@
+//! A queue that is fair between client accounts within classes of urgency.
+
+use std::{
+    collections::{
+        BTreeMap,
+        HashMap, //
+    },
+    time::Duration,
+};
+
+use tokio::time::Instant;
+
+use crate::{
+    ids::AccountId,
+    schema::Urgency, //
+};
+
+/// Classes of urgency, the most urgent first.
+const CLASSES: usize = 3;
+/// One of so many turns goes to the least urgent class that waits, so that none starves.
+const LOW_TURN: u64 = 16;
+
+/// What is known of something that waits.
+#[derive(Clone, Debug)]
+pub struct WaitTerms {
+    /// Account it belongs to.
+    pub account: AccountId,
+    /// Share of the account against others.
+    pub weight: u32,
+    /// Class.
+    pub urgency: Urgency,
+    /// When it is of no more use.
+    pub deadline: Instant,
+    /// What it costs, in prompt tokens.
+    pub cost: u64,
+}
+
+/// Place of a waiter in the queue.
+#[derive(Clone, Debug)]
+pub struct WaitPlace {
+    /// Class.
+    class: usize,
+    /// Account.
+    account: AccountId,
+    /// Order within the account.
+    order: WaitOrder,
+}
+
+/// Order of waiters of one account: the earliest deadline first.
+#[derive(Clone, Copy, Debug, Eq, Ord, PartialEq, PartialOrd)]
+struct WaitOrder {
+    /// When it is of no more use.
+    deadline: Instant,
+    /// Number of its arrival.
+    arrival: u64,
+}
+
+/// Queue of all classes.
+#[derive(Debug)]
+pub struct FairQueue<T> {
+    /// Classes, the most urgent first.
+    classes: [ClassQueue<T>; CLASSES],
+    /// Arrivals so far.
+    arrivals: u64,
+    /// Turns given so far.
+    turns: u64,
+}
+
+/// Queue of one class.
+#[derive(Debug)]
+struct ClassQueue<T> {
+    /// Queues by account.
+    accounts: HashMap<AccountId, AccountQueue<T>>,
+    /// Cost over weight of what was served, as the account served last has it.
+    virtual_time: f64,
+    /// Waiters.
+    len: usize,
+}
+
+/// Queue of one account in one class.
+#[derive(Debug)]
+struct AccountQueue<T> {
+    /// Share against other accounts.
+    weight: f64,
+    /// Cost over weight of what was served.
+    virtual_time: f64,
+    /// Waiters.
+    waiting: BTreeMap<WaitOrder, Waiter<T>>,
+}
+
+/// One waiter.
+#[derive(Debug)]
+struct Waiter<T> {
+    /// What it costs.
+    cost: u64,
+    /// What waits.
+    value: T,
+}
+
+impl<T> Default for FairQueue<T> {
+    fn default() -> Self {
+        Self {
+            classes: std::array::from_fn(|_| ClassQueue::default()),
+            arrivals: 0,
+            turns: 0,
+        }
+    }
+}
+
+impl<T> Default for ClassQueue<T> {
+    fn default() -> Self {
+        Self {
+            accounts: HashMap::new(),
+            virtual_time: 0.0,
+            len: 0,
+        }
+    }
+}
+
+impl<T> FairQueue<T> {
+    /// Waiters.
+    pub fn len(&self) -> usize {
+        self.classes.iter().map(|class| class.len).sum()
+    }
+
+    /// Whether nobody waits.
+    pub fn is_empty(&self) -> bool {
+        self.len() == 0
+    }
+
+    /// Lets something wait.
+    pub fn push(&mut self, terms: &WaitTerms, value: T) -> WaitPlace {
+        self.arrivals += 1;
+        let order = WaitOrder {
+            deadline: terms.deadline,
+            arrival: self.arrivals,
+        };
+        let class = class_of(terms.urgency);
+        self.classes[class].push(terms, order, value);
+        WaitPlace {
+            class,
+            account: terms.account.clone(),
+            order,
+        }
+    }
+
+    /// Takes the next.
+    pub fn pop(&mut self) -> Option<T> {
+        self.turns += 1;
+        let mut waiting = (0..CLASSES).filter(|&class| self.classes[class].len > 0);
+        let class = match self.turns % LOW_TURN {
+            0 => waiting.next_back()?,
+            _ => waiting.next()?,
+        };
+        self.classes[class].pop()
+    }
+
+    /// Takes one out that waits no longer.
+    pub fn remove(&mut self, place: &WaitPlace) -> Option<T> {
+        self.classes[place.class].remove(&place.account, place.order)
+    }
+
+    /// Takes one out to make room for a newcomer, when there is one that is less entitled.
+    ///
+    /// It is the one with the latest deadline of the account that waits with most for its
+    /// weight, in the least urgent class that is no more urgent than the newcomer's.
+    pub fn make_room(&mut self, newcomer: &WaitTerms) -> Option<T> {
+        let least_urgent = (class_of(newcomer.urgency)..CLASSES)
+            .rev()
+            .find(|&class| self.classes[class].len > 0)?;
+        let same_class = least_urgent == class_of(newcomer.urgency);
+        let class = &mut self.classes[least_urgent];
+        let heaviest = class.heaviest()?;
+        if same_class && class.backlog_after(newcomer) >= class.backlog(&heaviest) {
+            return None;
+        }
+        let order = *class.accounts.get(&heaviest)?.waiting.last_key_value()?.0;
+        class.remove(&heaviest, order)
+    }
+
+    /// Waiters that would be served before a newcomer, by the shares of the accounts.
+    pub fn ahead_of(&self, newcomer: &WaitTerms) -> usize {
+        let own_class = class_of(newcomer.urgency);
+        let more_urgent: usize = self.classes[..own_class]
+            .iter()
+            .map(|class| class.len)
+            .sum();
+        more_urgent + self.classes[own_class].ahead_of(newcomer)
+    }
+}
+
+impl<T> ClassQueue<T> {
+    /// Lets something wait.
+    fn push(&mut self, terms: &WaitTerms, order: WaitOrder, value: T) {
+        self.len += 1;
+        let now = self.virtual_time;
+        let account = self.accounts.entry(terms.account.clone());
+        let account = account.or_insert_with(|| AccountQueue::new(now));
+        account.weight = f64::from(terms.weight.max(1));
+        let cost = terms.cost.max(1);
+        account.waiting.insert(order, Waiter { cost, value });
+    }
+
+    /// Takes the earliest deadline of the account that was served least for its weight.
+    fn pop(&mut self) -> Option<T> {
+        let waiting = self.accounts.iter_mut();
+        let (_, account) = waiting
+            .filter(|(_, account)| !account.waiting.is_empty())
+            .min_by(|(near_id, near), (far_id, far)| {
+                let times = near.virtual_time.total_cmp(&far.virtual_time);
+                times.then_with(|| near_id.cmp(far_id))
+            })?;
+        let (_, waiter) = account.waiting.pop_first()?;
+        self.len -= 1;
+        self.virtual_time = account.virtual_time;
+        account.virtual_time += waiter.cost as f64 / account.weight;
+        self.forget_idle();
+        Some(waiter.value)
+    }
+
+    /// Takes one waiter out.
+    fn remove(&mut self, account: &AccountId, order: WaitOrder) -> Option<T> {
+        let queue = self.accounts.get_mut(account)?;
+        let waiter = queue.waiting.remove(&order)?;
+        self.len -= 1;
+        self.forget_idle();
+        Some(waiter.value)
+    }
+
+    /// Forgets accounts that wait for nothing and are owed nothing.
+    fn forget_idle(&mut self) {
+        let now = self.virtual_time;
+        self.accounts
+            .retain(|_, account| !account.waiting.is_empty() || account.virtual_time > now);
+    }
+
+    /// The account that waits with most for its weight.
+    fn heaviest(&self) -> Option<AccountId> {
+        let waiting = self.accounts.iter();
+        let (id, _) = waiting
+            .filter(|(_, account)| !account.waiting.is_empty())
+            .max_by(|(near_id, near), (far_id, far)| {
+                let backlogs = near.backlog().total_cmp(&far.backlog());
+                backlogs.then_with(|| near_id.cmp(far_id))
+            })?;
+        Some(id.clone())
+    }
+
+    /// Waiters of an account for its weight.
+    fn backlog(&self, account: &AccountId) -> f64 {
+        self.accounts
+            .get(account)
+            .map_or(0.0, AccountQueue::backlog)
+    }
+
+    /// Waiters of a newcomer's account for its weight, with the newcomer.
+    fn backlog_after(&self, newcomer: &WaitTerms) -> f64 {
+        let weight = f64::from(newcomer.weight.max(1));
+        self.backlog(&newcomer.account) + 1.0 / weight
+    }
+
+    /// Waiters of this class that would be served before a newcomer.
+    fn ahead_of(&self, newcomer: &WaitTerms) -> usize {
+        let own = self.accounts.get(&newcomer.account);
+        let earlier = own.map_or(0, |account| account.earlier_than(newcomer.deadline));
+        let share = f64::from(newcomer.weight.max(1));
+        let others = self
+            .accounts
+            .iter()
+            .filter(|(id, _)| **id != newcomer.account);
+        let turns = (earlier + 1) as f64 / share;
+        let served: f64 = others
+            .map(|(_, account)| (turns * account.weight).min(account.waiting.len() as f64))
+            .sum();
+        earlier + served as usize
+    }
+}
+
+impl<T> AccountQueue<T> {
+    /// A queue that starts level with the others.
+    fn new(virtual_time: f64) -> Self {
+        Self {
+            weight: 1.0,
+            virtual_time,
+            waiting: BTreeMap::new(),
+        }
+    }
+
+    /// Waiters for the weight.
+    fn backlog(&self) -> f64 {
+        self.waiting.len() as f64 / self.weight
+    }
+
+    /// Waiters with an earlier deadline.
+    fn earlier_than(&self, deadline: Instant) -> usize {
+        let end = WaitOrder {
+            deadline: deadline + Duration::from_nanos(1),
+            arrival: 0,
+        };
+        self.waiting.range(..end).count()
+    }
+}
+
+/// Place of a class, the most urgent first.
+fn class_of(urgency: Urgency) -> usize {
+    match urgency {
+        Urgency::Urgent => 0,
+        Urgency::Normal => 1,
+        Urgency::Batch => 2,
+    }
+}
--- a/wagtaildoor/src/lib.rs
+++ b/wagtaildoor/src/lib.rs
@@ -1,5 +1,7 @@
 //! Coordination parts of a router for language-model traffic with long shared prompts.
 
+pub mod account_limit;
+pub mod admission;
 pub mod breaker;
 mod candidates;
 pub mod claim_key;
@@ -17,8 +19,10 @@
 mod endpoint_slot;
 pub mod error;
 pub mod explain;
+pub mod fair_queue;
 pub mod frame;
 pub mod generation_map;
+pub mod hedge;
 pub mod ids;
 pub mod keeper_connection;
 pub mod keeper_link;
@@ -31,6 +35,7 @@
 pub mod prompt;
 pub mod rendezvous;
 pub mod residency;
+pub mod retry_budget;
 pub mod routing_table;
 pub mod schema;
 pub mod settings;
--- a/wagtaildoor/src/load_view.rs
+++ b/wagtaildoor/src/load_view.rs
@@ -1,12 +1,17 @@
 //! What one entry knows of an endpoint's load: reports, answers and its own dispatches.
 
-use std::time::{
-    Duration,
-    Instant, //
+use std::{
+    collections::VecDeque,
+    time::{
+        Duration,
+        Instant, //
+    },
 };
 
 /// Part that a new sample has in a running mean.
 const SAMPLE_SHARE: f64 = 0.1;
+/// Most sends remembered since a report.
+const SENDS_LIMIT: usize = 256;
 /// Time after which a report tells nothing more of the queue.
 const REPORT_LIFE: Duration = Duration::from_secs(30);
 
@@ -73,8 +78,8 @@
     told_at: Instant,
     /// Own requests without a first token when that word was true.
     waiting_then: u32,
-    /// Own requests sent since that word.
-    sent_since: u32,
+    /// When own requests were sent since that word, the oldest first.
+    sent_since: VecDeque<Instant>,
     /// Own requests without an end.
     in_flight: u32,
     /// Own requests without a first token.
@@ -91,7 +96,7 @@
             queued: 0,
             told_at: now,
             waiting_then: 0,
-            sent_since: 0,
+            sent_since: VecDeque::new(),
             in_flight: 0,
             waiting: 0,
             waiting_tokens: 0,
@@ -106,15 +111,20 @@
         self.running = running.unwrap_or(self.running);
         self.queued = queued;
         self.told_at = true_at;
-        self.waiting_then = self.waiting.saturating_sub(self.sent_since);
-        self.sent_since = 0;
+        while self.sent_since.front().is_some_and(|&sent| sent <= true_at) {
+            self.sent_since.pop_front();
+        }
+        self.waiting_then = self.waiting.saturating_sub(self.sent_count());
     }
 
-    /// Counts an own request that was sent.
-    pub fn add(&mut self, missed_tokens: u64) {
+    /// Counts an own request that was sent at a time.
+    pub fn add(&mut self, missed_tokens: u64, now: Instant) {
         self.in_flight += 1;
         self.waiting += 1;
-        self.sent_since += 1;
+        if self.sent_since.len() >= SENDS_LIMIT {
+            self.sent_since.pop_front();
+        }
+        self.sent_since.push_back(now);
         self.waiting_tokens += missed_tokens;
     }
 
@@ -134,7 +144,7 @@
         self.queued = self.queued.max(self.running).max(1) * 2;
         self.told_at = now;
         self.waiting_then = self.waiting;
-        self.sent_since = 0;
+        self.sent_since.clear();
     }
 
     /// Own requests without an end.
@@ -151,7 +161,7 @@
         let age = now.saturating_duration_since(self.told_at);
         let step = rates.queue_step(self.running).as_secs_f64().max(1e-6);
         let foreign_then = f64::from(self.queued.saturating_sub(self.waiting_then));
-        let foreign_since = f64::from(others) * f64::from(self.sent_since);
+        let foreign_since = f64::from(others) * f64::from(self.sent_count());
         let left = age.as_secs_f64() / step;
         let foreign = match age < REPORT_LIFE {
             true => (foreign_then + foreign_since - left).max(0.0),
@@ -160,6 +170,11 @@
         let own = rates.prefill_time(self.waiting_tokens as f64);
         own + Duration::from_secs_f64(foreign * step)
     }
+
+    /// Own requests sent since the last word.
+    fn sent_count(&self) -> u32 {
+        u32::try_from(self.sent_since.len()).unwrap_or(u32::MAX)
+    }
 }
 
 /// Moves a running mean towards a sample.
--- a/wagtaildoor/src/table_state.rs
+++ b/wagtaildoor/src/table_state.rs
@@ -171,7 +171,7 @@
     /// Counts a request that is about to be sent.
     pub fn dispatched(&mut self, choice: &PlacementChoice, missed: u64, now: Instant) {
         if let Some(slot) = leased(&mut self.slots, choice.slot, choice.lease) {
-            slot.load.add(missed);
+            slot.load.add(missed, now);
             self.residency.expect(choice.slot, &choice.levels, now);
         }
     }
--- /dev/null
+++ b/wagtaildoor/tests/breaker.rs
@@ -0,0 +1,159 @@
+//! Failing endpoints: breaker, budgets, and no storm of retries.
+
+use std::time::{
+    Duration,
+    Instant, //
+};
+
+use wagtaildoor::{
+    breaker::EndpointBreaker,
+    error::ErrorKind,
+    ids::EndpointId,
+    placement::{
+        PlacementPolicy,
+        PlacementQuery, //
+    },
+    retry_budget::AttemptBudget,
+    routing_table::RoutingTable,
+    schema::{
+        EndpointNews,
+        EndpointState,
+        EndpointView, //
+    },
+};
+
+#[test]
+fn an_endpoint_that_fails_rests_longer_each_time_and_returns_slowly() {
+    let start = Instant::now();
+    let mut breaker = EndpointBreaker::default();
+    assert_eq!(breaker.allowance(start), None);
+    breaker.failed(start);
+    assert_eq!(breaker.allowance(start), None, "one failure is no pattern");
+    breaker.failed(start);
+    assert_eq!(breaker.allowance(start), Some(0));
+    let first_trial = start + Duration::from_millis(500);
+    assert_eq!(breaker.allowance(first_trial), Some(1));
+    breaker.failed(first_trial);
+    assert_eq!(
+        breaker.allowance(first_trial + Duration::from_millis(900)),
+        Some(0)
+    );
+    let second_trial = first_trial + Duration::from_secs(1);
+    let mut allowances = Vec::new();
+    for _ in 0..7 {
+        allowances.push(breaker.allowance(second_trial));
+        breaker.succeeded();
+    }
+    let expected = [Some(1), Some(2), Some(4), Some(8), Some(16), Some(32), None];
+    assert_eq!(allowances, expected);
+}
+
+#[test]
+fn extra_attempts_stay_within_their_part() {
+    for (percent, first, most) in [(10, 1_000, 110), (0, 1_000, 10), (100, 50, 60)] {
+        let budget = AttemptBudget::new(percent);
+        let mut extra = 0;
+        for _ in 0..first {
+            budget.first_attempt();
+            while budget.try_extra() {
+                extra += 1;
+            }
+        }
+        assert!(extra <= most, "{percent}%: {extra} of {most}");
+    }
+}
+
+/// A live drafter.
+fn drafter(number: usize) -> EndpointView {
+    EndpointView {
+        id: format!("d{number}").into(),
+        address: "127.0.0.1:9".parse().expect("an address"),
+        pool: "drafter".into(),
+        domain: "kl-a".into(),
+        state: EndpointState::Live,
+        boot_id: format!("boot{number}").into(),
+        weights_version: 1,
+        running: 0,
+        queued: 0,
+        report_age_ms: 0,
+    }
+}
+
+/// What a run with dead endpoints came to.
+struct StormCounts {
+    /// Attempts of all kinds.
+    attempts: u32,
+    /// Attempts at dead endpoints.
+    wasted: u32,
+    /// Requests that ended without an answer.
+    unanswered: u32,
+}
+
+/// Sends requests 10 ms apart while the first `dead` of 18 endpoints fail every attempt.
+fn run_with_dead(dead: usize, requests: u32) -> StormCounts {
+    let start = Instant::now();
+    let table = RoutingTable::with_seed(PlacementPolicy::default(), 3, start);
+    let views: Vec<EndpointView> = (0..18).map(drafter).collect();
+    table.take_all_endpoints(&views, start);
+    let dead: Vec<EndpointId> = (0..dead).map(|number| drafter(number).id).collect();
+    let budget = AttemptBudget::new(10);
+    let mut counts = StormCounts {
+        attempts: 0,
+        wasted: 0,
+        unanswered: 0,
+    };
+    for number in 0..requests {
+        let now = start + Duration::from_millis(10) * number;
+        let mut exclude: Vec<EndpointId> = Vec::new();
+        budget.first_attempt();
+        loop {
+            counts.attempts += 1;
+            let query = PlacementQuery {
+                pool: "drafter",
+                domain: "kl-a",
+                weights_version: 1,
+                levels: &[],
+                prompt_tokens: 100,
+                deadline: now + Duration::from_secs(10),
+                exclude: &exclude,
+            };
+            let choice = table.place(&query, now).expect("an endpoint");
+            let ticket = table.dispatched(&choice, now);
+            if !dead.contains(&choice.endpoint) {
+                let news = EndpointNews {
+                    endpoint: choice.endpoint.clone(),
+                    boot_id: choice.boot_id.clone(),
+                    weights_version: 1,
+                    queued: 0,
+                };
+                table.served(ticket, &news, now);
+                break;
+            }
+            counts.wasted += 1;
+            table.failed(ticket, ErrorKind::EndpointFailed, now);
+            exclude.push(choice.endpoint);
+            if !budget.try_extra() {
+                counts.unanswered += 1;
+                break;
+            }
+        }
+    }
+    counts
+}
+
+#[test]
+fn a_third_of_the_endpoints_dying_raises_no_storm() {
+    let requests = 3_000;
+    let counts = run_with_dead(6, requests);
+    println!(
+        "{} attempts, {} at dead endpoints, {} unanswered",
+        counts.attempts, counts.wasted, counts.unanswered
+    );
+    assert!(counts.attempts <= requests + requests / 10 + 10);
+    assert!(
+        counts.wasted <= 100,
+        "{} attempts at dead endpoints",
+        counts.wasted
+    );
+    assert!(counts.unanswered <= 10, "{} unanswered", counts.unanswered);
+}
--- /dev/null
+++ b/wagtaildoor/tests/load_view.rs
@@ -0,0 +1,109 @@
+//! Expected waits: reports that lag, corrected by own dispatches and answers.
+
+use std::time::{
+    Duration,
+    Instant, //
+};
+
+use wagtaildoor::load_view::{
+    EndpointLoad,
+    EngineRates, //
+};
+
+/// Rates with a queue step of 100 ms: 1,000 missed tokens at 10,000 a second.
+fn rates() -> EngineRates {
+    EngineRates {
+        prefill_tokens_per_s: 10_000.0,
+        missed_tokens: 1_000.0,
+        service_s: 0.0,
+    }
+}
+
+#[test]
+fn the_expected_wait_follows_reports_and_own_requests() {
+    let start = Instant::now();
+    let ms = Duration::from_millis;
+    type Change = fn(&mut EndpointLoad, Instant);
+    let cases: [(&str, Change, u32, u64, u64); 9] = [
+        ("nothing known", |_, _| (), 0, 0, 0),
+        (
+            "report",
+            |load, at| load.take_word(Some(4), 5, at),
+            0,
+            0,
+            500,
+        ),
+        (
+            "report has aged",
+            |load, at| load.take_word(Some(4), 5, at),
+            0,
+            200,
+            300,
+        ),
+        (
+            "report is long past",
+            |load, at| load.take_word(Some(4), 5, at),
+            0,
+            9_000,
+            0,
+        ),
+        ("own request", |load, at| load.add(2_000, at), 0, 0, 200),
+        (
+            "own request has begun",
+            |load, at| {
+                load.add(2_000, at);
+                load.started(2_000);
+            },
+            0,
+            0,
+            0,
+        ),
+        (
+            "own request is in the report too",
+            |load, at| {
+                load.add(1_000, at);
+                load.take_word(Some(0), 1, at);
+            },
+            0,
+            0,
+            100,
+        ),
+        (
+            "own request is not in a report of before",
+            |load, at| {
+                load.add(1_000, at + Duration::from_millis(2));
+                load.take_word(Some(0), 1, at + Duration::from_millis(1));
+            },
+            0,
+            2,
+            199,
+        ),
+        (
+            "others send as much",
+            |load, at| load.add(1_000, at + Duration::from_millis(1)),
+            2,
+            0,
+            300,
+        ),
+    ];
+    for (name, change, others, age_ms, expected_ms) in cases {
+        let mut load = EndpointLoad::new(start);
+        change(&mut load, start);
+        let wait = load.expected_wait(&rates(), others, start + ms(age_ms));
+        let error = wait.abs_diff(ms(expected_ms));
+        assert!(error < ms(1), "{name}: {wait:?} for {expected_ms} ms");
+    }
+}
+
+#[test]
+fn an_older_word_does_not_replace_a_newer_one() {
+    let start = Instant::now();
+    let mut load = EndpointLoad::new(start);
+    load.take_word(Some(4), 5, start + Duration::from_secs(2));
+    load.take_word(Some(4), 90, start + Duration::from_secs(1));
+    let wait = load.expected_wait(&rates(), 0, start + Duration::from_secs(2));
+    assert!(
+        wait.abs_diff(Duration::from_millis(500)) < Duration::from_millis(1),
+        "{wait:?}"
+    );
+}
