--- a/wagtaildoor_entry/src/model_run.rs
+++ b/wagtaildoor_entry/src/model_run.rs
@@ -31,6 +31,7 @@
         LevelPrefix, //
     },
     prompt::RenderedPrompt,
+    routing_table::DispatchTicket,
     schema::{
         Account,
         EndpointNews,
@@ -123,6 +124,10 @@
 impl ModelRun {
     /// Runs the request to its end.
     pub async fn run(self) {
+        // Room for the last event is kept, so that a reader that stops cannot hold the run up.
+        let Ok(last) = self.events.clone().reserve_owned().await else {
+            return;
+        };
         let end = self.attempts().await;
         let event = match end {
             Ok(Some(done)) => RunEvent::Done(done),
@@ -135,7 +140,8 @@
             }
             Err(error) => RunEvent::Failed(error),
         };
-        self.finish(event).await;
+        self.note_end(&event);
+        last.send(event);
     }
 
     /// Tries endpoints until the answer is whole; `None` when the caller has gone.
@@ -234,16 +240,23 @@
         levels: &[LevelPrefix],
         received: &mut u64,
     ) -> AttemptEnd {
-        let ticket = self.state.table.dispatched(choice);
+        let now = || Instant::now().into_std();
+        let mut ticket = self.state.table.dispatched(choice, now());
         let attempt: AttemptId = Uuid::now_v7().to_string().into();
-        let end = self.stream(choice, &attempt, received).await;
+        let end = self.stream(choice, &attempt, &mut ticket, received).await;
         match &end {
             AttemptEnd::Whole(done) => {
                 self.tell(choice, done);
-                self.state.table.answered(ticket, done, levels);
+                self.state.table.answered(ticket, done, levels, now());
+            }
+            AttemptEnd::Failed(_) => {
+                let kind = ErrorKind::EndpointFailed;
+                self.state.table.failed(ticket, kind, now());
+            }
+            AttemptEnd::Late => {
+                let kind = ErrorKind::DeadlinePassed;
+                self.state.table.failed(ticket, kind, now());
             }
-            AttemptEnd::Failed(_) => self.state.table.failed(ticket, ErrorKind::EndpointFailed),
-            AttemptEnd::Late => self.state.table.failed(ticket, ErrorKind::DeadlinePassed),
             AttemptEnd::CallerGone => drop(ticket),
         }
         let unfinished = !matches!(end, AttemptEnd::Whole(_));
@@ -258,6 +271,7 @@
         &self,
         choice: &PlacementChoice,
         attempt: &AttemptId,
+        ticket: &mut DispatchTicket,
         received: &mut u64,
     ) -> AttemptEnd {
         let request = self.engine_request(attempt, *received);
@@ -273,6 +287,10 @@
         if self.is_restarted(choice, &word) {
             self.note_restart(choice);
         }
+        let news = word.news(&choice.endpoint);
+        self.state
+            .table
+            .heard(ticket, &news, Instant::now().into_std());
         let mut chunks = std::pin::pin!(chunks);
         let mut check = StreamCheck::new(self.request.clone(), attempt.clone(), *received);
         let mut limit = first;
@@ -289,12 +307,17 @@
             };
             match check.accept(chunk) {
                 Ok(Accepted::Chunk(text)) => {
-                    if *received == 0 && !self.begin(choice).await {
-                        return AttemptEnd::CallerGone;
+                    self.state
+                        .table
+                        .first_token(ticket, Instant::now().into_std());
+                    if *received == 0 {
+                        if let Err(end) = self.begin(choice).await {
+                            return end;
+                        }
                     }
                     *received = check.received();
-                    if self.events.send(RunEvent::Chunk(text)).await.is_err() {
-                        return AttemptEnd::CallerGone;
+                    if let Err(end) = self.pass_on(RunEvent::Chunk(text)).await {
+                        return end;
                     }
                     limit = Instant::now() + CHUNK_TIMEOUT;
                 }
@@ -330,8 +353,8 @@
         }
     }
 
-    /// Tells the caller where its answer comes from; false when it has gone.
-    async fn begin(&self, choice: &PlacementChoice) -> bool {
+    /// Tells the caller where its answer comes from.
+    async fn begin(&self, choice: &PlacementChoice) -> std::result::Result<(), AttemptEnd> {
         let time = self.received.elapsed();
         self.state.metrics.first_token(time);
         let detail = format!("first token after {} ms", time.as_millis());
@@ -343,12 +366,22 @@
             endpoint: choice.endpoint.clone(),
             reason: choice.reason.to_string().into(),
         };
-        self.events.send(RunEvent::Begun(start)).await.is_ok()
+        self.pass_on(RunEvent::Begun(start)).await
+    }
+
+    /// Passes an event on to the caller, who has until the deadline to make room for it.
+    async fn pass_on(&self, event: RunEvent) -> std::result::Result<(), AttemptEnd> {
+        let sent = self.events.send(event);
+        match tokio::time::timeout_at(self.deadline(), sent).await {
+            Ok(Ok(())) => Ok(()),
+            Ok(Err(_)) => Err(AttemptEnd::CallerGone),
+            Err(_) => Err(AttemptEnd::Late),
+        }
     }
 
-    /// Sends the last event and notes it.
-    async fn finish(&self, event: RunEvent) {
-        if let RunEvent::Done(done) = &event {
+    /// Notes how an answer ended.
+    fn note_end(&self, event: &RunEvent) {
+        if let RunEvent::Done(done) = event {
             let computed = done.prompt_tokens.saturating_sub(done.cached_tokens);
             self.state.metrics.prompt(done.cached_tokens, computed);
             let detail = format!(
@@ -360,8 +393,6 @@
             );
             self.note(EventKind::RequestAnswered, detail);
         }
-        // A caller that has gone needs no last event.
-        let _ = self.events.send(event).await;
     }
 
     /// When the whole answer is due.
--- a/wagtaildoor_entry/src/routes.rs
+++ b/wagtaildoor_entry/src/routes.rs
@@ -23,25 +23,28 @@
 };
 use tokio::sync::mpsc;
 use wagtaildoor::{
+    claim_key,
     error::{
         ErrorKind,
         RequestError,
         Result, //
     },
-    ids::RequestId,
+    ids::{
+        RequestId,
+        RequestKey, //
+    },
     prompt,
     schema::{
         ChatRequest,
         CompletionRequest,
         EventKind,
         EventPage,
-        PoolKind, //
-    },
-    timeline::{
-        EventDraft,
-        EventFilter, //
+        PoolKind,
+        Template, //
     },
+    timeline::EventDraft,
 };
+use wagtaildoor_daemon::timeline_query::TimelineQuery;
 
 use crate::{
     access,
@@ -70,6 +73,9 @@
     state::EntryState, //
 };
 
+/// Room for the last event of a run, beside the pieces that wait for a slow reader.
+const LAST_EVENT: usize = 1;
+
 /// State as routes get it.
 type Shared = State<Arc<EntryState>>;
 /// Result of a route.
@@ -95,7 +101,7 @@
 async fn chat(state: &Shared, head: CallerHead, data: Data<'_>) -> Answer<ModelReply> {
     let scope = RequestScope::start(state);
     let request = scope.request.clone();
-    let wish = read_wish::<ChatRequest>(state, data).await;
+    let wish = read_wish::<ChatRequest>(state, &head, data).await;
     answer_model(scope, head, wish)
         .await
         .map_err(|error| refuse(state, request, error))
@@ -106,7 +112,7 @@
 async fn completion(state: &Shared, head: CallerHead, data: Data<'_>) -> Answer<ModelReply> {
     let scope = RequestScope::start(state);
     let request = scope.request.clone();
-    let wish = read_wish::<CompletionRequest>(state, data).await;
+    let wish = read_wish::<CompletionRequest>(state, &head, data).await;
     answer_model(scope, head, wish)
         .await
         .map_err(|error| refuse(state, request, error))
@@ -122,7 +128,7 @@
 ) -> Answer<ServiceResponse> {
     let scope = RequestScope::start(state);
     let request = scope.request.clone();
-    let body = caller_body::read(data, &state.settings.listen).await;
+    let body = read_body(state, &head, data).await;
     answer_service(scope, template, head, body)
         .await
         .map_err(|error| refuse(state, request, error))
@@ -153,24 +159,9 @@
 }
 
 /// Events of this process.
-#[get("/timeline?<request>&<account>&<endpoint>&<from_ms>&<to_ms>")]
-fn timeline(
-    state: &Shared,
-    request: Option<&str>,
-    account: Option<&str>,
-    endpoint: Option<&str>,
-    from_ms: Option<u64>,
-    to_ms: Option<u64>,
-) -> Json<EventPage> {
-    let filter = EventFilter {
-        request: request.map(Box::from),
-        account: account.map(Box::from),
-        endpoint: endpoint.map(Box::from),
-        from_ms,
-        to_ms,
-        ..EventFilter::default()
-    };
-    Json(state.recorder.page(&filter))
+#[get("/timeline?<query..>")]
+fn timeline(state: &Shared, query: TimelineQuery) -> Json<EventPage> {
+    Json(state.recorder.page(&query.into()))
 }
 
 /// No route fits, or the server met a fault.
@@ -189,13 +180,25 @@
 }
 
 /// Reads a model's request.
-async fn read_wish<T>(state: &Shared, data: Data<'_>) -> Result<ModelWish>
+async fn read_wish<T>(state: &Shared, head: &CallerHead, data: Data<'_>) -> Result<ModelWish>
 where
     T: serde::de::DeserializeOwned + Into<ModelWish>,
 {
-    let body = caller_body::read(data, &state.settings.listen).await?;
+    let body = read_body(state, head, data).await?;
     let request: T = caller_body::parse(&body)?;
-    Ok(request.into())
+    let wish: ModelWish = request.into();
+    if wish.max_tokens == Some(0) {
+        let detail = "\"max_tokens\" is 0; an answer has at least one token";
+        return Err(RequestError::new(ErrorKind::BadRequest, detail));
+    }
+    Ok(wish)
+}
+
+/// Reads the body of a caller that has an account.
+async fn read_body(state: &Shared, head: &CallerHead, data: Data<'_>) -> Result<Vec<u8>> {
+    let held = state.held_view()?;
+    access::account(&held.view.configuration, head.token.as_deref())?;
+    caller_body::read(data, &state.settings.listen).await
 }
 
 /// Runs a model's request, and waits until its answer begins or is whole.
@@ -270,8 +273,8 @@
         &wish.own_words,
     )?;
     scope.note_received(grant);
-    let capacity = state.settings.limits.stream_buffer_chunks as usize;
-    let (events, receiver) = mpsc::channel(capacity);
+    let buffer = state.settings.limits.stream_buffer_chunks as usize;
+    let (events, receiver) = mpsc::channel(buffer + LAST_EVENT);
     let limit = grant.template.max_tokens;
     let run = ModelRun {
         account: grant.account.clone(),
@@ -329,11 +332,12 @@
     let token = head.token.as_deref();
     let grant = access::grant(configuration, token, template, PoolKind::Service)?;
     let value: serde_json::Value = caller_body::parse(&body)?;
+    let key = checked_key(grant.template, head.key)?;
     scope.note_received(grant);
     Ok(ServiceRun {
         account: grant.account.clone(),
         body: value.to_string().into(),
-        key: head.key,
+        key,
         pool: grant.pool.clone(),
         received: scope.received,
         request: scope.request.clone(),
@@ -342,6 +346,22 @@
     })
 }
 
+/// The one spelling of a request's key; non-idempotent requests must have one.
+fn checked_key(template: &Template, key: Option<Box<str>>) -> Result<Option<RequestKey>> {
+    if template.repeatable {
+        return Ok(key);
+    }
+    let key = key.ok_or_else(|| {
+        let detail = "this request may run only once: it needs an Idempotency-Key header";
+        RequestError::new(ErrorKind::KeyMissing, detail)
+    })?;
+    let key = claim_key::canonical(&key).map_err(|_| {
+        let detail = format!("the Idempotency-Key \"{key}\" is not a UUIDv7");
+        RequestError::new(ErrorKind::KeyMalformed, detail)
+    })?;
+    Ok(Some(key))
+}
+
 /// The error of a request that was refused before the log was asked about its key.
 fn before_claim(error: RequestError, keyed: bool) -> RequestError {
     if !keyed {
--- a/wagtaildoor_entry/src/service_run.rs
+++ b/wagtaildoor_entry/src/service_run.rs
@@ -24,7 +24,6 @@
     },
     schema::{
         Account,
-        EndpointNews,
         EventKind,
         Pool,
         Template, //
@@ -34,8 +33,7 @@
 
 use crate::{
     engine_call::CallError,
-    model_run,
-    once_run::OnceRun,
+    model_run, once_run,
     service_call::{
         self,
         ServiceAnswer,
@@ -83,13 +81,35 @@
     /// Runs the request to its end.
     pub async fn run(self) -> Result<ServiceReply> {
         if !self.template.repeatable {
-            return OnceRun::new(self).run().await;
+            let key = self.key.clone().ok_or_else(|| {
+                let detail = "this request may run only once, and has no key";
+                RequestError::new(ErrorKind::KeyMissing, detail)
+            })?;
+            return once_run::run(self, key).await;
         }
         let limit = self.deadline();
-        match tokio::time::timeout_at(limit, self.attempts()).await {
+        let result = match tokio::time::timeout_at(limit, self.attempts()).await {
             Ok(result) => result,
             Err(_) => Err(self.late()),
+        };
+        if let Ok(reply) = &result {
+            self.note_answered(reply);
         }
+        result
+    }
+
+    /// Notes that the caller's answer is whole.
+    pub fn note_answered(&self, reply: &ServiceReply) {
+        let time = self.received.elapsed().as_millis();
+        let detail = format!(
+            "answered with status {} after {time} ms",
+            reply.answer.status
+        );
+        let draft = self.draft(EventKind::RequestAnswered, detail);
+        self.state.recorder.record(match &reply.endpoint {
+            Some(endpoint) => draft.endpoint(endpoint.clone()),
+            None => draft,
+        });
     }
 
     /// Tries endpoints until one answers.
@@ -123,7 +143,10 @@
         choice: &PlacementChoice,
         call: &ServiceCall,
     ) -> std::result::Result<ServiceReply, CallError> {
-        let ticket = self.state.table.dispatched(choice);
+        let now = || Instant::now().into_std();
+        let ticket = self.state.table.dispatched(choice, now());
+        let detail = format!("attempt {} goes to {}", call.attempt, choice.endpoint);
+        self.note_at(EventKind::RequestDispatched, choice, detail);
         let client = if self.template.repeatable {
             &self.state.clients.repeatable
         } else {
@@ -132,12 +155,14 @@
         let answer = match service_call::call(client, call).await {
             Ok(answer) => answer,
             Err(error) => {
-                self.state.table.failed(ticket, ErrorKind::EndpointFailed);
+                let kind = ErrorKind::EndpointFailed;
+                self.state.table.failed(ticket, kind, now());
                 return Err(error);
             }
         };
-        drop(ticket);
-        self.tell(choice, &answer);
+        let news = answer.word.news(&choice.endpoint);
+        self.state.table.served(ticket, &news, now());
+        self.state.link.tell(news);
         Ok(ServiceReply {
             answer,
             endpoint: Some(choice.endpoint.clone()),
@@ -211,16 +236,6 @@
             .request(self.request.clone())
             .account(self.account.id.clone())
     }
-
-    /// Tells the keeper what the answer said of its endpoint.
-    fn tell(&self, choice: &PlacementChoice, answer: &ServiceAnswer) {
-        self.state.link.tell(EndpointNews {
-            boot_id: answer.word.boot_id.clone(),
-            endpoint: choice.endpoint.clone(),
-            queued: answer.word.queued,
-            weights_version: answer.word.weights_version,
-        });
-    }
 }
 
 /// The error of a failed call.
--- a/wagtaildoor_fakes/src/http_server.rs
+++ b/wagtaildoor_fakes/src/http_server.rs
@@ -29,7 +29,7 @@
 /// Time an idle connection is kept, in seconds.
 const KEEP_ALIVE_S: u32 = 300;
 /// Time to go on with requests in work once the server ends, in seconds.
-const GRACE_S: u32 = 30;
+const GRACE_S: u32 = 1;
 /// Time after that for connections to end, in seconds.
 const MERCY_S: u32 = 1;
 /// Largest body, in mebibytes.
@@ -118,20 +118,21 @@
         ended.cancelled().await;
         shutdown.notify();
     });
-    let mut task = tokio::spawn(async move {
+    let task = tokio::spawn(async move {
         let result = server.launch().await;
         result.map(drop).map_err(failed)
     });
-    tokio::select! {
-        address = listening => {
-            let address = address.map_err(|_| ServerError::NotListening)?;
-            Ok(ServerHandle { address, token, task })
-        }
-        result = &mut task => {
-            result.unwrap_or(Err(ServerError::NotListening))?;
-            Err(ServerError::NotListening)
-        }
-    }
+    // The sender goes with a server that fails, which then says why.
+    let Ok(address) = listening.await else {
+        let result = task.await;
+        result.unwrap_or(Err(ServerError::NotListening))?;
+        return Err(ServerError::NotListening);
+    };
+    Ok(ServerHandle {
+        address,
+        token,
+        task,
+    })
 }
 
 /// Tells the bound address once the server listens.
--- a/wagtaildoor_fakes/src/lib.rs
+++ b/wagtaildoor_fakes/src/lib.rs
@@ -1,6 +1,7 @@
 //! Stand-ins for endpoints and platform, each with switches for its faults.
 
 pub mod cli;
+pub mod effect_service;
 pub mod fake_engine;
 pub mod fake_kv;
 pub mod fake_list;
@@ -15,6 +16,7 @@
 pub mod http_log;
 pub mod http_server;
 pub mod http_service;
+pub mod pause;
 pub mod program;
 pub mod registration;
 pub mod seeded;
