--- a/wagtaildoor/src/claim_run.rs
+++ b/wagtaildoor/src/claim_run.rs
@@ -171,6 +171,12 @@
             ClaimVerdict::Won(_) => self.won(window).await,
             ClaimVerdict::Busy(holder) => self.busy(holder).await,
             verdict @ ClaimVerdict::Settled(_) => self.settled(verdict).await,
+            verdict @ ClaimVerdict::Uncertain(_) => {
+                // The keeper does so too, but it may be the one that failed.
+                let (claims, release) = (self.claims.clone(), self.release_record());
+                tokio::spawn(async move { claims.record(release, RECORD_WAIT).await });
+                not_won(verdict)
+            }
             verdict => not_won(verdict),
         }
     }
@@ -262,18 +268,22 @@
 
     /// Gives the claim up; "not run" is said only when that is on record.
     async fn release(&self, error: RequestError) -> RequestError {
-        let release = ClaimRecord::Release(ClaimRelease {
-            account: self.start.account.clone(),
-            attempt: self.start.attempt.clone(),
-            key: self.start.key.clone(),
-        });
-        if self.claims.record(release, RECORD_WAIT).await {
+        if self.claims.record(self.release_record(), RECORD_WAIT).await {
             return error;
         }
         let detail = format!("{error}; this copy did not run, but that is not on record yet");
         RequestError::new(ErrorKind::KeyUnchecked, detail)
     }
 
+    /// Record by which this attempt gives its claim up.
+    fn release_record(&self) -> ClaimRecord {
+        ClaimRecord::Release(ClaimRelease {
+            account: self.start.account.clone(),
+            attempt: self.start.attempt.clone(),
+            key: self.start.key.clone(),
+        })
+    }
+
     /// Finds out whether a request ran whose answer was lost.
     async fn settle(&self, detail: Box<str>) -> Result<OnceReply> {
         match time::timeout_at(self.deadline, self.find()).await {
--- a/wagtaildoor/src/claim_shard.rs
+++ b/wagtaildoor/src/claim_shard.rs
@@ -46,7 +46,7 @@
 /// Records read at a time.
 const PAGE_RECORDS: usize = 256;
 /// Longest wait of one read for a new record.
-const READ_WAIT: Duration = Duration::from_millis(500);
+const READ_WAIT: Duration = Duration::from_secs(2);
 /// Wait after a call that the log refused.
 const RETRY_WAIT: Duration = Duration::from_millis(50);
 
@@ -127,8 +127,8 @@
     /// Reads the stream as it grows. Ends only with its task.
     pub async fn tail(&self) {
         loop {
-            let from = self.lock().cursor;
-            let read = self.log.read(&self.stream, from, PAGE_RECORDS, READ_WAIT);
+            let (from, wait) = self.next_read();
+            let read = self.log.read(&self.stream, from, PAGE_RECORDS, wait);
             match read.await {
                 Ok(page) => self.take_page(&page),
                 Err(_) => time::sleep(RETRY_WAIT).await,
@@ -136,6 +136,13 @@
         }
     }
 
+    /// Where the next read starts, and how long it waits: the first one not at all.
+    fn next_read(&self) -> (LogOffset, Duration) {
+        let state = self.lock();
+        let wait = state.log_seen.map_or(Duration::ZERO, |_| READ_WAIT);
+        (state.cursor, wait)
+    }
+
     /// Appends what is queued, one batch at a time. Ends only with its task.
     pub async fn append(&self) {
         loop {
--- a/wagtaildoor/src/config_follower.rs
+++ b/wagtaildoor/src/config_follower.rs
@@ -43,7 +43,7 @@
 /// Records read at a time.
 const PAGE_RECORDS: usize = 256;
 /// Longest wait of one read for a new record.
-const READ_WAIT: Duration = Duration::from_millis(500);
+const READ_WAIT: Duration = Duration::from_secs(2);
 /// Wait after a read that failed.
 const RETRY_WAIT: Duration = Duration::from_millis(200);
 
@@ -134,7 +134,7 @@
         let follow = async {
             loop {
                 tokio::select! {
-                    answer = self.read_once(READ_WAIT) => {
+                    answer = self.read_once(self.next_wait()) => {
                         if answer.is_err() {
                             time::sleep(RETRY_WAIT).await;
                         }
@@ -146,6 +146,12 @@
         token.run_until_cancelled(follow).await;
     }
 
+    /// How long the next read waits: the first one not at all.
+    fn next_wait(&self) -> Duration {
+        let seen = self.changes.borrow().log_seen;
+        seen.map_or(Duration::ZERO, |_| READ_WAIT)
+    }
+
     /// Reads on to the present end of the log.
     pub async fn catch_up(&self) -> Result<()> {
         while !self.read_once(Duration::ZERO).await? {}
--- a/wagtaildoor/tests/claim_machine.rs
+++ b/wagtaildoor/tests/claim_machine.rs
@@ -58,7 +58,10 @@
         RequestError,
         RunOutcome, //
     },
-    ids::RequestKey,
+    ids::{
+        AttemptId,
+        RequestKey, //
+    },
     schema::{
         ClaimRecord,
         ClaimSettlement,
@@ -288,21 +291,32 @@
     stop: EntryStop,
     /// Oracle.
     oracle: EffectService,
-    /// What went wrong.
-    faults: Faults,
+    /// What is known if it gives up.
+    given_up: Arc<Mutex<GivenUp>>,
+}
+
+/// What is known of a claim that was given up.
+#[derive(Clone, Copy, Debug, Default)]
+struct GivenUp {
+    /// The key had run before.
+    ran_before: bool,
+    /// The release was read back.
+    recorded: bool,
 }
 
 impl StoppingAsker {
-    /// Whether a record gives up a key that has run. Copies that claim the key later may run it.
-    fn gives_up_what_ran(&self, record: &ClaimRecord) -> bool {
+    /// Notes a release; copies that claim the key later may run it.
+    fn note_release(&self, record: &ClaimRecord, recorded: bool) {
         let ClaimRecord::Release(release) = record else {
-            return false;
+            return;
         };
         let id = EffectKey {
             account: release.account.clone(),
             key: release.key.clone(),
         };
-        !self.oracle.effects(&id).is_empty()
+        let mut given_up = self.given_up.lock().expect("no panic");
+        given_up.recorded = recorded;
+        given_up.ran_before |= !recorded && !self.oracle.effects(&id).is_empty();
     }
 }
 
@@ -315,12 +329,9 @@
     }
 
     async fn record(&self, record: ClaimRecord, wait: Duration) -> bool {
-        let ran = self.gives_up_what_ran(&record);
+        self.note_release(&record, false);
         let recorded = ClaimService::record(&self.service, record.clone(), wait).await;
-        if ran && recorded {
-            let fault = format!("wrong not_run by {record:?}");
-            self.faults.lock().expect("no panic").push(fault);
-        }
+        self.note_release(&record, recorded);
         stop_at(self.stop, EntryStep::AfterRecord).await;
         recorded
     }
@@ -358,6 +369,8 @@
     service: ClaimService<FakeLog>,
     /// The keeper's task.
     task: JoinHandle<()>,
+    /// Cancelled when the keeper is killed.
+    alive: CancellationToken,
 }
 
 impl MachineHost {
@@ -370,6 +383,7 @@
             link,
             service,
             task,
+            alive: CancellationToken::new(),
         }
     }
 }
@@ -389,10 +403,20 @@
     keys: Vec<RequestKey>,
     /// Attempts so far.
     attempts: u64,
+    /// Attempts that must not keep their key.
+    ended: Arc<Mutex<Vec<EndedAttempt>>>,
     /// What went wrong.
     faults: Faults,
 }
 
+/// An attempt that ended without a dispatch.
+struct EndedAttempt {
+    /// Attempt.
+    attempt: AttemptId,
+    /// Host whose keeper must have freed its key.
+    host: usize,
+}
+
 impl ClaimMachine {
     /// A machine with one kind of service.
     fn new(traits: ServiceTraits) -> Self {
@@ -404,6 +428,7 @@
             service: EffectService::new(traits),
             keys: Vec::new(),
             attempts: 0,
+            ended: Arc::default(),
             faults: Faults::default(),
         }
     }
@@ -470,12 +495,13 @@
             request: format!("r{}", self.attempts).into(),
             template: "order".into(),
         };
+        let given_up = Arc::<Mutex<GivenUp>>::default();
         let run = OnceRun {
             claims: StoppingAsker {
                 service: self.hosts[host].service.clone(),
                 stop,
                 oracle: self.service.clone(),
-                faults: self.faults.clone(),
+                given_up: given_up.clone(),
             },
             dispatcher: StoppingDispatcher {
                 connection: self.service.connect(fate),
@@ -485,11 +511,21 @@
             deadline: Instant::now() + DEADLINE,
         };
         let (service, faults) = (self.service.clone(), self.faults.clone());
+        let ended_attempts = self.ended.clone();
+        let keeper = self.hosts[host].alive.clone();
         tokio::spawn(async move {
             let reply = run.spawn().await.ok()?;
-            if let Some(fault) = check_reply(&service, &start, &reply) {
+            let given_up = *given_up.lock().expect("no panic");
+            if let Some(fault) = check_reply(&service, &start, &reply, given_up) {
                 faults.lock().expect("no panic").push(fault);
             }
+            if never_dispatched(&reply) && !keeper.is_cancelled() {
+                let ended = EndedAttempt {
+                    attempt: start.attempt,
+                    host,
+                };
+                ended_attempts.lock().expect("no panic").push(ended);
+            }
             Some(reply)
         })
     }
@@ -503,7 +539,11 @@
 
     /// Kills a keeper, and starts another.
     fn kill_keeper(&mut self, host: usize) {
+        let mut ended = self.ended.lock().expect("no panic");
+        ended.retain(|ended| ended.host != host);
+        drop(ended);
         self.hosts[host].task.abort();
+        self.hosts[host].alive.cancel();
         self.hosts[host] = MachineHost::new(self.hosts[host].link.clone());
     }
 
@@ -536,6 +576,8 @@
     /// Ends all faults, settles what is unresolved, and checks that each key ran once.
     async fn finish(&mut self) {
         self.heal();
+        time::sleep(QUIET).await;
+        self.check_ended();
         for host in 0..HOSTS {
             self.kill_keeper(host);
         }
@@ -554,6 +596,16 @@
         }
     }
 
+    /// Checks that no attempt keeps a key that it will not run.
+    fn check_ended(&self) {
+        let unresolved = self.hosts[0].service.unresolved();
+        for ended in self.ended.lock().expect("no panic").iter() {
+            if unresolved.iter().any(|c| c.attempt == ended.attempt) {
+                self.fault(format!("{} keeps its key", ended.attempt));
+            }
+        }
+    }
+
     /// Checks a key after its last copy.
     fn check_last(&self, key: &RequestKey, reply: &wagtaildoor::error::Result<OnceReply>) {
         let id = EffectKey {
@@ -585,6 +637,7 @@
     service: &EffectService,
     start: &ClaimStart,
     reply: &Result<OnceReply, RequestError>,
+    given_up: GivenUp,
 ) -> Option<String> {
     let effects = service.effects(&effect_service::effect_key(start));
     match reply {
@@ -595,13 +648,26 @@
             (!own).then(|| format!("{}: answer of nothing that ran: {reply:?}", start.key))
         }
         Err(error) => {
-            let ran = effects.contains(&start.attempt);
-            let wrong = error.kind.answer().outcome == RunOutcome::NotRun && ran;
+            let mismatch = error.kind == ErrorKind::KeyMismatch;
+            let ran = effects.contains(&start.attempt) || given_up.ran_before;
+            let unproven = !mismatch && !given_up.recorded;
+            let wrong = error.kind.answer().outcome == RunOutcome::NotRun && (ran || unproven);
             wrong.then(|| format!("{}: wrong not_run: {error}, effects {effects:?}", start.key))
         }
     }
 }
 
+/// Whether an attempt ended without a dispatch, and not by its entry's own release.
+fn never_dispatched(reply: &Result<OnceReply, RequestError>) -> bool {
+    let Err(error) = reply else {
+        return false;
+    };
+    matches!(
+        error.kind,
+        ErrorKind::PlatformUnavailable | ErrorKind::KeyInProgress | ErrorKind::KeyExpired
+    )
+}
+
 /// Runs one sequence.
 fn hold(input: MachineInput) -> Result<bool, String> {
     sequences::run_paused(input.ops.len(), async move {
