Compare placement policies with a knowing bound on a virtual clock

Cause: placement must be judged against simpler policies and against the best that its own score could do, on the same requests, with faults.

`wtd-bench policy` runs the real routing tables of five entry hosts over engines with the stand-ins' prompt cache: one prefill at a time, a running batch, lagging reports, late and lost cache events, crashes, shifts of hot prompts, a herd restart, and pairs. Baselines are round robin, least load and a hash of the prompt; the bound uses the own score with every cache and queue known at every moment. Figures follow from the seed.

--- a/wagtaildoor/src/routing_table.rs
+++ b/wagtaildoor/src/routing_table.rs
@@ -143,6 +143,11 @@
         self.lock().take_hosts(hosts);
     }
 
+    /// Takes the number of other live entry hosts.
+    pub fn set_other_hosts(&self, others: u32) {
+        self.lock().others = others;
+    }
+
     /// Takes a cache event.
     pub fn take_news(&self, news: &PrefixNews) {
         self.take_news_at(news, Instant::now());
--- a/wagtaildoor_bench/src/cli.rs
+++ b/wagtaildoor_bench/src/cli.rs
@@ -5,7 +5,10 @@
     Command, //
 };
 
-use crate::latency;
+use crate::{
+    latency,
+    policy, //
+};
 
 /// Result of a bench.
 pub type Result<T> = std::result::Result<T, BenchError>;
@@ -28,6 +31,7 @@
         .about("Load tool and policy experiments of wagtaildoor")
         .subcommand_required(true)
         .subcommand(latency::command())
+        .subcommand(policy::command())
 }
 
 /// Runs the bench that the command line names.
@@ -35,6 +39,7 @@
     let (name, matches) = matches.subcommand().expect("clap requires a command");
     match name {
         latency::NAME => latency::run(matches).await,
+        policy::NAME => policy::run(matches),
         other => unreachable!("clap knows no bench {other}"),
     }
 }
--- a/wagtaildoor_bench/src/lib.rs
+++ b/wagtaildoor_bench/src/lib.rs
@@ -3,4 +3,5 @@
 pub mod cli;
 pub mod latency;
 pub mod load_call;
+pub mod policy;
 pub mod process_use;
--- /dev/null
+++ b/wagtaildoor_bench/src/policy.rs
@@ -0,0 +1,258 @@
+//! Compares the placement policy with simpler ones and with a bound, on a virtual clock.
+
+use std::{
+    fs,
+    path::{
+        Path,
+        PathBuf, //
+    },
+    sync::{
+        atomic::{
+            AtomicUsize,
+            Ordering, //
+        },
+        Mutex,
+        PoisonError, //
+    },
+    thread,
+    time::Instant,
+};
+
+use clap::{
+    value_parser,
+    Arg,
+    ArgMatches,
+    Command, //
+};
+use wagtaildoor::placement::PlacementPolicy;
+
+use crate::cli::{
+    BenchError,
+    Result, //
+};
+
+pub mod deciders;
+pub mod deployment;
+pub mod engine_model;
+pub mod event_queue;
+pub mod report;
+pub mod run_figures;
+pub mod run_world;
+pub mod workload;
+
+use deciders::{
+    KnowingBound,
+    LeastLoad,
+    PrefixHash,
+    RoundRobin,
+    TableDecider, //
+};
+use deployment::{
+    DeploymentShape,
+    NamedFault,
+    DESK,
+    FAULTS,
+    PUBLISHER, //
+};
+use run_figures::RunFigures;
+use run_world::RunWorld;
+use workload::{
+    RunMicros,
+    RunRequest, //
+};
+
+/// Name of the subcommand.
+pub const NAME: &str = "policy";
+
+/// A policy under comparison.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum PolicyKind {
+    /// One engine after the other.
+    RoundRobin,
+    /// The engine with the least load.
+    LeastLoad,
+    /// The engine that the hash of the prompt names.
+    PrefixHash,
+    /// The project's own.
+    Wagtaildoor,
+    /// The own score with exact knowledge.
+    Bound,
+}
+
+/// One run with its figures.
+#[derive(Clone, Debug)]
+pub struct PolicyResult {
+    /// Deployment.
+    pub shape: DeploymentShape,
+    /// Fault.
+    pub fault: NamedFault,
+    /// Policy.
+    pub policy: PolicyKind,
+    /// Figures.
+    pub figures: RunFigures,
+}
+
+impl PolicyKind {
+    /// Every policy, in the order of tables.
+    pub const ALL: [PolicyKind; 5] = [
+        PolicyKind::RoundRobin,
+        PolicyKind::LeastLoad,
+        PolicyKind::PrefixHash,
+        PolicyKind::Wagtaildoor,
+        PolicyKind::Bound,
+    ];
+
+    /// Name in tables.
+    pub fn name(self) -> &'static str {
+        match self {
+            PolicyKind::RoundRobin => "round robin",
+            PolicyKind::LeastLoad => "least load",
+            PolicyKind::PrefixHash => "prefix hash",
+            PolicyKind::Wagtaildoor => "wagtaildoor",
+            PolicyKind::Bound => "knowing bound",
+        }
+    }
+}
+
+/// The subcommand.
+pub fn command() -> Command {
+    Command::new(NAME)
+        .about("Compare placement policies on a virtual clock")
+        .arg(
+            Arg::new("seed")
+                .long("seed")
+                .help("Seed of the requests")
+                .value_parser(value_parser!(u64))
+                .default_value("1"),
+        )
+        .arg(
+            Arg::new("threads")
+                .long("threads")
+                .help("Runs at a time")
+                .value_parser(value_parser!(usize))
+                .default_value("2"),
+        )
+        .arg(
+            Arg::new("faults")
+                .long("faults")
+                .help("Run only the first so many fault plans")
+                .value_parser(value_parser!(usize))
+                .default_value("11"),
+        )
+        .arg(
+            Arg::new("out")
+                .long("out")
+                .help("Folder for the tables and plots; without it, tables are only printed")
+                .value_parser(value_parser!(PathBuf)),
+        )
+}
+
+/// Runs every policy under every fault for both deployments.
+pub fn run(matches: &ArgMatches) -> Result<()> {
+    let seed = *matches.get_one::<u64>("seed").expect("a default");
+    let threads = *matches.get_one::<usize>("threads").expect("a default");
+    let faults = *matches.get_one::<usize>("faults").expect("a default");
+    let results = run_all(seed, threads, faults);
+    let page = report::page(&results, seed);
+    println!("{page}");
+    match matches.get_one::<PathBuf>("out") {
+        Some(folder) => write(folder, &page, &results),
+        None => Ok(()),
+    }
+}
+
+/// Runs everything, some runs at a time; the results come in the order of the tables.
+fn run_all(seed: u64, threads: usize, faults: usize) -> Vec<PolicyResult> {
+    let mut cases = Vec::new();
+    for shape in [PUBLISHER, DESK] {
+        for fault in FAULTS.into_iter().take(faults) {
+            for policy in PolicyKind::ALL {
+                cases.push((shape, fault, policy));
+            }
+        }
+    }
+    let next = AtomicUsize::new(0);
+    let results = Mutex::new(Vec::new());
+    thread::scope(|scope| {
+        for _ in 0..threads.max(1) {
+            scope.spawn(|| loop {
+                let place = next.fetch_add(1, Ordering::Relaxed);
+                let Some(&(shape, fault, policy)) = cases.get(place) else {
+                    return;
+                };
+                let figures = run_one(&shape, &fault, policy, seed);
+                let result = PolicyResult {
+                    shape,
+                    fault,
+                    policy,
+                    figures,
+                };
+                let mut results = results.lock().unwrap_or_else(PoisonError::into_inner);
+                results.push((place, result));
+            });
+        }
+    });
+    let mut results = results.into_inner().unwrap_or_else(PoisonError::into_inner);
+    results.sort_by_key(|(place, _)| *place);
+    results.into_iter().map(|(_, result)| result).collect()
+}
+
+/// Runs one policy under one fault.
+pub fn run_one(
+    shape: &DeploymentShape,
+    fault: &NamedFault,
+    policy: PolicyKind,
+    seed: u64,
+) -> RunFigures {
+    let requests = workload::requests(shape, &fault.plan, seed);
+    let engines = shape.endpoint_domains.len();
+    let own = PlacementPolicy::default();
+    let epoch = Instant::now();
+    match policy {
+        PolicyKind::RoundRobin => {
+            let start = |host, _| RoundRobin::starting_at(host * 5);
+            run_with(shape, fault, &requests, &start, epoch)
+        }
+        PolicyKind::LeastLoad => {
+            let start = |host, _| LeastLoad::new(engines, host * 5);
+            run_with(shape, fault, &requests, &start, epoch)
+        }
+        PolicyKind::PrefixHash => run_with(shape, fault, &requests, &|_, _| PrefixHash, epoch),
+        PolicyKind::Wagtaildoor => {
+            let start = |host, now| {
+                let seed = seed ^ (host as u64 + 1) ^ now;
+                TableDecider::new(shape, own, host, seed, epoch, now)
+            };
+            run_with(shape, fault, &requests, &start, epoch)
+        }
+        PolicyKind::Bound => {
+            let start = |_, _| KnowingBound {
+                displacement: own.displacement,
+                prefill_tokens_per_s: shape.prefill_tokens_per_s,
+            };
+            run_with(shape, fault, &requests, &start, epoch)
+        }
+    }
+}
+
+/// Runs the policy that `start` makes.
+fn run_with<D: deciders::Decider>(
+    shape: &DeploymentShape,
+    fault: &NamedFault,
+    requests: &[RunRequest],
+    start: &dyn Fn(usize, RunMicros) -> D,
+    epoch: Instant,
+) -> RunFigures {
+    RunWorld::new(shape, fault.plan, requests, start, epoch).run()
+}
+
+/// Writes the page and its plots.
+fn write(folder: &Path, page: &str, results: &[PolicyResult]) -> Result<()> {
+    let failed = |error: std::io::Error| BenchError::Setup(error.to_string().into());
+    fs::create_dir_all(folder).map_err(failed)?;
+    fs::write(folder.join("policy.md"), page).map_err(failed)?;
+    for plot in report::plots(results) {
+        fs::write(folder.join(&*plot.file), plot.svg).map_err(failed)?;
+    }
+    Ok(())
+}
--- /dev/null
+++ b/wagtaildoor_bench/src/policy/run_world.rs
@@ -0,0 +1,550 @@
+//! One run: engines, entry hosts, network and faults on a virtual clock.
+
+use std::time::Instant;
+
+use rand::{
+    rngs::StdRng,
+    Rng,
+    SeedableRng, //
+};
+use wagtaildoor::{
+    retry_budget::AttemptBudget,
+    schema::PrefixNews, //
+};
+
+use super::{
+    deciders::{
+        AnswerHead,
+        Decider,
+        DecisionAsk,
+        EngineReport, //
+    },
+    deployment::{
+        DeploymentShape,
+        FaultPlan, //
+    },
+    engine_model::{
+        EngineJob,
+        EngineModel, //
+    },
+    event_queue::EventQueue,
+    run_figures::RunFigures,
+    workload::{
+        RunMicros,
+        RunRequest,
+        SECOND, //
+    },
+};
+
+/// Time within a failure domain, one way.
+const NEAR: RunMicros = 100;
+/// Time between failure domains, one way.
+const FAR: RunMicros = 1_000;
+/// Time between two reports of an engine.
+const REPORT_EVERY: RunMicros = SECOND;
+/// Age of a report when it reaches the entries.
+const REPORT_LAG: RunMicros = SECOND / 2;
+/// Age of a report under that fault.
+const REPORT_LAG_FAULT: RunMicros = 5 * SECOND;
+/// Time between two readings of cache events.
+const NEWS_EVERY: RunMicros = SECOND / 4;
+/// Age of a cache event when it reaches the entries.
+const NEWS_LAG: RunMicros = SECOND;
+/// Time between two crashes under that fault.
+const CRASH_EVERY: RunMicros = 20 * SECOND;
+/// Time from a crash to the next start.
+const DOWN: RunMicros = 2 * SECOND;
+/// Time that is not counted in figures.
+const WARM_UP: RunMicros = 15 * SECOND;
+/// Attempts of a request.
+const ATTEMPTS: usize = 3;
+/// Retries for each hundred first attempts.
+const RETRY_PERCENT: u32 = 10;
+
+/// What happens.
+#[derive(Debug)]
+enum RunEvent {
+    /// A request comes to its host.
+    Arrive(usize),
+    /// A request comes to an engine.
+    Reach {
+        /// Engine.
+        engine: usize,
+        /// Work.
+        job: EngineJob,
+    },
+    /// A prefill ends.
+    Prefilled {
+        /// Engine.
+        engine: usize,
+        /// Start of the engine.
+        starts: u32,
+        /// Prompt tokens found in the cache.
+        cached_tokens: u64,
+        /// Work.
+        job: EngineJob,
+    },
+    /// An answer ends at its engine.
+    Ended {
+        /// Start of the engine.
+        starts: u32,
+        /// What the answer says.
+        head: AnswerHead,
+        /// Work.
+        job: EngineJob,
+    },
+    /// A host has the first token.
+    FirstToken {
+        /// Request.
+        request: usize,
+        /// Attempt.
+        attempt: u32,
+        /// What the answer says.
+        head: AnswerHead,
+    },
+    /// A host has the whole answer.
+    Answered {
+        /// Request.
+        request: usize,
+        /// Attempt.
+        attempt: u32,
+        /// What the answer says.
+        head: AnswerHead,
+    },
+    /// A host hears that an attempt failed.
+    Failed {
+        /// Request.
+        request: usize,
+        /// Attempt.
+        attempt: u32,
+        /// Engine.
+        engine: usize,
+    },
+    /// Engines give their reports.
+    Report,
+    /// Hosts have a report.
+    Reported(EngineReport),
+    /// Engines publish cache events.
+    Publish,
+    /// Hosts have a cache event.
+    News(PrefixNews),
+    /// An engine crashes.
+    Crash(usize),
+    /// An engine is back.
+    Start(usize),
+    /// All entries restart.
+    Restart,
+}
+
+/// How far a request is.
+#[derive(Clone, Debug, Default)]
+struct RequestProgress {
+    /// Attempts so far.
+    attempts: u32,
+    /// Engines that failed it.
+    failed: Vec<usize>,
+    /// Its first token was had.
+    started: bool,
+    /// It ended.
+    ended: bool,
+    /// Its entry restarted since, and knows nothing of it.
+    forgotten: bool,
+}
+
+/// One run of one policy.
+pub struct RunWorld<'a, D> {
+    /// Deployment.
+    shape: &'a DeploymentShape,
+    /// Faults.
+    faults: FaultPlan,
+    /// Requests.
+    requests: &'a [RunRequest],
+    /// How far each is.
+    progress: Vec<RequestProgress>,
+    /// Policies, by host.
+    deciders: Vec<D>,
+    /// Makes the policy of a host that starts.
+    start: &'a dyn Fn(usize, RunMicros) -> D,
+    /// Retry budgets, by host.
+    budgets: Vec<AttemptBudget>,
+    /// Engines.
+    engines: Vec<EngineModel>,
+    /// A cache event of the engine was lost.
+    gaps: Vec<bool>,
+    /// What is to come.
+    events: EventQueue<RunEvent>,
+    /// Draws of faults.
+    rng: StdRng,
+    /// Figures.
+    figures: RunFigures,
+}
+
+impl<'a, D: Decider> RunWorld<'a, D> {
+    /// A run with the policy that `start` makes for each host.
+    pub fn new(
+        shape: &'a DeploymentShape,
+        faults: FaultPlan,
+        requests: &'a [RunRequest],
+        start: &'a dyn Fn(usize, RunMicros) -> D,
+        epoch: Instant,
+    ) -> Self {
+        let hosts = shape.host_domains.len();
+        let engines = shape.endpoint_domains.len();
+        Self {
+            shape,
+            faults,
+            requests,
+            progress: vec![RequestProgress::default(); requests.len()],
+            deciders: (0..hosts).map(|host| start(host, 0)).collect(),
+            start,
+            budgets: (0..hosts)
+                .map(|_| AttemptBudget::new(RETRY_PERCENT))
+                .collect(),
+            engines: (0..engines)
+                .map(|number| EngineModel::new(shape, number, epoch))
+                .collect(),
+            gaps: vec![false; engines],
+            events: EventQueue::default(),
+            rng: StdRng::seed_from_u64(77),
+            figures: RunFigures::new(shape.account_shares.len()),
+        }
+    }
+
+    /// Runs to the end.
+    pub fn run(mut self) -> RunFigures {
+        self.schedule();
+        while let Some((now, event)) = self.events.pop() {
+            self.take(event, now);
+        }
+        self.figures
+    }
+
+    /// Puts all that is known before into the queue.
+    fn schedule(&mut self) {
+        for (number, request) in self.requests.iter().enumerate() {
+            self.events.push(request.at, RunEvent::Arrive(number));
+        }
+        let end = self.shape.length.as_micros() as RunMicros;
+        let every = |step: RunMicros| (1..=end / step).map(move |count| count * step);
+        for at in every(REPORT_EVERY) {
+            self.events.push(at, RunEvent::Report);
+        }
+        for at in every(NEWS_EVERY) {
+            self.events.push(at, RunEvent::Publish);
+        }
+        if self.faults.crashes {
+            for (count, at) in every(CRASH_EVERY).enumerate() {
+                let engine = (count * 5) % self.engines.len();
+                self.events.push(at, RunEvent::Crash(engine));
+                self.events.push(at + DOWN, RunEvent::Start(engine));
+            }
+        }
+        if self.faults.herd_restart {
+            self.events.push(end / 2, RunEvent::Restart);
+        }
+    }
+
+    /// Takes one event.
+    fn take(&mut self, event: RunEvent, now: RunMicros) {
+        match event {
+            RunEvent::Arrive(request) => {
+                self.budgets[self.requests[request].host].first_attempt();
+                self.send(request, now);
+            }
+            RunEvent::Reach { engine, job } => self.reach(engine, job, now),
+            RunEvent::Prefilled {
+                engine,
+                starts,
+                cached_tokens,
+                job,
+            } => self.prefilled(engine, starts, cached_tokens, job, now),
+            RunEvent::Ended { starts, head, job } => self.ended(starts, head, &job, now),
+            RunEvent::FirstToken {
+                request,
+                attempt,
+                head,
+            } => self.first_token(request, attempt, &head, now),
+            RunEvent::Answered {
+                request,
+                attempt,
+                head,
+            } => self.answered(request, attempt, &head, now),
+            RunEvent::Failed {
+                request,
+                attempt,
+                engine,
+            } => self.failed(request, attempt, engine, now),
+            RunEvent::Report => self.report(now),
+            RunEvent::Reported(report) => {
+                for decider in &mut self.deciders {
+                    decider.report(&report, now);
+                }
+            }
+            RunEvent::Publish => self.publish(now),
+            RunEvent::News(news) => {
+                for decider in &mut self.deciders {
+                    decider.news(&news, now);
+                }
+            }
+            RunEvent::Crash(engine) => self.crash(engine, now),
+            RunEvent::Start(engine) => self.engines[engine].up = true,
+            RunEvent::Restart => self.restart(now),
+        }
+    }
+
+    /// Sends a request where the policy of its host says.
+    fn send(&mut self, number: usize, now: RunMicros) {
+        let request = &self.requests[number];
+        let ask = DecisionAsk {
+            number,
+            request,
+            exclude: &self.progress[number].failed,
+            now,
+        };
+        let Some(engine) = self.deciders[request.host].place(&ask, &self.engines) else {
+            self.refuse(number);
+            return;
+        };
+        let progress = &mut self.progress[number];
+        progress.attempts += 1;
+        progress.forgotten = false;
+        let job = EngineJob {
+            request: number,
+            attempt: progress.attempts,
+            chain: request.chain.clone(),
+            prompt_tokens: request.prompt_tokens,
+            answer_tokens: request.answer_tokens,
+        };
+        let at = now + self.distance(request.host, engine);
+        self.events.push(at, RunEvent::Reach { engine, job });
+    }
+
+    /// Counts a request that gets no answer.
+    fn refuse(&mut self, number: usize) {
+        self.progress[number].ended = true;
+        if self.requests[number].at >= WARM_UP {
+            self.figures.refused += 1;
+        }
+    }
+
+    /// A request comes to an engine.
+    fn reach(&mut self, engine: usize, job: EngineJob, now: RunMicros) {
+        if !self.engines[engine].up {
+            self.fail(engine, &job, now);
+            return;
+        }
+        self.engines[engine].push(job);
+        self.advance(engine, now);
+    }
+
+    /// Starts the next prefill of an engine, and counts what it computes.
+    fn advance(&mut self, engine: usize, now: RunMicros) {
+        let Some(prefill) = self.engines[engine].start_prefill(now) else {
+            return;
+        };
+        self.count_prefill(engine, &prefill.job, prefill.cached_tokens, now);
+        let event = RunEvent::Prefilled {
+            engine,
+            starts: self.engines[engine].starts,
+            cached_tokens: prefill.cached_tokens,
+            job: prefill.job,
+        };
+        self.events.push(now + prefill.takes, event);
+    }
+
+    /// Counts found tokens, and computed ones that another engine held.
+    fn count_prefill(&mut self, engine: usize, job: &EngineJob, cached: u64, now: RunMicros) {
+        if now < WARM_UP {
+            return;
+        }
+        let others = self.engines.iter().enumerate();
+        let held = others
+            .filter(|(number, other)| *number != engine && other.up)
+            .map(|(_, other)| other.cached_tokens(&job.chain, now))
+            .max()
+            .unwrap_or(0);
+        self.figures.prompt_tokens += job.prompt_tokens;
+        self.figures.cached_tokens += cached;
+        self.figures.wasted_tokens += held.saturating_sub(cached);
+    }
+
+    /// A prefill ends: the first token leaves.
+    fn prefilled(
+        &mut self,
+        engine: usize,
+        starts: u32,
+        cached_tokens: u64,
+        job: EngineJob,
+        now: RunMicros,
+    ) {
+        let model = &mut self.engines[engine];
+        if model.starts != starts {
+            return;
+        }
+        let Some(rest) = model.end_prefill(now) else {
+            return;
+        };
+        let head = AnswerHead {
+            engine,
+            boot_id: model.boot_id(),
+            queued: model.queued(),
+            cached_tokens,
+        };
+        let host = self.requests[job.request].host;
+        let there = now + self.distance(host, engine);
+        let first = RunEvent::FirstToken {
+            request: job.request,
+            attempt: job.attempt,
+            head: head.clone(),
+        };
+        self.events.push(there, first);
+        self.events
+            .push(now + rest, RunEvent::Ended { starts, head, job });
+        self.advance(engine, now);
+    }
+
+    /// An answer ends at its engine.
+    fn ended(&mut self, starts: u32, mut head: AnswerHead, job: &EngineJob, now: RunMicros) {
+        let model = &mut self.engines[head.engine];
+        if model.starts != starts {
+            return;
+        }
+        model.end_answer(job.request, job.attempt);
+        head.queued = model.queued();
+        let engine = head.engine;
+        let there = now + self.distance(self.requests[job.request].host, engine);
+        let event = RunEvent::Answered {
+            request: job.request,
+            attempt: job.attempt,
+            head,
+        };
+        self.events.push(there, event);
+        self.advance(engine, now);
+    }
+
+    /// A host has the first token.
+    fn first_token(&mut self, number: usize, attempt: u32, head: &AnswerHead, now: RunMicros) {
+        let request = &self.requests[number];
+        let progress = &mut self.progress[number];
+        if attempt != progress.attempts || progress.ended {
+            return;
+        }
+        if !progress.started && request.at >= WARM_UP {
+            self.figures.record(request.account, now - request.at);
+        }
+        progress.started = true;
+        if !progress.forgotten {
+            self.deciders[request.host].first_token(number, head, now);
+        }
+    }
+
+    /// A host has the whole answer.
+    fn answered(&mut self, number: usize, attempt: u32, head: &AnswerHead, now: RunMicros) {
+        let request = &self.requests[number];
+        let progress = &mut self.progress[number];
+        if attempt != progress.attempts || progress.ended {
+            return;
+        }
+        progress.ended = true;
+        if !progress.forgotten {
+            self.deciders[request.host].answered(number, request, head, now);
+        }
+    }
+
+    /// Tells a host that an attempt failed.
+    fn fail(&mut self, engine: usize, job: &EngineJob, now: RunMicros) {
+        let there = now + self.distance(self.requests[job.request].host, engine);
+        let event = RunEvent::Failed {
+            request: job.request,
+            attempt: job.attempt,
+            engine,
+        };
+        self.events.push(there, event);
+    }
+
+    /// A host hears that an attempt failed: it tries another engine from its budget.
+    fn failed(&mut self, number: usize, attempt: u32, engine: usize, now: RunMicros) {
+        let host = self.requests[number].host;
+        let progress = &mut self.progress[number];
+        if attempt != progress.attempts || progress.ended {
+            return;
+        }
+        if !progress.forgotten {
+            self.deciders[host].failed(number, engine, now);
+        }
+        progress.failed.push(engine);
+        if progress.failed.len() >= ATTEMPTS || !self.budgets[host].try_extra() {
+            self.refuse(number);
+            return;
+        }
+        self.send(number, now);
+    }
+
+    /// Engines give their reports.
+    fn report(&mut self, now: RunMicros) {
+        let age = match self.faults.load_lag {
+            true => REPORT_LAG_FAULT,
+            false => REPORT_LAG,
+        };
+        for (number, engine) in self.engines.iter().enumerate() {
+            if engine.up {
+                let report = EngineReport {
+                    engine: number,
+                    boot_id: engine.boot_id(),
+                    running: engine.running(),
+                    queued: engine.queued(),
+                    age,
+                };
+                self.events.push(now + age, RunEvent::Reported(report));
+            }
+        }
+    }
+
+    /// Engines publish cache events, of which some are lost.
+    fn publish(&mut self, now: RunMicros) {
+        for (number, engine) in self.engines.iter_mut().enumerate() {
+            let boot_id = engine.boot_id();
+            for notice in engine.take_notices() {
+                if self.rng.random_bool(self.faults.event_loss) {
+                    self.gaps[number] = true;
+                    continue;
+                }
+                let news = PrefixNews {
+                    endpoint: format!("e{number}").into(),
+                    boot_id: boot_id.clone(),
+                    kind: notice.kind,
+                    blocks: notice.blocks,
+                    gap: std::mem::take(&mut self.gaps[number]),
+                };
+                self.events.push(now + NEWS_LAG, RunEvent::News(news));
+            }
+        }
+    }
+
+    /// An engine crashes.
+    fn crash(&mut self, engine: usize, now: RunMicros) {
+        for job in self.engines[engine].crash() {
+            self.fail(engine, &job, now);
+        }
+    }
+
+    /// All entries restart and know nothing; requests under way go on.
+    fn restart(&mut self, now: RunMicros) {
+        for host in 0..self.deciders.len() {
+            self.deciders[host] = (self.start)(host, now);
+            self.budgets[host] = AttemptBudget::new(RETRY_PERCENT);
+        }
+        for progress in &mut self.progress {
+            progress.forgotten = progress.attempts > 0;
+        }
+    }
+
+    /// Time from a host to an engine.
+    fn distance(&self, host: usize, engine: usize) -> RunMicros {
+        let same = self.shape.host_domains[host] == self.shape.endpoint_domains[engine];
+        match same {
+            true => NEAR,
+            false => FAR,
+        }
+    }
+}
