Watch endpoints, and leave by a gate that counts all work

An endpoint gets no new work once the list, its own word or two failed polls in a row say so; a new start clears what the last one said, and a late answer of an earlier start changes nothing.

The drain gate counts work by guards instead of looking now and then, so short requests between two looks count too.

--- /dev/null
+++ b/wagtaildoor/src/drain_gate.rs
@@ -0,0 +1,158 @@
+//! A graceful shutdown: not ready, still serving, the balancer quiet, work ended, stop.
+
+use std::{
+    future::Future,
+    sync::Arc,
+    time::Duration, //
+};
+
+use tokio::{
+    sync::watch,
+    time::{
+        self,
+        Instant, //
+    },
+};
+use tokio_util::sync::CancellationToken;
+
+/// How long each part of a shutdown may take.
+#[derive(Clone, Copy, Debug)]
+pub struct DrainLimits {
+    /// Time without new work after which the balancer counts as gone.
+    pub quiet: Duration,
+    /// Longest whole shutdown; above the longest deadline of any request.
+    pub whole: Duration,
+}
+
+/// How a shutdown ended.
+#[derive(Clone, Copy, Debug, Eq, PartialEq, derive_more::Display)]
+pub enum DrainEnd {
+    /// All work ended, and no more came.
+    #[display("all work ended")]
+    Finished,
+    /// The limit passed with work left.
+    #[display("the limit passed")]
+    LimitPassed,
+    /// It was told to stop at once.
+    #[display("told to stop at once")]
+    Hurried,
+}
+
+/// Counts work, and lets a process end once there is none; clones share it.
+#[derive(Clone)]
+pub struct DrainGate {
+    /// Work in hand.
+    work: Arc<watch::Sender<WorkState>>,
+    /// Cancelled once the process is leaving.
+    leaving: CancellationToken,
+}
+
+/// Work in hand.
+struct WorkState {
+    /// Pieces that have not ended.
+    running: u64,
+    /// When the last piece started or ended.
+    last: Instant,
+}
+
+/// One piece of work; it ends when this is dropped.
+pub struct WorkGuard {
+    /// Where it is counted.
+    work: Arc<watch::Sender<WorkState>>,
+}
+
+impl Default for DrainGate {
+    fn default() -> Self {
+        Self::new()
+    }
+}
+
+impl DrainGate {
+    /// A gate without work.
+    pub fn new() -> Self {
+        let state = WorkState {
+            running: 0,
+            last: Instant::now(),
+        };
+        Self {
+            work: Arc::new(watch::Sender::new(state)),
+            leaving: CancellationToken::new(),
+        }
+    }
+
+    /// Starts a piece of work. It is taken on while the process is leaving too: the balancer
+    /// still sends some, and whoever sent it counts on an answer.
+    pub fn start(&self) -> WorkGuard {
+        self.work.send_modify(|state| {
+            state.running += 1;
+            state.last = Instant::now();
+        });
+        WorkGuard {
+            work: Arc::clone(&self.work),
+        }
+    }
+
+    /// Pieces of work in hand.
+    pub fn running(&self) -> u64 {
+        self.work.borrow().running
+    }
+
+    /// Whether the process is leaving: it says so to the balancer, and goes on serving.
+    pub fn is_leaving(&self) -> bool {
+        self.leaving.is_cancelled()
+    }
+
+    /// Cancelled once the process is leaving.
+    pub fn leaving(&self) -> CancellationToken {
+        self.leaving.clone()
+    }
+
+    /// Leaves: returns once there is no work and none has come for the quiet time, or the limit
+    /// has passed, or `hurry` has.
+    pub async fn drain(&self, limits: DrainLimits, hurry: impl Future<Output = ()>) -> DrainEnd {
+        self.leaving.cancel();
+        let limit = Instant::now() + limits.whole;
+        tokio::select! {
+            biased;
+            () = hurry => DrainEnd::Hurried,
+            () = self.quiet(limits.quiet) => DrainEnd::Finished,
+            () = time::sleep_until(limit) => DrainEnd::LimitPassed,
+        }
+    }
+
+    /// Returns once there has been no work for a time.
+    async fn quiet(&self, quiet: Duration) {
+        let mut work = self.work.subscribe();
+        let started = Instant::now();
+        loop {
+            let (running, last) = {
+                let state = work.borrow_and_update();
+                (state.running, state.last)
+            };
+            let until = last.max(started) + quiet;
+            let idle = async {
+                match running {
+                    0 => time::sleep_until(until).await,
+                    _ => std::future::pending().await,
+                }
+            };
+            tokio::select! {
+                () = idle => return,
+                changed = work.changed() => {
+                    if changed.is_err() {
+                        return;
+                    }
+                }
+            }
+        }
+    }
+}
+
+impl Drop for WorkGuard {
+    fn drop(&mut self) {
+        self.work.send_modify(|state| {
+            state.running -= 1;
+            state.last = Instant::now();
+        });
+    }
+}
--- /dev/null
+++ b/wagtaildoor/src/endpoint_table.rs
@@ -0,0 +1,250 @@
+//! What a keeper knows of endpoints: from the list, their own word, answers and silence.
+
+use std::collections::{
+    BTreeMap,
+    HashSet, //
+};
+
+use tokio::time::Instant;
+
+use crate::{
+    ids::{
+        BootId,
+        EndpointId, //
+    },
+    schema::{
+        EndpointNews,
+        EndpointState,
+        EndpointView,
+        EventKind,
+        ListedEndpoint,
+        LoadReport, //
+    },
+};
+
+/// Polls that must fail in a row before an endpoint gets no new work.
+pub const SILENT_POLLS: u32 = 2;
+/// Earlier starts of an endpoint that are remembered, so that late answers change nothing.
+const PAST_BOOTS: usize = 8;
+
+/// Something that became of an endpoint.
+#[derive(Clone, Debug, PartialEq)]
+pub struct EndpointChange {
+    /// What it was.
+    pub kind: EventKind,
+    /// Endpoint.
+    pub endpoint: EndpointId,
+    /// How it was learnt, as a sentence.
+    pub detail: Box<str>,
+}
+
+/// What is known of one endpoint.
+struct EndpointEntry {
+    /// What the list last said.
+    listed: ListedEndpoint,
+    /// Its present start; empty before its first word.
+    boot_id: BootId,
+    /// Earlier starts.
+    past_boots: Vec<BootId>,
+    /// Its present start said that it leaves.
+    said_leaving: bool,
+    /// Polls that failed in a row.
+    failed_polls: u32,
+    /// Weights in service; 0 when not known.
+    weights_version: u64,
+    /// Requests in its batch.
+    running: u32,
+    /// Requests waiting there.
+    queued: u32,
+    /// When it was last heard, or first listed.
+    heard: Instant,
+}
+
+/// What is known of all endpoints.
+#[derive(Default)]
+pub struct EndpointTable {
+    /// By name.
+    entries: BTreeMap<EndpointId, EndpointEntry>,
+}
+
+impl EndpointTable {
+    /// Takes over the platform's list: endpoints it does not name are gone.
+    pub fn take_list(&mut self, list: &[ListedEndpoint], now: Instant) -> Vec<EndpointChange> {
+        let named: HashSet<&EndpointId> = list.iter().map(|listed| &listed.id).collect();
+        let mut changes = Vec::new();
+        self.entries.retain(|id, _| {
+            let kept = named.contains(id);
+            if !kept {
+                changes.push(change(
+                    EventKind::EndpointGone,
+                    id,
+                    "the list has dropped it",
+                ));
+            }
+            kept
+        });
+        for listed in list {
+            changes.extend(self.take_listed(listed, now));
+        }
+        changes
+    }
+
+    /// Takes an endpoint's own report.
+    pub fn take_report(
+        &mut self,
+        endpoint: &str,
+        report: &LoadReport,
+        now: Instant,
+    ) -> Vec<EndpointChange> {
+        let Some(entry) = self.entries.get_mut(endpoint) else {
+            return Vec::new();
+        };
+        let mut changes = Vec::new();
+        if entry.failed_polls >= SILENT_POLLS {
+            let detail = "it answers again";
+            changes.push(change(EventKind::EndpointJoined, &entry.listed.id, detail));
+        }
+        entry.failed_polls = 0;
+        if !entry.take_boot(&report.boot_id, &mut changes) {
+            return changes;
+        }
+        if report.leaving && !entry.said_leaving {
+            let detail = "it said itself that it leaves";
+            changes.push(change(EventKind::EndpointLeaving, &entry.listed.id, detail));
+        }
+        entry.said_leaving = report.leaving;
+        entry.weights_version = report.weights_version;
+        entry.running = report.running;
+        entry.queued = report.queued;
+        entry.heard = now;
+        changes
+    }
+
+    /// Takes what an answer to a request said.
+    pub fn take_news(&mut self, news: &EndpointNews, now: Instant) -> Vec<EndpointChange> {
+        let mut changes = Vec::new();
+        let Some(entry) = self.entries.get_mut(&news.endpoint) else {
+            return changes;
+        };
+        if entry.take_boot(&news.boot_id, &mut changes) {
+            entry.weights_version = news.weights_version;
+            entry.queued = news.queued;
+            entry.heard = now;
+        }
+        changes
+    }
+
+    /// Notes that a poll failed; an endpoint that is silent gets no new work.
+    pub fn take_failure(&mut self, endpoint: &str) -> Vec<EndpointChange> {
+        let Some(entry) = self.entries.get_mut(endpoint) else {
+            return Vec::new();
+        };
+        entry.failed_polls = entry.failed_polls.saturating_add(1);
+        if entry.failed_polls == SILENT_POLLS {
+            let detail = "it does not answer";
+            return vec![change(EventKind::EndpointGone, &entry.listed.id, detail)];
+        }
+        Vec::new()
+    }
+
+    /// What entries see, in the order of names.
+    pub fn views(&self, now: Instant) -> Vec<EndpointView> {
+        self.entries.values().map(|entry| entry.view(now)).collect()
+    }
+
+    /// Endpoints as listed, in the order of names.
+    pub fn listed(&self) -> impl Iterator<Item = &ListedEndpoint> {
+        self.entries.values().map(|entry| &entry.listed)
+    }
+
+    /// Takes what the list says of one endpoint.
+    fn take_listed(&mut self, listed: &ListedEndpoint, now: Instant) -> Option<EndpointChange> {
+        let held = self.entries.get_mut(&listed.id);
+        let Some(entry) = held.filter(|entry| entry.listed.address == listed.address) else {
+            let entry = EndpointEntry::new(listed.clone(), now);
+            self.entries.insert(listed.id.clone(), entry);
+            let detail = "the list names it";
+            return Some(change(EventKind::EndpointJoined, &listed.id, detail));
+        };
+        let leaves = entry.listed.state == EndpointState::Live
+            && listed.state == EndpointState::Leaving
+            && !entry.said_leaving;
+        entry.listed = listed.clone();
+        let detail = "the list says that it leaves";
+        leaves.then(|| change(EventKind::EndpointLeaving, &listed.id, detail))
+    }
+}
+
+impl EndpointEntry {
+    /// An endpoint that was just listed.
+    fn new(listed: ListedEndpoint, now: Instant) -> Self {
+        Self {
+            listed,
+            boot_id: "".into(),
+            past_boots: Vec::new(),
+            said_leaving: false,
+            failed_polls: 0,
+            weights_version: 0,
+            running: 0,
+            queued: 0,
+            heard: now,
+        }
+    }
+
+    /// Takes the start that a word of the endpoint came from; false when it is a past one.
+    fn take_boot(&mut self, boot_id: &BootId, changes: &mut Vec<EndpointChange>) -> bool {
+        if *boot_id == self.boot_id {
+            return true;
+        }
+        if self.past_boots.contains(boot_id) {
+            return false;
+        }
+        let past = std::mem::replace(&mut self.boot_id, boot_id.clone());
+        if !past.is_empty() {
+            let detail = "it started anew; whatever it had cached is gone";
+            changes.push(change(
+                EventKind::EndpointRestarted,
+                &self.listed.id,
+                detail,
+            ));
+            self.past_boots.push(past);
+        }
+        if self.past_boots.len() > PAST_BOOTS {
+            self.past_boots.remove(0);
+        }
+        self.said_leaving = false;
+        true
+    }
+
+    /// What entries see of it.
+    fn view(&self, now: Instant) -> EndpointView {
+        let silent = self.failed_polls >= SILENT_POLLS;
+        let leaving = silent || self.said_leaving || self.listed.state == EndpointState::Leaving;
+        let state = match leaving {
+            true => EndpointState::Leaving,
+            false => EndpointState::Live,
+        };
+        let age = now.saturating_duration_since(self.heard);
+        EndpointView {
+            address: self.listed.address,
+            boot_id: self.boot_id.clone(),
+            domain: self.listed.domain.clone(),
+            id: self.listed.id.clone(),
+            pool: self.listed.pool.clone(),
+            queued: self.queued,
+            report_age_ms: age.as_millis() as u64,
+            running: self.running,
+            state,
+            weights_version: self.weights_version,
+        }
+    }
+}
+
+/// A change of an endpoint.
+fn change(kind: EventKind, endpoint: &EndpointId, detail: &str) -> EndpointChange {
+    EndpointChange {
+        kind,
+        endpoint: endpoint.clone(),
+        detail: detail.into(),
+    }
+}
--- /dev/null
+++ b/wagtaildoor/tests/drain_gate.rs
@@ -0,0 +1,80 @@
+//! A shutdown waits for the balancer and for work, up to a limit.
+
+use std::time::Duration;
+
+use tokio::{
+    sync::oneshot,
+    time::{
+        self,
+        Instant, //
+    },
+};
+use wagtaildoor::drain_gate::{
+    DrainEnd,
+    DrainGate,
+    DrainLimits, //
+};
+
+const LIMITS: DrainLimits = DrainLimits {
+    quiet: Duration::from_secs(2),
+    whole: Duration::from_secs(60),
+};
+
+/// Drains without a second signal; gives how it ended, and when.
+async fn drain(gate: &DrainGate) -> (DrainEnd, Duration) {
+    let started = Instant::now();
+    let end = gate.drain(LIMITS, std::future::pending()).await;
+    (end, started.elapsed())
+}
+
+#[tokio::test(start_paused = true)]
+async fn without_work_only_the_quiet_time_is_waited_for() {
+    let gate = DrainGate::new();
+    time::sleep(Duration::from_secs(100)).await;
+    assert_eq!(drain(&gate).await, (DrainEnd::Finished, LIMITS.quiet));
+}
+
+#[tokio::test(start_paused = true)]
+async fn work_that_came_before_and_while_leaving_is_finished() {
+    let gate = DrainGate::new();
+    let early = gate.start();
+    let late = gate.clone();
+    tokio::spawn(async move {
+        time::sleep(Duration::from_secs(10)).await;
+        drop(early);
+        // The balancer still sends: one more within the quiet time.
+        time::sleep(Duration::from_secs(1)).await;
+        assert!(late.is_leaving(), "it does not say that it leaves");
+        let more = late.start();
+        time::sleep(Duration::from_secs(5)).await;
+        drop(more);
+    });
+    let expected = Duration::from_secs(16) + LIMITS.quiet;
+    assert_eq!(drain(&gate).await, (DrainEnd::Finished, expected));
+    assert_eq!(gate.running(), 0);
+}
+
+#[tokio::test(start_paused = true)]
+async fn work_without_end_is_given_up_at_the_limit() {
+    let gate = DrainGate::new();
+    let _work = gate.start();
+    assert_eq!(drain(&gate).await, (DrainEnd::LimitPassed, LIMITS.whole));
+}
+
+#[tokio::test(start_paused = true)]
+async fn a_second_signal_ends_it_at_once() {
+    let gate = DrainGate::new();
+    let _work = gate.start();
+    let (signal, signalled) = oneshot::channel();
+    tokio::spawn(async move {
+        time::sleep(Duration::from_secs(3)).await;
+        let _ = signal.send(());
+    });
+    let started = Instant::now();
+    let hurry = async {
+        let _ = signalled.await;
+    };
+    let end = gate.drain(LIMITS, hurry).await;
+    assert_eq!(end, DrainEnd::Hurried);
+    assert_eq!(started.elapsed(), Duration::from_secs(3));
+}
