--- a/wagtaildoor_entry/src/metrics.rs
+++ b/wagtaildoor_entry/src/metrics.rs
@@ -42,7 +42,7 @@
 impl EntryMetrics {
     /// Instruments in a registry of their own.
     pub fn new() -> Result<Self> {
-        let registry = MetricRegistry::new("wagtaildoor_entry")?;
+        let registry = MetricRegistry::new("wagtaildoor-entry", "wagtaildoor_entry")?;
         let counter = |name, about| registry.counter(name, about);
         let times = |name, about| registry.times(name, about);
         Ok(Self {
--- a/wagtaildoor_entry/src/server.rs
+++ b/wagtaildoor_entry/src/server.rs
@@ -54,6 +54,8 @@
 
 /// Name of the program in logs and time lines.
 const PROCESS: &str = "wagtaildoor-entry";
+/// Time between two exchanges of clock readings with the keeper.
+const CLOCK_PERIOD: Duration = Duration::from_secs(1);
 /// Time between two looks at the drain.
 const DRAIN_STEP: Duration = Duration::from_millis(50);
 
@@ -83,6 +85,7 @@
     let token = CancellationToken::new();
     let state = build_state(settings, &token)?;
     tokio::spawn(feed_table(Arc::clone(&state), token.clone()));
+    tokio::spawn(exchange_clocks(Arc::clone(&state), token.clone()));
     let server = rocket::custom(server_config(&state.settings.listen))
         .manage(Arc::clone(&state))
         .attach(announce(Arc::clone(&state)));
@@ -149,6 +152,27 @@
     }
 }
 
+/// Exchanges clock readings with the keeper, so that time lines stay in causal order.
+async fn exchange_clocks(state: Arc<EntryState>, token: CancellationToken) {
+    let mut stamps = state.link.stamps();
+    let mut ticks = tokio::time::interval(CLOCK_PERIOD);
+    loop {
+        tokio::select! {
+            () = token.cancelled() => return,
+            _ = ticks.tick() => state.link.ping(state.recorder.clock().now()),
+            changed = stamps.changed() => {
+                if changed.is_err() {
+                    return;
+                }
+                let stamp = stamps.borrow_and_update().clone();
+                if let Some(stamp) = stamp {
+                    state.recorder.clock().observe(stamp);
+                }
+            }
+        }
+    }
+}
+
 /// Settings of the HTTP server.
 fn server_config(listen: &ListenSection) -> Config {
     let tls = listen
