Admit requests fairly at the entry, and keep retries within a budget

The library's admission queue and attempt budget now stand before every run. A place in work is asked for before the claim of a non-idempotent request, so that a flood does not reach the log; its refusal is then key_unchecked, since the log was not asked. A stream that has begun goes on at another endpoint without the budget, since its caller holds a part of it.

Ruled out: hedging for now; two attempts that feed one stream want a design of their own.

--- /dev/null
+++ b/wagtaildoor_entry/src/admit.rs
@@ -0,0 +1,67 @@
+//! Asks for a place in work for a request.
+
+use tokio::time::Instant;
+use wagtaildoor::{
+    admission::AdmissionPermit,
+    error::{
+        ErrorKind,
+        RequestError,
+        Result, //
+    },
+    fair_queue::WaitTerms,
+    ids::RequestId,
+    schema::{
+        Account,
+        EventKind,
+        Template, //
+    },
+    timeline::EventDraft,
+};
+
+use crate::state::EntryState;
+
+/// Waits for a place; the request is in work until the permit is dropped.
+pub async fn admit(
+    state: &EntryState,
+    request: &RequestId,
+    account: &Account,
+    template: &Template,
+    deadline: Instant,
+    cost_tokens: u64,
+) -> Result<AdmissionPermit> {
+    let terms = WaitTerms {
+        account: account.id.clone(),
+        cost: cost_tokens,
+        deadline,
+        urgency: template.urgency,
+        weight: account.weight,
+    };
+    let asked = Instant::now();
+    let permit = state
+        .admission
+        .admit(&terms, account.requests_per_s)
+        .await
+        .map_err(|kind| refusal(kind, account, template))?;
+    let detail = format!("admitted after {} ms", asked.elapsed().as_millis());
+    let draft = EventDraft::new(EventKind::RequestAdmitted, detail)
+        .request(request.clone())
+        .account(account.id.clone());
+    state.recorder.record(draft);
+    Ok(permit)
+}
+
+/// The error of a request that was not admitted.
+fn refusal(kind: ErrorKind, account: &Account, template: &Template) -> RequestError {
+    let detail = match kind {
+        ErrorKind::AccountLimited => format!(
+            "account {} is over its limit of {} requests a second",
+            account.id, account.requests_per_s
+        ),
+        ErrorKind::DeadlineUnreachable => format!(
+            "so many requests wait here that this one would not end within {} ms",
+            template.deadline_ms
+        ),
+        _ => "too many requests wait here".to_string(),
+    };
+    RequestError::new(kind, detail)
+}
--- a/wagtaildoor_entry/src/lib.rs
+++ b/wagtaildoor_entry/src/lib.rs
@@ -1,6 +1,7 @@
 //! Caller-facing daemon of wagtaildoor.
 
 pub mod access;
+pub mod admit;
 pub mod caller_answer;
 pub mod caller_body;
 pub mod caller_head;
--- a/wagtaildoor_entry/src/model_run.rs
+++ b/wagtaildoor_entry/src/model_run.rs
@@ -12,6 +12,7 @@
 };
 use uuid::Uuid;
 use wagtaildoor::{
+    admission::AdmissionPermit,
     error::{
         ErrorKind,
         RequestError,
@@ -50,6 +51,7 @@
 };
 
 use crate::{
+    admit,
     engine_call::{
         self,
         CallError,
@@ -146,12 +148,20 @@
 
     /// Tries endpoints until the answer is whole; `None` when the caller has gone.
     async fn attempts(&self) -> Result<Option<EngineDone>, RequestError> {
+        let Some(_permit) = self.admit().await? else {
+            return Ok(None);
+        };
         let levels = self.level_prefixes();
         let mut exclude: Vec<EndpointId> = Vec::new();
         let mut received = 0;
         let mut worst = None;
         for attempt in 0..ATTEMPT_LIMIT {
-            if attempt > 0 {
+            if attempt == 0 {
+                self.state.retries.first_attempt();
+            } else if received == 0 && !self.state.retries.try_extra() {
+                // A stream that has begun goes on all the same: its caller holds a part of it.
+                break;
+            } else {
                 self.state.metrics.retried();
             }
             let choice = match self.place(&levels, &exclude) {
@@ -172,6 +182,23 @@
         Err(worst.unwrap_or_else(|| RequestError::new(ErrorKind::Internal, "no attempt was made")))
     }
 
+    /// Waits for a place in work; `None` when the caller has gone.
+    async fn admit(&self) -> Result<Option<AdmissionPermit>, RequestError> {
+        let cost = prefix::estimate_tokens(&self.prompt.text);
+        let admitted = admit::admit(
+            &self.state,
+            &self.request,
+            &self.account,
+            &self.template,
+            self.deadline(),
+            cost,
+        );
+        tokio::select! {
+            admitted = admitted => admitted.map(Some),
+            () = self.events.closed() => Ok(None),
+        }
+    }
+
     /// Ids of the prompt's levels.
     fn level_prefixes(&self) -> Vec<LevelPrefix> {
         let texts: Vec<&str> = self
--- a/wagtaildoor_entry/src/server.rs
+++ b/wagtaildoor_entry/src/server.rs
@@ -29,13 +29,19 @@
     task::TaskTracker, //
 };
 use wagtaildoor::{
+    admission::{
+        AdmissionLimits,
+        AdmissionQueue, //
+    },
     keeper_link::KeeperLink,
     logging,
+    retry_budget::AttemptBudget,
     routing_table::RoutingTable,
     schema::{
         EntryHello,
         EntrySettings,
         EventKind,
+        KeeperView,
         ListenSection, //
     },
     timeline::{
@@ -54,6 +60,8 @@
 
 /// Name of the program in logs and time lines.
 const PROCESS: &str = "wagtaildoor-entry";
+/// Entry hosts known before the first view: this one.
+const HOSTS_AT_START: u32 = 1;
 /// Time between two exchanges of clock readings with the keeper.
 const CLOCK_PERIOD: Duration = Duration::from_secs(1);
 /// Time between two looks at the drain.
@@ -111,7 +119,13 @@
     let retry = Duration::from_millis(settings.keepers.retry_ms);
     let addresses = settings.keepers.addresses.clone();
     let link = KeeperLink::start(addresses, hello, retry, token.child_token());
+    let limits = AdmissionLimits {
+        in_flight: settings.limits.in_flight,
+        queued: settings.limits.queued,
+    };
     Ok(Arc::new(EntryState {
+        admission: AdmissionQueue::new(limits, HOSTS_AT_START),
+        retries: AttemptBudget::new(settings.limits.retry_budget_percent),
         view: link.view(),
         link,
         table: Arc::new(RoutingTable::new()),
@@ -139,6 +153,7 @@
                 let held = view.borrow_and_update().clone();
                 if let Some(held) = held {
                     state.table.take_view(&held.view);
+                    state.admission.set_hosts(live_hosts(&held.view));
                 }
             }
             item = news.recv() => match item {
@@ -152,6 +167,12 @@
     }
 }
 
+/// Entry hosts that share the accounts' limits, this one included.
+fn live_hosts(view: &KeeperView) -> u32 {
+    let live = view.hosts.iter().filter(|host| host.alive).count();
+    u32::try_from(live).unwrap_or(u32::MAX).max(HOSTS_AT_START)
+}
+
 /// Exchanges clock readings with the keeper, so that time lines stay in causal order.
 async fn exchange_clocks(state: Arc<EntryState>, token: CancellationToken) {
     let mut stamps = state.link.stamps();
--- a/wagtaildoor_entry/src/service_run.rs
+++ b/wagtaildoor_entry/src/service_run.rs
@@ -8,6 +8,7 @@
 use tokio::time::Instant;
 use uuid::Uuid;
 use wagtaildoor::{
+    admission::AdmissionPermit,
     error::{
         ErrorKind,
         RequestError,
@@ -22,6 +23,7 @@
         PlacementChoice,
         PlacementQuery, //
     },
+    prefix,
     schema::{
         Account,
         EventKind,
@@ -32,6 +34,7 @@
 };
 
 use crate::{
+    admit,
     engine_call::CallError,
     model_run, once_run,
     service_call::{
@@ -80,6 +83,7 @@
 impl ServiceRun {
     /// Runs the request to its end.
     pub async fn run(self) -> Result<ServiceReply> {
+        let _permit = self.admit().await?;
         if !self.template.repeatable {
             let key = self.key.clone().ok_or_else(|| {
                 let detail = "this request may run only once, and has no key";
@@ -98,6 +102,28 @@
         result
     }
 
+    /// Waits for a place in work. The log was not asked about a key yet.
+    async fn admit(&self) -> Result<AdmissionPermit> {
+        let cost = prefix::estimate_tokens(&self.body);
+        let admitted = admit::admit(
+            &self.state,
+            &self.request,
+            &self.account,
+            &self.template,
+            self.deadline(),
+            cost,
+        );
+        admitted.await.map_err(|error| {
+            if self.template.repeatable {
+                return error;
+            }
+            RequestError {
+                kind: error.kind.before_claim(),
+                detail: error.detail,
+            }
+        })
+    }
+
     /// Notes that the caller's answer is whole.
     pub fn note_answered(&self, reply: &ServiceReply) {
         let time = self.received.elapsed().as_millis();
@@ -117,7 +143,11 @@
         let mut exclude: Vec<EndpointId> = Vec::new();
         let mut worst = None;
         for attempt in 0..ATTEMPT_LIMIT {
-            if attempt > 0 {
+            if attempt == 0 {
+                self.state.retries.first_attempt();
+            } else if !self.state.retries.try_extra() {
+                break;
+            } else {
                 self.state.metrics.retried();
             }
             let choice = match self.place(&exclude) {
--- a/wagtaildoor_entry/src/state.rs
+++ b/wagtaildoor_entry/src/state.rs
@@ -9,6 +9,7 @@
     task::TaskTracker, //
 };
 use wagtaildoor::{
+    admission::AdmissionQueue,
     error::{
         ErrorKind,
         RequestError,
@@ -18,6 +19,7 @@
         HeldView,
         KeeperLink, //
     },
+    retry_budget::AttemptBudget,
     routing_table::RoutingTable,
     schema::EntrySettings,
     timeline::EventRecorder,
@@ -42,6 +44,10 @@
     pub view: watch::Receiver<Option<Arc<HeldView>>>,
     /// Where requests can go.
     pub table: Arc<RoutingTable>,
+    /// Who gets a place in work, and when.
+    pub admission: AdmissionQueue,
+    /// Retries that may still be made.
+    pub retries: AttemptBudget,
     /// Clients towards endpoints.
     pub clients: HttpClients,
     /// Metrics.
