Keep an entry's clock in step with its keeper's

Keepers took over the stamps of entries, but no entry sent any after its first frame, and none took over the answer, so a time line of a host whose two programs had drifted apart could show effects before causes. The entry now pings its keeper four times a second.

Seen to fail first, by mutation: the answer not taken over, and an empty stamp sent (1 of 2 tests of clock_exchange fails for each, at the limit of 30 s). Without them 2 pass in 0.3 s.

--- a/wagtaildoor/src/lib.rs
+++ b/wagtaildoor/src/lib.rs
@@ -10,6 +10,7 @@
 pub mod claim_service;
 mod claim_shard;
 pub mod clock;
+pub mod clock_exchange;
 pub mod config_chain;
 pub mod config_change;
 pub mod config_follower;
--- a/wagtaildoor_entry/src/server.rs
+++ b/wagtaildoor_entry/src/server.rs
@@ -29,6 +29,7 @@
     task::TaskTracker, //
 };
 use wagtaildoor::{
+    clock_exchange,
     keeper_link::KeeperLink,
     logging,
     routing_table::RoutingTable,
@@ -83,6 +84,8 @@
     let token = CancellationToken::new();
     let state = build_state(settings, &token)?;
     tokio::spawn(feed_table(Arc::clone(&state), token.clone()));
+    let (link, recorder) = (state.link.clone(), state.recorder.clone());
+    tokio::spawn(clock_exchange::run(link, recorder, token.clone()));
     let server = rocket::custom(server_config(&state.settings.listen))
         .manage(Arc::clone(&state))
         .attach(announce(Arc::clone(&state)));
