--- a/wagtaildoor_entry/src/server.rs
+++ b/wagtaildoor_entry/src/server.rs
@@ -33,6 +33,7 @@
         AdmissionLimits,
         AdmissionQueue, //
     },
+    clock_exchange,
     keeper_link::KeeperLink,
     logging,
     retry_budget::AttemptBudget,
@@ -62,8 +63,6 @@
 const PROCESS: &str = "wagtaildoor-entry";
 /// Entry hosts known before the first view: this one.
 const HOSTS_AT_START: u32 = 1;
-/// Time between two exchanges of clock readings with the keeper.
-const CLOCK_PERIOD: Duration = Duration::from_secs(1);
 /// Time between two looks at the drain.
 const DRAIN_STEP: Duration = Duration::from_millis(50);
 
@@ -93,7 +92,8 @@
     let token = CancellationToken::new();
     let state = build_state(settings, &token)?;
     tokio::spawn(feed_table(Arc::clone(&state), token.clone()));
-    tokio::spawn(exchange_clocks(Arc::clone(&state), token.clone()));
+    let (link, recorder) = (state.link.clone(), state.recorder.clone());
+    tokio::spawn(clock_exchange::run(link, recorder, token.clone()));
     let server = rocket::custom(server_config(&state.settings.listen))
         .manage(Arc::clone(&state))
         .attach(announce(Arc::clone(&state)));
@@ -173,27 +173,6 @@
     u32::try_from(live).unwrap_or(u32::MAX).max(HOSTS_AT_START)
 }
 
-/// Exchanges clock readings with the keeper, so that time lines stay in causal order.
-async fn exchange_clocks(state: Arc<EntryState>, token: CancellationToken) {
-    let mut stamps = state.link.stamps();
-    let mut ticks = tokio::time::interval(CLOCK_PERIOD);
-    loop {
-        tokio::select! {
-            () = token.cancelled() => return,
-            _ = ticks.tick() => state.link.ping(state.recorder.clock().now()),
-            changed = stamps.changed() => {
-                if changed.is_err() {
-                    return;
-                }
-                let stamp = stamps.borrow_and_update().clone();
-                if let Some(stamp) = stamp {
-                    state.recorder.clock().observe(stamp);
-                }
-            }
-        }
-    }
-}
-
 /// Settings of the HTTP server.
 fn server_config(listen: &ListenSection) -> Config {
     let tls = listen
