Split model runs: one file for the request, one for each attempt

An attempt is now a type of its own, notes are one small type that both use. On the way: an engine whose answer names other weights than asked for ends the attempt before its first piece is passed on, a caller's hang-up is noticed before an engine begins to answer, and the time line says when each attempt is sent.

--- a/wagtaildoor_entry/src/admit.rs
+++ b/wagtaildoor_entry/src/admit.rs
@@ -9,21 +9,22 @@
         Result, //
     },
     fair_queue::WaitTerms,
-    ids::RequestId,
     schema::{
         Account,
         EventKind,
         Template, //
     },
-    timeline::EventDraft,
 };
 
-use crate::state::EntryState;
+use crate::{
+    request_notes::RequestNotes,
+    state::EntryState, //
+};
 
 /// Waits for a place; the request is in work until the permit is dropped.
 pub async fn admit(
     state: &EntryState,
-    request: &RequestId,
+    notes: &RequestNotes,
     account: &Account,
     template: &Template,
     deadline: Instant,
@@ -43,10 +44,7 @@
         .await
         .map_err(|kind| refusal(kind, account, template))?;
     let detail = format!("admitted after {} ms", asked.elapsed().as_millis());
-    let draft = EventDraft::new(EventKind::RequestAdmitted, detail)
-        .request(request.clone())
-        .account(account.id.clone());
-    state.recorder.record(draft);
+    notes.note(EventKind::RequestAdmitted, detail);
     Ok(permit)
 }
 
--- /dev/null
+++ b/wagtaildoor_entry/src/engine_attempt.rs
@@ -0,0 +1,341 @@
+//! One attempt at running a request at one engine.
+
+use std::time::Duration;
+
+use futures_util::{
+    Stream,
+    StreamExt, //
+};
+use tokio::time::Instant;
+use uuid::Uuid;
+use wagtaildoor::{
+    error::ErrorKind,
+    ids::AttemptId,
+    placement::PlacementChoice,
+    prefix::{
+        self,
+        LevelPrefix, //
+    },
+    routing_table::DispatchTicket,
+    schema::{
+        EndpointNews,
+        EngineChunk,
+        EngineDone,
+        EngineRequest,
+        EventKind,
+        Urgency, //
+    },
+    stream_check::{
+        Accepted,
+        StreamCheck, //
+    },
+};
+
+use crate::{
+    engine_call::{
+        self,
+        CallError,
+        EndpointWord, //
+    },
+    model_run::{
+        ModelRun,
+        RunEvent,
+        RunStart, //
+    },
+};
+
+/// Silence after which a running stream counts as broken.
+const CHUNK_TIMEOUT: Duration = Duration::from_secs(2);
+/// Waits for the first chunk, in first-token targets of the template.
+const FIRST_CHUNK_TARGETS: u32 = 6;
+
+/// Result of one step of an attempt; an error ends the attempt.
+type Step<T> = std::result::Result<T, AttemptEnd>;
+
+/// How an attempt ended.
+pub enum AttemptEnd {
+    /// The answer is whole.
+    Whole(EngineDone),
+    /// The attempt failed; another may go on where it stopped.
+    Failed(CallError),
+    /// Nobody waits for the answer any more.
+    CallerGone,
+    /// The deadline passed.
+    Late,
+}
+
+/// An attempt under way.
+pub struct EngineAttempt<'a> {
+    /// Request.
+    run: &'a ModelRun,
+    /// Engine, and why it was chosen.
+    choice: &'a PlacementChoice,
+    /// Name of the attempt.
+    attempt: AttemptId,
+}
+
+impl<'a> EngineAttempt<'a> {
+    /// A new attempt.
+    pub fn new(run: &'a ModelRun, choice: &'a PlacementChoice) -> Self {
+        Self {
+            run,
+            choice,
+            attempt: Uuid::now_v7().to_string().into(),
+        }
+    }
+
+    /// Runs the attempt, and tells the routing table how it went.
+    ///
+    /// `received` counts the pieces that the caller has, those of earlier attempts too.
+    pub async fn run(self, levels: &[LevelPrefix], received: &mut u64) -> AttemptEnd {
+        let table = &self.run.state.table;
+        let mut ticket = table.dispatched(self.choice, now());
+        self.note_dispatched(*received);
+        let end = match self.stream(&mut ticket, received).await {
+            Ok(done) => AttemptEnd::Whole(done),
+            Err(end) => end,
+        };
+        match &end {
+            AttemptEnd::Whole(done) => {
+                self.tell(done);
+                table.answered(ticket, done, levels, now());
+                return end;
+            }
+            AttemptEnd::Failed(_) => table.failed(ticket, ErrorKind::EndpointFailed, now()),
+            AttemptEnd::Late => table.failed(ticket, ErrorKind::DeadlinePassed, now()),
+            AttemptEnd::CallerGone => drop(ticket),
+        }
+        self.cancel();
+        end
+    }
+
+    /// Sends the request and passes its chunks on.
+    async fn stream(&self, ticket: &mut DispatchTicket, received: &mut u64) -> Step<EngineDone> {
+        let first = Instant::now() + self.first_chunk_timeout();
+        let request = self.engine_request(*received);
+        let (word, chunks) = self.open(&request, first).await?;
+        self.hear(ticket, &word)?;
+        let mut chunks = std::pin::pin!(chunks);
+        let request_id = self.run.request.clone();
+        let mut check = StreamCheck::new(request_id, self.attempt.clone(), *received);
+        let mut limit = first;
+        loop {
+            let chunk = self.next(&mut chunks, &check, limit).await?;
+            match check.accept(chunk) {
+                Ok(Accepted::Chunk(text)) => {
+                    self.run.state.table.first_token(ticket, now());
+                    if *received == 0 {
+                        self.begin().await?;
+                    }
+                    *received = check.received();
+                    self.pass_on(RunEvent::Chunk(text)).await?;
+                    limit = Instant::now() + CHUNK_TIMEOUT;
+                }
+                Ok(Accepted::Done(done)) => return Ok(done),
+                Ok(Accepted::Crossed) => self.note_crossed(),
+                Ok(Accepted::Duplicate) => {}
+                Err(fault) => return Err(broken(fault.to_string())),
+            }
+        }
+    }
+
+    /// Sends the request, and waits until the engine begins to answer.
+    async fn open(
+        &self,
+        request: &EngineRequest,
+        limit: Instant,
+    ) -> Step<(
+        EndpointWord,
+        impl Stream<Item = engine_call::Result<EngineChunk>>,
+    )> {
+        let client = &self.run.state.clients.repeatable;
+        let opened = engine_call::generate(client, self.choice.address, request);
+        let opened = tokio::time::timeout_at(limit.min(self.run.deadline()), opened);
+        let opened = tokio::select! {
+            opened = opened => opened,
+            () = self.run.events.closed() => return Err(AttemptEnd::CallerGone),
+        };
+        match opened {
+            Ok(Ok(opened)) => Ok(opened),
+            Ok(Err(error)) => Err(AttemptEnd::Failed(error)),
+            Err(_) => Err(self.silent("no answer began in time")),
+        }
+    }
+
+    /// Takes what the engine says of itself; other weights than asked for end the attempt.
+    fn hear(&self, ticket: &DispatchTicket, word: &EndpointWord) -> Step<()> {
+        let known = &self.choice.boot_id;
+        let restarted = !word.boot_id.is_empty() && !known.is_empty() && word.boot_id != *known;
+        if restarted {
+            self.note_restart();
+        }
+        let news = word.news(&self.choice.endpoint);
+        self.run.state.table.heard(ticket, &news, now());
+        let asked = self.run.pool.weights_version;
+        if word.weights_version != 0 && word.weights_version != asked {
+            return Err(AttemptEnd::Failed(CallError::OtherWeights));
+        }
+        Ok(())
+    }
+
+    /// The next chunk of the stream.
+    async fn next<S>(
+        &self,
+        chunks: &mut S,
+        check: &StreamCheck,
+        limit: Instant,
+    ) -> Step<EngineChunk>
+    where
+        S: Stream<Item = engine_call::Result<EngineChunk>> + Unpin,
+    {
+        let limit = limit.min(self.run.deadline());
+        let next = tokio::select! {
+            next = tokio::time::timeout_at(limit, chunks.next()) => next,
+            () = self.run.events.closed() => return Err(AttemptEnd::CallerGone),
+        };
+        match next {
+            Ok(Some(Ok(chunk))) => Ok(chunk),
+            Ok(Some(Err(error))) => Err(AttemptEnd::Failed(error)),
+            Ok(None) => Err(truncated(check)),
+            Err(_) => Err(self.silent("no further chunk came in time")),
+        }
+    }
+
+    /// The request in the form an engine takes.
+    fn engine_request(&self, resume_from: u64) -> EngineRequest {
+        let run = self.run;
+        let levels = &run.prompt.levels;
+        EngineRequest {
+            adapter: run.template.adapter.clone(),
+            attempt_id: self.attempt.clone(),
+            cache_salt: prefix::cache_salt(&run.account.id),
+            levels: levels.iter().map(|level| level.end_bytes as u64).collect(),
+            max_tokens: run.max_tokens,
+            model: run.pool.id.clone(),
+            priority: priority(run.template.urgency),
+            prompt: run.prompt.text.clone(),
+            request_id: run.request.clone(),
+            resume_from,
+            weights_version: run.pool.weights_version,
+        }
+    }
+
+    /// Tells the caller where its answer comes from.
+    async fn begin(&self) -> Step<()> {
+        let time = self.run.received.elapsed();
+        self.run.state.metrics.first_token(time);
+        let detail = format!("first token after {} ms", time.as_millis());
+        self.note(EventKind::FirstToken, detail);
+        let start = RunStart {
+            endpoint: self.choice.endpoint.clone(),
+            reason: self.choice.reason.to_string().into(),
+        };
+        self.pass_on(RunEvent::Begun(start)).await
+    }
+
+    /// Passes an event on to the caller, who has until the deadline to make room for it.
+    async fn pass_on(&self, event: RunEvent) -> Step<()> {
+        let sent = self.run.events.send(event);
+        match tokio::time::timeout_at(self.run.deadline(), sent).await {
+            Ok(Ok(())) => Ok(()),
+            Ok(Err(_)) => Err(AttemptEnd::CallerGone),
+            Err(_) => Err(AttemptEnd::Late),
+        }
+    }
+
+    /// How long the attempt may take to its first chunk.
+    fn first_chunk_timeout(&self) -> Duration {
+        Duration::from_millis(self.run.template.first_token_ms) * FIRST_CHUNK_TARGETS
+    }
+
+    /// The end of an attempt that stayed silent.
+    fn silent(&self, detail: &str) -> AttemptEnd {
+        if Instant::now() >= self.run.deadline() {
+            return AttemptEnd::Late;
+        }
+        broken(detail)
+    }
+
+    /// Tells the keeper what the answer said of its endpoint.
+    fn tell(&self, done: &EngineDone) {
+        self.run.state.link.tell(EndpointNews {
+            boot_id: done.boot_id.clone(),
+            endpoint: self.choice.endpoint.clone(),
+            queued: done.queued,
+            weights_version: done.weights_version,
+        });
+    }
+
+    /// Tells the engine, in a task of its own, that the attempt is over.
+    fn cancel(&self) {
+        let client = self.run.state.clients.repeatable.clone();
+        let address = self.choice.address;
+        let attempt = self.attempt.clone();
+        self.run.state.runs.spawn(async move {
+            // An engine that cannot be reached has nothing to cancel.
+            let call = engine_call::cancel(&client, address, &attempt);
+            let _ = tokio::time::timeout(CHUNK_TIMEOUT, call).await;
+        });
+    }
+
+    /// Notes that the request is sent.
+    fn note_dispatched(&self, received: u64) {
+        let engine = &self.choice.endpoint;
+        let detail = match received {
+            0 => format!("attempt {} goes to {engine}", self.attempt),
+            _ => format!(
+                "attempt {} goes on at {engine} after {received} pieces",
+                self.attempt
+            ),
+        };
+        self.note(EventKind::RequestDispatched, detail);
+    }
+
+    /// Notes that the engine came back empty.
+    fn note_restart(&self) {
+        let engine = &self.choice.endpoint;
+        let detail = format!("{engine} has restarted; what it held cached is gone");
+        self.note(EventKind::EndpointRestarted, detail);
+    }
+
+    /// Notes a chunk of another request or attempt.
+    fn note_crossed(&self) {
+        self.run.state.metrics.crossed();
+        let engine = &self.choice.endpoint;
+        let detail = format!("{engine} sent a piece of another answer; it was dropped");
+        self.note(EventKind::AnswerCrossed, detail);
+    }
+
+    /// Notes something of this attempt.
+    fn note(&self, kind: EventKind, detail: String) {
+        let engine = &self.choice.endpoint;
+        self.run.notes.note_at(kind, engine, detail);
+    }
+}
+
+/// The time in the form that the routing table takes.
+fn now() -> std::time::Instant {
+    Instant::now().into_std()
+}
+
+/// The end of an attempt whose answer makes no sense or broke off.
+fn broken(detail: impl Into<Box<str>>) -> AttemptEnd {
+    AttemptEnd::Failed(CallError::Broken(detail.into()))
+}
+
+/// The end of an attempt whose stream closed before its last event.
+fn truncated(check: &StreamCheck) -> AttemptEnd {
+    match check.finish() {
+        Err(fault) => broken(fault.to_string()),
+        Ok(()) => broken("the stream closed"),
+    }
+}
+
+/// Priority an engine is told; lower goes first.
+const fn priority(urgency: Urgency) -> u32 {
+    match urgency {
+        Urgency::Urgent => 0,
+        Urgency::Normal => 1,
+        Urgency::Batch => 2,
+    }
+}
--- a/wagtaildoor_entry/src/model_run.rs
+++ b/wagtaildoor_entry/src/model_run.rs
@@ -5,12 +5,10 @@
     time::Duration, //
 };
 
-use futures_util::StreamExt;
 use tokio::{
     sync::mpsc,
     time::Instant, //
 };
-use uuid::Uuid;
 use wagtaildoor::{
     admission::AdmissionPermit,
     error::{
@@ -19,7 +17,6 @@
         RunOutcome, //
     },
     ids::{
-        AttemptId,
         EndpointId,
         RequestId, //
     },
@@ -32,40 +29,28 @@
         LevelPrefix, //
     },
     prompt::RenderedPrompt,
-    routing_table::DispatchTicket,
     schema::{
         Account,
-        EndpointNews,
         EngineDone,
-        EngineRequest,
         EventKind,
         Pool,
-        Template,
-        Urgency, //
+        Template, //
     },
-    stream_check::{
-        Accepted,
-        StreamCheck, //
-    },
-    timeline::EventDraft,
 };
 
 use crate::{
     admit,
-    engine_call::{
-        self,
-        CallError,
-        EndpointWord, //
+    engine_attempt::{
+        AttemptEnd,
+        EngineAttempt, //
     },
+    engine_call::CallError,
+    request_notes::RequestNotes,
     state::EntryState,
 };
 
 /// Attempts a request gets at most, the first one too.
 const ATTEMPT_LIMIT: usize = 4;
-/// Silence after which a running stream counts as broken.
-const CHUNK_TIMEOUT: Duration = Duration::from_secs(2);
-/// Waits for the first chunk, in first-token targets of the template.
-const FIRST_CHUNK_TARGETS: u32 = 6;
 
 /// What happens to a run, in its order.
 #[derive(Clone, Debug, PartialEq)]
@@ -95,6 +80,8 @@
     pub state: Arc<EntryState>,
     /// Request.
     pub request: RequestId,
+    /// Time line of the request.
+    pub notes: RequestNotes,
     /// Account that asks.
     pub account: Account,
     /// Template in force when the request came.
@@ -111,18 +98,6 @@
     pub events: mpsc::Sender<RunEvent>,
 }
 
-/// How an attempt ended.
-enum AttemptEnd {
-    /// The answer is whole.
-    Whole(EngineDone),
-    /// The attempt failed; another may go on where it stopped.
-    Failed(CallError),
-    /// Nobody waits for the answer any more.
-    CallerGone,
-    /// The deadline passed.
-    Late,
-}
-
 impl ModelRun {
     /// Runs the request to its end.
     pub async fn run(self) {
@@ -134,7 +109,7 @@
         let event = match end {
             Ok(Some(done)) => RunEvent::Done(done),
             Ok(None) => {
-                self.note(
+                self.notes.note(
                     EventKind::CallerGone,
                     "the caller went before its answer was whole",
                 );
@@ -168,7 +143,8 @@
                 Ok(choice) => choice,
                 Err(error) => return Err(worst.unwrap_or(error)),
             };
-            match self.attempt(&choice, &levels, &mut received).await {
+            let attempt = EngineAttempt::new(self, &choice);
+            match attempt.run(&levels, &mut received).await {
                 AttemptEnd::Whole(done) => return Ok(Some(done)),
                 AttemptEnd::CallerGone => return Ok(None),
                 AttemptEnd::Late => return Err(self.late()),
@@ -187,7 +163,7 @@
         let cost = prefix::estimate_tokens(&self.prompt.text);
         let admitted = admit::admit(
             &self.state,
-            &self.request,
+            &self.notes,
             &self.account,
             &self.template,
             self.deadline(),
@@ -237,10 +213,8 @@
             .place(&query, Instant::now().into_std())
             .map_err(|kind| self.no_place(kind))?;
         let detail = format!("sent to {}: {}", choice.endpoint, choice.reason);
-        let draft = self.draft(EventKind::RequestPlaced, detail);
-        self.state
-            .recorder
-            .record(draft.endpoint(choice.endpoint.clone()));
+        let kind = EventKind::RequestPlaced;
+        self.notes.note_at(kind, &choice.endpoint, detail);
         Ok(choice)
     }
 
@@ -260,152 +234,6 @@
         RequestError::new(kind, detail)
     }
 
-    /// One attempt at one endpoint.
-    async fn attempt(
-        &self,
-        choice: &PlacementChoice,
-        levels: &[LevelPrefix],
-        received: &mut u64,
-    ) -> AttemptEnd {
-        let now = || Instant::now().into_std();
-        let mut ticket = self.state.table.dispatched(choice, now());
-        let attempt: AttemptId = Uuid::now_v7().to_string().into();
-        let end = self.stream(choice, &attempt, &mut ticket, received).await;
-        match &end {
-            AttemptEnd::Whole(done) => {
-                self.tell(choice, done);
-                self.state.table.answered(ticket, done, levels, now());
-            }
-            AttemptEnd::Failed(_) => {
-                let kind = ErrorKind::EndpointFailed;
-                self.state.table.failed(ticket, kind, now());
-            }
-            AttemptEnd::Late => {
-                let kind = ErrorKind::DeadlinePassed;
-                self.state.table.failed(ticket, kind, now());
-            }
-            AttemptEnd::CallerGone => drop(ticket),
-        }
-        let unfinished = !matches!(end, AttemptEnd::Whole(_));
-        if unfinished {
-            self.cancel(choice, attempt);
-        }
-        end
-    }
-
-    /// Sends the request and passes its chunks on.
-    async fn stream(
-        &self,
-        choice: &PlacementChoice,
-        attempt: &AttemptId,
-        ticket: &mut DispatchTicket,
-        received: &mut u64,
-    ) -> AttemptEnd {
-        let request = self.engine_request(attempt, *received);
-        let client = &self.state.clients.repeatable;
-        let first = Instant::now() + self.first_chunk_timeout();
-        let opened = engine_call::generate(client, choice.address, &request);
-        let opened = tokio::time::timeout_at(first.min(self.deadline()), opened).await;
-        let (word, chunks) = match opened {
-            Ok(Ok(opened)) => opened,
-            Ok(Err(error)) => return AttemptEnd::Failed(error),
-            Err(_) => return self.silent("no answer began in time"),
-        };
-        if self.is_restarted(choice, &word) {
-            self.note_restart(choice);
-        }
-        let news = word.news(&choice.endpoint);
-        self.state
-            .table
-            .heard(ticket, &news, Instant::now().into_std());
-        let mut chunks = std::pin::pin!(chunks);
-        let mut check = StreamCheck::new(self.request.clone(), attempt.clone(), *received);
-        let mut limit = first;
-        loop {
-            let next = tokio::select! {
-                next = tokio::time::timeout_at(limit.min(self.deadline()), chunks.next()) => next,
-                () = self.events.closed() => return AttemptEnd::CallerGone,
-            };
-            let chunk = match next {
-                Ok(Some(Ok(chunk))) => chunk,
-                Ok(Some(Err(error))) => return AttemptEnd::Failed(error),
-                Ok(None) => return AttemptEnd::Failed(truncated(&check)),
-                Err(_) => return self.silent("no further chunk came in time"),
-            };
-            match check.accept(chunk) {
-                Ok(Accepted::Chunk(text)) => {
-                    self.state
-                        .table
-                        .first_token(ticket, Instant::now().into_std());
-                    if *received == 0 {
-                        if let Err(end) = self.begin(choice).await {
-                            return end;
-                        }
-                    }
-                    *received = check.received();
-                    if let Err(end) = self.pass_on(RunEvent::Chunk(text)).await {
-                        return end;
-                    }
-                    limit = Instant::now() + CHUNK_TIMEOUT;
-                }
-                Ok(Accepted::Done(done)) => return AttemptEnd::Whole(done),
-                Ok(Accepted::Crossed) => self.note_crossed(choice),
-                Ok(Accepted::Duplicate) => {}
-                Err(fault) => {
-                    return AttemptEnd::Failed(CallError::Broken(fault.to_string().into()))
-                }
-            }
-        }
-    }
-
-    /// The request in the form an engine takes.
-    fn engine_request(&self, attempt: &AttemptId, resume_from: u64) -> EngineRequest {
-        EngineRequest {
-            adapter: self.template.adapter.clone(),
-            attempt_id: attempt.clone(),
-            cache_salt: prefix::cache_salt(&self.account.id),
-            levels: self
-                .prompt
-                .levels
-                .iter()
-                .map(|level| level.end_bytes as u64)
-                .collect(),
-            max_tokens: self.max_tokens,
-            model: self.pool.id.clone(),
-            priority: priority(self.template.urgency),
-            prompt: self.prompt.text.clone(),
-            request_id: self.request.clone(),
-            resume_from,
-            weights_version: self.pool.weights_version,
-        }
-    }
-
-    /// Tells the caller where its answer comes from.
-    async fn begin(&self, choice: &PlacementChoice) -> std::result::Result<(), AttemptEnd> {
-        let time = self.received.elapsed();
-        self.state.metrics.first_token(time);
-        let detail = format!("first token after {} ms", time.as_millis());
-        let draft = self.draft(EventKind::FirstToken, detail);
-        self.state
-            .recorder
-            .record(draft.endpoint(choice.endpoint.clone()));
-        let start = RunStart {
-            endpoint: choice.endpoint.clone(),
-            reason: choice.reason.to_string().into(),
-        };
-        self.pass_on(RunEvent::Begun(start)).await
-    }
-
-    /// Passes an event on to the caller, who has until the deadline to make room for it.
-    async fn pass_on(&self, event: RunEvent) -> std::result::Result<(), AttemptEnd> {
-        let sent = self.events.send(event);
-        match tokio::time::timeout_at(self.deadline(), sent).await {
-            Ok(Ok(())) => Ok(()),
-            Ok(Err(_)) => Err(AttemptEnd::CallerGone),
-            Err(_) => Err(AttemptEnd::Late),
-        }
-    }
-
     /// Notes how an answer ended.
     fn note_end(&self, event: &RunEvent) {
         if let RunEvent::Done(done) = event {
@@ -418,28 +246,15 @@
                 done.cached_tokens,
                 done.prompt_tokens
             );
-            self.note(EventKind::RequestAnswered, detail);
+            self.notes.note(EventKind::RequestAnswered, detail);
         }
     }
 
     /// When the whole answer is due.
-    fn deadline(&self) -> Instant {
+    pub fn deadline(&self) -> Instant {
         self.received + Duration::from_millis(self.template.deadline_ms)
     }
 
-    /// How long an attempt may take to its first chunk.
-    fn first_chunk_timeout(&self) -> Duration {
-        Duration::from_millis(self.template.first_token_ms) * FIRST_CHUNK_TARGETS
-    }
-
-    /// The end of an attempt that stayed silent.
-    fn silent(&self, detail: &str) -> AttemptEnd {
-        if Instant::now() >= self.deadline() {
-            return AttemptEnd::Late;
-        }
-        AttemptEnd::Failed(CallError::Broken(detail.into()))
-    }
-
     /// The error once the deadline has passed.
     fn late(&self) -> RequestError {
         let detail = format!("no whole answer within {} ms", self.template.deadline_ms);
@@ -457,32 +272,6 @@
         RequestError::new(kind, error.to_string())
     }
 
-    /// Whether the endpoint has restarted since the keeper last heard of it.
-    fn is_restarted(&self, choice: &PlacementChoice, word: &EndpointWord) -> bool {
-        !word.boot_id.is_empty() && !choice.boot_id.is_empty() && word.boot_id != choice.boot_id
-    }
-
-    /// Tells the keeper what the answer said of its endpoint.
-    fn tell(&self, choice: &PlacementChoice, done: &EngineDone) {
-        self.state.link.tell(EndpointNews {
-            boot_id: done.boot_id.clone(),
-            endpoint: choice.endpoint.clone(),
-            queued: done.queued,
-            weights_version: done.weights_version,
-        });
-    }
-
-    /// Tells an engine, in a task of its own, that an attempt is over.
-    fn cancel(&self, choice: &PlacementChoice, attempt: AttemptId) {
-        let client = self.state.clients.repeatable.clone();
-        let address = choice.address;
-        self.state.runs.spawn(async move {
-            // An engine that cannot be reached has nothing to cancel.
-            let call = engine_call::cancel(&client, address, &attempt);
-            let _ = tokio::time::timeout(CHUNK_TIMEOUT, call).await;
-        });
-    }
-
     /// Notes a failed attempt.
     fn note_failure(&self, choice: &PlacementChoice, error: &CallError, received: u64) {
         let kind = if received > 0 {
@@ -490,51 +279,9 @@
         } else {
             EventKind::RequestRetried
         };
-        let detail = format!(
-            "{} failed after {received} pieces: {error}",
-            choice.endpoint
-        );
-        let draft = self.draft(kind, detail);
-        self.state
-            .recorder
-            .record(draft.endpoint(choice.endpoint.clone()));
-    }
-
-    /// Notes that an endpoint came back empty.
-    fn note_restart(&self, choice: &PlacementChoice) {
-        let detail = format!(
-            "{} has restarted; what it held cached is gone",
-            choice.endpoint
-        );
-        let draft = self.draft(EventKind::EndpointRestarted, detail);
-        self.state
-            .recorder
-            .record(draft.endpoint(choice.endpoint.clone()));
-    }
-
-    /// Notes a chunk of another request or attempt.
-    fn note_crossed(&self, choice: &PlacementChoice) {
-        self.state.metrics.crossed();
-        let detail = format!(
-            "{} sent a piece of another answer; it was dropped",
-            choice.endpoint
-        );
-        let draft = self.draft(EventKind::AnswerCrossed, detail);
-        self.state
-            .recorder
-            .record(draft.endpoint(choice.endpoint.clone()));
-    }
-
-    /// Notes something of this request.
-    fn note(&self, kind: EventKind, detail: impl Into<Box<str>>) {
-        self.state.recorder.record(self.draft(kind, detail));
-    }
-
-    /// An event of this request.
-    fn draft(&self, kind: EventKind, detail: impl Into<Box<str>>) -> EventDraft {
-        EventDraft::new(kind, detail)
-            .request(self.request.clone())
-            .account(self.account.id.clone())
+        let endpoint = &choice.endpoint;
+        let detail = format!("{endpoint} failed after {received} pieces: {error}");
+        self.notes.note_at(kind, endpoint, detail);
     }
 }
 
@@ -545,21 +292,3 @@
         _ => now,
     }
 }
-
-/// The fault of a stream that closed; its end was not seen.
-fn truncated(check: &StreamCheck) -> CallError {
-    let detail = match check.finish() {
-        Err(fault) => fault.to_string(),
-        Ok(()) => "the stream closed".to_string(),
-    };
-    CallError::Broken(detail.into())
-}
-
-/// Priority an engine is told; lower goes first.
-const fn priority(urgency: Urgency) -> u32 {
-    match urgency {
-        Urgency::Urgent => 0,
-        Urgency::Normal => 1,
-        Urgency::Batch => 2,
-    }
-}
--- a/wagtaildoor_entry/src/once_run.rs
+++ b/wagtaildoor_entry/src/once_run.rs
@@ -74,7 +74,7 @@
     })??;
     if reply.replayed {
         let detail = "answered from the record of an earlier copy of this request";
-        run.note(EventKind::OutcomeReplayed, detail);
+        run.notes.note(EventKind::OutcomeReplayed, detail);
         return Ok(service_reply(reply.answer, None, detail.into()));
     }
     let choice = sent.get();
@@ -117,13 +117,13 @@
 impl ClaimAsker for NotedClaims {
     async fn claim(&self, start: ClaimStart, wait: Duration) -> ClaimVerdict {
         let detail = format!("asked the log to run key {}", start.key);
-        self.run.note(EventKind::ClaimAsked, detail);
+        self.run.notes.note(EventKind::ClaimAsked, detail);
         let verdict = self.run.state.link.claim(start, wait).await;
         let kind = match verdict {
             ClaimVerdict::Won(_) => EventKind::ClaimWon,
             _ => EventKind::ClaimLost,
         };
-        self.run.note(kind, verdict_sentence(&verdict));
+        self.run.notes.note(kind, verdict_sentence(&verdict));
         verdict
     }
 
@@ -142,7 +142,7 @@
                 "the answer could not be put on record yet",
             ),
         };
-        self.run.note(kind, detail);
+        self.run.notes.note(kind, detail);
         recorded
     }
 }
@@ -229,7 +229,9 @@
         match tokio::time::timeout_at(self.run.deadline(), looked).await {
             Ok(Ok(Some(answer))) => {
                 let detail = "the service's own record says that it ran";
-                self.run.note_at(EventKind::ClaimSettled, &choice, detail);
+                self.run
+                    .notes
+                    .note_at(EventKind::ClaimSettled, &choice.endpoint, detail);
                 LookUp::Ran(once_answer(answer))
             }
             Ok(Ok(None)) => LookUp::NotSeen,
@@ -250,12 +252,16 @@
         };
         if error.not_run() {
             let detail = format!("{} did not run it: {error}", choice.endpoint);
-            self.run.note_at(EventKind::RequestRetried, choice, detail);
+            self.run
+                .notes
+                .note_at(EventKind::RequestRetried, &choice.endpoint, detail);
             let error = RequestError::new(ErrorKind::EndpointRefused, error.to_string());
             return DispatchEnd::NotRun(error);
         }
         let detail = format!("sent to {}, and no answer came: {error}", choice.endpoint);
-        self.run.note_at(EventKind::ClaimUnknown, choice, detail);
+        self.run
+            .notes
+            .note_at(EventKind::ClaimUnknown, &choice.endpoint, detail);
         DispatchEnd::Unknown(error.to_string().into())
     }
 }
--- a/wagtaildoor_entry/src/request_scope.rs
+++ b/wagtaildoor_entry/src/request_scope.rs
@@ -6,12 +6,15 @@
 use uuid::Uuid;
 use wagtaildoor::{
     ids::RequestId,
-    schema::EventKind,
-    timeline::EventDraft, //
+    schema::{
+        Account,
+        EventKind, //
+    },
 };
 
 use crate::{
     access::AccessGrant,
+    request_notes::RequestNotes,
     state::EntryState, //
 };
 
@@ -55,10 +58,13 @@
             "{} asked for {}, {kind}, {}, due within {} ms, with {shared}",
             grant.account.id, template.id, template.urgency, template.deadline_ms
         );
-        let draft = EventDraft::new(EventKind::RequestReceived, detail)
-            .request(self.request.clone())
-            .account(grant.account.id.clone());
-        self.state.recorder.record(draft);
+        self.notes(grant.account)
+            .note(EventKind::RequestReceived, detail);
+    }
+
+    /// The time line of this request.
+    pub fn notes(&self, account: &Account) -> RequestNotes {
+        RequestNotes::new(&self.state.recorder, &self.request, &account.id)
     }
 }
 
--- a/wagtaildoor_entry/src/routes.rs
+++ b/wagtaildoor_entry/src/routes.rs
@@ -279,6 +279,7 @@
     let run = ModelRun {
         account: grant.account.clone(),
         events,
+        notes: scope.notes(grant.account),
         max_tokens: wish.max_tokens.map_or(limit, |wanted| wanted.min(limit)),
         pool: grant.pool.clone(),
         prompt,
@@ -338,6 +339,7 @@
         account: grant.account.clone(),
         body: value.to_string().into(),
         key,
+        notes: scope.notes(grant.account),
         pool: grant.pool.clone(),
         received: scope.received,
         request: scope.request.clone(),
--- a/wagtaildoor_entry/src/service_run.rs
+++ b/wagtaildoor_entry/src/service_run.rs
@@ -30,13 +30,13 @@
         Pool,
         Template, //
     },
-    timeline::EventDraft,
 };
 
 use crate::{
     admit,
     engine_call::CallError,
     model_run, once_run,
+    request_notes::RequestNotes,
     service_call::{
         self,
         ServiceAnswer,
@@ -55,6 +55,8 @@
     pub state: Arc<EntryState>,
     /// Request.
     pub request: RequestId,
+    /// Time line of the request.
+    pub notes: RequestNotes,
     /// Account that asks.
     pub account: Account,
     /// Template in force when the request came.
@@ -107,7 +109,7 @@
         let cost = prefix::estimate_tokens(&self.body);
         let admitted = admit::admit(
             &self.state,
-            &self.request,
+            &self.notes,
             &self.account,
             &self.template,
             self.deadline(),
@@ -131,11 +133,11 @@
             "answered with status {} after {time} ms",
             reply.answer.status
         );
-        let draft = self.draft(EventKind::RequestAnswered, detail);
-        self.state.recorder.record(match &reply.endpoint {
-            Some(endpoint) => draft.endpoint(endpoint.clone()),
-            None => draft,
-        });
+        let kind = EventKind::RequestAnswered;
+        match &reply.endpoint {
+            Some(endpoint) => self.notes.note_at(kind, endpoint, detail),
+            None => self.notes.note(kind, detail),
+        }
     }
 
     /// Tries endpoints until one answers.
@@ -160,7 +162,8 @@
                 Err(error) => error,
             };
             let detail = format!("{} failed: {error}", choice.endpoint);
-            self.note_at(EventKind::RequestRetried, &choice, detail);
+            self.notes
+                .note_at(EventKind::RequestRetried, &choice.endpoint, detail);
             worst = Some(model_run::worse(worst, failure(&error)));
             exclude.push(choice.endpoint);
         }
@@ -176,7 +179,8 @@
         let now = || Instant::now().into_std();
         let ticket = self.state.table.dispatched(choice, now());
         let detail = format!("attempt {} goes to {}", call.attempt, choice.endpoint);
-        self.note_at(EventKind::RequestDispatched, choice, detail);
+        self.notes
+            .note_at(EventKind::RequestDispatched, &choice.endpoint, detail);
         let client = if self.template.repeatable {
             &self.state.clients.repeatable
         } else {
@@ -220,7 +224,8 @@
                 RequestError::new(kind, detail)
             })?;
         let detail = format!("sent to {}: {}", choice.endpoint, choice.reason);
-        self.note_at(EventKind::RequestPlaced, &choice, detail);
+        self.notes
+            .note_at(EventKind::RequestPlaced, &choice.endpoint, detail);
         Ok(choice)
     }
 
@@ -246,26 +251,6 @@
         let detail = format!("no answer within {} ms", self.template.deadline_ms);
         RequestError::new(ErrorKind::DeadlinePassed, detail)
     }
-
-    /// Notes something of this request.
-    pub fn note(&self, kind: EventKind, detail: impl Into<Box<str>>) {
-        self.state.recorder.record(self.draft(kind, detail));
-    }
-
-    /// Notes something of this request at an endpoint.
-    pub fn note_at(&self, kind: EventKind, choice: &PlacementChoice, detail: impl Into<Box<str>>) {
-        let draft = self.draft(kind, detail);
-        self.state
-            .recorder
-            .record(draft.endpoint(choice.endpoint.clone()));
-    }
-
-    /// An event of this request.
-    fn draft(&self, kind: EventKind, detail: impl Into<Box<str>>) -> EventDraft {
-        EventDraft::new(kind, detail)
-            .request(self.request.clone())
-            .account(self.account.id.clone())
-    }
 }
 
 /// The error of a failed call.
