Refuse a publication that was compared with an older configuration

`wtd publish` sends what differs from the configuration it read. When a newer one came in force before the keeper took the changes, they were published after the newer head, and what the operator had compared left out what others changed since: accepted, yet not the folder's state. The call now names the head it was compared with. A keeper that holds another one refuses, and names who published it; a keeper that is behind that head refuses too.

Ruled out: comparing again inside the keeper, which does not have the operator's folder.

--- a/wagtaildoor/src/config_publisher.rs
+++ b/wagtaildoor/src/config_publisher.rs
@@ -106,6 +106,48 @@
     publish_record(log, chain, record, deadline).await
 }
 
+/// Publishes changes that were compared with a head, provided that it is still the newest.
+///
+/// What an operator compared with an older head leaves out what others changed since.
+pub async fn publish_seen<L: LogStore>(
+    log: L,
+    chain: ConfigChain,
+    seen: &ConfigHead,
+    operator: &str,
+    note: &str,
+    changes: Vec<ConfigChange>,
+    deadline: Instant,
+) -> PublishOutcome {
+    let head = chain.head();
+    if head.sequence < seen.sequence {
+        let text = format!(
+            "this keeper holds configuration {}, and the changes were compared with {}",
+            head.sequence, seen.sequence
+        );
+        return PublishOutcome::Unavailable(text.into());
+    }
+    if head.hash != seen.hash {
+        let found = time::timeout_at(deadline, operator_of(&log, head)).await;
+        let other = found.ok().flatten();
+        return PublishOutcome::LostTo {
+            operator: other.unwrap_or_else(|| "another operator".into()),
+            head: head.clone(),
+        };
+    }
+    publish_after(log, chain, operator, note, changes, deadline).await
+}
+
+/// Who published the record of a head; `None` when the log does not tell.
+async fn operator_of<L: LogStore>(log: &L, head: &ConfigHead) -> Option<Box<str>> {
+    let page = log
+        .read(CONFIG_STREAM, head.offset, 1, Duration::ZERO)
+        .await
+        .ok()?;
+    let record = page.records.first()?;
+    let link = config_chain::parse(&record.data)?;
+    (record.offset == head.offset).then_some(link.operator)
+}
+
 /// Publishes a record that follows a head.
 pub async fn publish_record<L: LogStore>(
     log: L,
--- a/wagtaildoor/src/schema.rs
+++ b/wagtaildoor/src/schema.rs
@@ -2141,6 +2141,8 @@
     pub note: ::std::boxed::Box<str>,
     ///Who publishes.
     pub operator: ::std::boxed::Box<str>,
+    ///Head that the changes were compared with; null publishes after whatever is newest.
+    pub seen: ::std::option::Option<ConfigHead>,
 }
 impl ::std::convert::From<&PublishCall> for PublishCall {
     fn from(value: &PublishCall) -> Self {
--- a/wagtaildoor_keeper/src/operators.rs
+++ b/wagtaildoor_keeper/src/operators.rs
@@ -149,9 +149,12 @@
 #[post("/publish", data = "<call>")]
 async fn publish(state: &Shared, call: Json<PublishCall>) -> Answer<PublishAnswer, PublishRefusal> {
     let call = call.into_inner();
-    let outcome = config_publisher::publish_after(
+    let chain = state.config.chain();
+    let seen = call.seen.unwrap_or_else(|| chain.head().clone());
+    let outcome = config_publisher::publish_seen(
         state.store.clone(),
-        state.config.chain(),
+        chain,
+        &seen,
         &call.operator,
         &call.note,
         call.changes,
--- a/wtd/src/client.rs
+++ b/wtd/src/client.rs
@@ -16,7 +16,12 @@
     de::DeserializeOwned,
     Serialize, //
 };
-use wagtaildoor::schema::OperatorSection;
+use wagtaildoor::schema::{
+    ConfigHead,
+    Configuration,
+    KeeperStatus,
+    OperatorSection, //
+};
 
 use crate::exit::{
     Result,
@@ -45,6 +50,15 @@
     pub answer: std::result::Result<T, Box<str>>,
 }
 
+/// What one keeper holds in force.
+#[derive(Clone, Debug)]
+pub struct HeldConfiguration {
+    /// Head; the configuration is that of this head or of a newer one.
+    pub head: ConfigHead,
+    /// Configuration.
+    pub configuration: Configuration,
+}
+
 /// What came of a change.
 #[derive(Clone, Debug)]
 pub enum ChangeAnswer<T, R> {
@@ -129,6 +143,34 @@
         Err(no_keeper(&failures))
     }
 
+    /// The configuration in force, and a head that is not newer, of one and the same keeper.
+    pub async fn in_force(&self) -> Result<HeldConfiguration> {
+        let mut failures = Vec::new();
+        for &address in &self.settings.keepers {
+            match self.held_by(address).await {
+                Ok(held) => return Ok(held),
+                Err(failure) => failures.push(format!("{address}: {failure}")),
+            }
+        }
+        Err(no_keeper(&failures))
+    }
+
+    /// What one keeper holds in force.
+    ///
+    /// The head is read first. When a newer one comes in between, the keeper refuses changes that
+    /// name the older.
+    async fn held_by(
+        &self,
+        address: SocketAddr,
+    ) -> std::result::Result<HeldConfiguration, Box<str>> {
+        let status: KeeperStatus = self.get(address, "/status", &[]).await.answer?;
+        let configuration = self.get(address, "/configuration", &[]).await.answer?;
+        Ok(HeldConfiguration {
+            head: status.head,
+            configuration,
+        })
+    }
+
     /// Sends a change to the first keeper that can be reached.
     ///
     /// Another keeper is tried only when the first certainly did not get the change.
--- a/wtd/src/verbs/amend.rs
+++ b/wtd/src/verbs/amend.rs
@@ -28,7 +28,8 @@
 
 /// Publishes single changes.
 pub async fn run(client: &OperatorClient, matches: &ArgMatches) -> Result<VerbAnswer> {
-    let in_force: Configuration = client.get_first("/configuration").await?;
+    let held = client.in_force().await?;
+    let in_force = held.configuration;
     let mut wanted = template_file::read_files(&verbs::paths(matches, "files"), &in_force)?;
     for template in matches.get_many::<String>("remove").unwrap_or_default() {
         wanted.push(removal(&in_force, template)?);
@@ -38,7 +39,7 @@
         wanted.push(checked_raise(&in_force, raise)?);
     }
     let difference = difference::against(&in_force, wanted);
-    publish::send(client, matches, difference).await
+    publish::send(client, matches, held.head, difference).await
 }
 
 /// The removal of a template that is in force.
--- a/wtd/src/verbs/publish.rs
+++ b/wtd/src/verbs/publish.rs
@@ -4,7 +4,7 @@
 use wagtaildoor::{
     schema::{
         ConfigChange,
-        Configuration,
+        ConfigHead,
         PublishAnswer,
         PublishCall,
         PublishRefusal, //
@@ -38,15 +38,15 @@
 pub async fn run(client: &OperatorClient, matches: &ArgMatches) -> Result<VerbAnswer> {
     let folder = verbs::path(matches, "folder").expect("clap requires it");
     let wanted = template_file::read_folder(folder)?;
-    let in_force: Configuration = client.get_first("/configuration").await?;
-    let mut difference = difference::against(&in_force, wanted);
+    let held = client.in_force().await?;
+    let mut difference = difference::against(&held.configuration, wanted);
     if matches.get_flag("remove-absent") {
         let absent = std::mem::take(&mut difference.not_named);
         let removed = absent.into_iter().map(ConfigChange::RemoveTemplate);
         difference.changes.extend(removed);
     }
     let not_named = std::mem::take(&mut difference.not_named);
-    let mut answer = send(client, matches, difference).await?;
+    let mut answer = send(client, matches, held.head, difference).await?;
     for template in not_named {
         answer = answer.warning(format!(
             "template {template} is in force and not in the folder; it stays \
@@ -60,6 +60,7 @@
 pub async fn send(
     client: &OperatorClient,
     matches: &ArgMatches,
+    seen: ConfigHead,
     difference: ConfigDifference,
 ) -> Result<VerbAnswer> {
     let note = verbs::text(matches, "note").unwrap_or_default();
@@ -69,7 +70,7 @@
         let listed = listed(&difference.changes);
         VerbAnswer::text(format!("Would be sent:\n{listed}"))
     } else {
-        publish(client, note, difference.changes).await?
+        publish(client, seen, note, difference.changes).await?
     };
     for pool in difference.newer_weights {
         answer = answer.warning(format!(
@@ -79,9 +80,10 @@
     Ok(answer)
 }
 
-/// Publishes changes.
+/// Publishes changes that were compared with a head.
 pub async fn publish(
     client: &OperatorClient,
+    seen: ConfigHead,
     note: &str,
     changes: Vec<ConfigChange>,
 ) -> Result<VerbAnswer> {
@@ -89,6 +91,7 @@
         operator: client.settings.name.clone(),
         note: note.into(),
         changes,
+        seen: Some(seen),
     };
     match client.change("/publish", &call).await? {
         ChangeAnswer::Accepted(accepted) => Ok(accepted_text(&call, accepted)),
--- a/wtd/src/verbs/rollout.rs
+++ b/wtd/src/verbs/rollout.rs
@@ -11,7 +11,6 @@
         WeightsVersion, //
     },
     schema::{
-        Configuration,
         EndpointView,
         KeeperStatus,
         Pool,
@@ -54,7 +53,8 @@
 
 /// Shows how far roll-outs are, or starts one.
 pub async fn run(client: &OperatorClient, matches: &ArgMatches) -> Result<VerbAnswer> {
-    let in_force: Configuration = client.get_first("/configuration").await?;
+    let held = client.in_force().await?;
+    let in_force = held.configuration;
     let wanted = verbs::text(matches, "pool");
     if let (Some(pool), Some(&version)) = (wanted, matches.get_one("to")) {
         let raise = WeightsChange {
@@ -63,7 +63,7 @@
         };
         let change = amend::checked_raise(&in_force, raise)?;
         let note = verbs::text(matches, "note").unwrap_or_default();
-        return publish::publish(client, note, vec![change]).await;
+        return publish::publish(client, held.head, note, vec![change]).await;
     }
     let models = in_force
         .pools
--- a/wtd/tests/verbs.rs
+++ b/wtd/tests/verbs.rs
@@ -116,6 +116,11 @@
 
 /// A keeper that accepts publications.
 fn accepting() -> CannedServer {
+    accepting_with(status(vec![]))
+}
+
+/// A keeper with this status that accepts publications.
+fn accepting_with(status: KeeperStatus) -> CannedServer {
     let accepted = PublishAnswer {
         head: head(3),
         held: vec!["north-1".into(), "south-1".into()],
@@ -123,9 +128,30 @@
     };
     CannedServer::default()
         .answer("GET /configuration", 200, &configuration())
+        .answer("GET /status", 200, &status)
         .answer("POST /publish", 200, &accepted)
 }
 
+/// The status of a keeper that knows these endpoints.
+fn status(endpoints: Vec<EndpointView>) -> KeeperStatus {
+    KeeperStatus {
+        host: "north-1".into(),
+        domain: "north".into(),
+        head: head(2),
+        config_age_ms: 100,
+        platform_age_ms: 200,
+        endpoints,
+        hosts: vec![],
+    }
+}
+
+/// A keeper that holds this configuration.
+fn holding(in_force: &Configuration) -> CannedServer {
+    CannedServer::default()
+        .answer("GET /status", 200, &status(vec![]))
+        .answer("GET /configuration", 200, in_force)
+}
+
 /// An event of request `r`.
 fn event(host: &str, wall_ms: u64, kind: EventKind, detail: &str) -> TimelineEvent {
     TimelineEvent {
@@ -179,6 +205,7 @@
         (&body["operator"], &body["note"]),
         (&json!("Mei"), &json!("first"))
     );
+    assert_eq!(body["seen"]["sequence"], 2);
     assert_eq!(body["changes"].as_array().expect("changes").len(), 18);
 }
 
@@ -199,7 +226,7 @@
             other => panic!("a folder gives no {other:?}"),
         }
     }
-    let same = CannedServer::default().answer("GET /configuration", 200, &in_force);
+    let same = holding(&in_force);
     let text = printed(wtd(&[same.start().await], &[], &["publish", PUBLISHER]).await);
     assert!(text.contains("Nothing differs"), "{text}");
     let dry = accepting();
@@ -216,9 +243,7 @@
         head: head(7),
         reason: "Ravi published configuration 7 first".into(),
     };
-    let keeper = CannedServer::default()
-        .answer("GET /configuration", 200, &configuration())
-        .answer("POST /publish", 409, &refused);
+    let keeper = holding(&configuration()).answer("POST /publish", 409, &refused);
     let answer = wtd(&[keeper.start().await], &[], &["publish", PUBLISHER]).await;
     assert_eq!(exit(&answer), ExitKind::NotAccepted);
     let text = answer.expect_err("refused").to_string();
@@ -230,9 +255,7 @@
 
 #[tokio::test]
 async fn a_change_whose_answer_is_lost_is_sent_to_no_other_keeper() {
-    let cut = CannedServer::default()
-        .answer("GET /configuration", 200, &configuration())
-        .answer("POST /publish", 0, &());
+    let cut = holding(&configuration()).answer("POST /publish", 0, &());
     let other = accepting();
     let keepers = [cut.start().await, other.start().await];
     let answer = wtd(&keepers, &[], &["publish", PUBLISHER]).await;
@@ -434,19 +457,8 @@
         queued: 0,
         report_age_ms: 400,
     };
-    let status = KeeperStatus {
-        host: "north-1".into(),
-        domain: "north".into(),
-        head: head(3),
-        config_age_ms: 100,
-        platform_age_ms: 200,
-        endpoints: vec![endpoint(1, 2), endpoint(2, 1)],
-        hosts: vec![],
-    };
-    let keeper = accepting()
-        .answer("GET /status", 200, &status)
-        .start()
-        .await;
+    let status = status(vec![endpoint(1, 2), endpoint(2, 1)]);
+    let keeper = accepting_with(status).start().await;
     let answer = wtd(&[keeper, nobody()], &[], &["status"])
         .await
         .expect("a status");
