--- a/wagtaildoor_entry/src/lib.rs
+++ b/wagtaildoor_entry/src/lib.rs
@@ -1,14 +1,17 @@
 //! Caller-facing daemon of wagtaildoor.
 
 pub mod access;
+pub mod admit;
 pub mod caller_answer;
 pub mod caller_body;
 pub mod caller_head;
+pub mod engine_attempt;
 pub mod engine_call;
 pub mod http_clients;
 pub mod metrics;
 pub mod model_run;
 pub mod once_run;
+pub mod request_notes;
 pub mod request_scope;
 pub mod routes;
 pub mod server;
