Write each log line in one piece

Cause: a profile of the entry at 500 streamed requests a second showed the logging thread with 32% of the samples: standard error is not buffered, and the JSON format writes every field by itself. Before: the entry took 60.2 and 66.6% of a core in two runs; after: 47.6 and 45.3%, release builds, same script, machine busy each time (load 18 to 32 on 10 cores). Lines are still flushed one by one.

--- a/wagtaildoor/src/logging.rs
+++ b/wagtaildoor/src/logging.rs
@@ -1,6 +1,9 @@
 //! Logging as JSON lines on standard error, written by a thread of its own.
 
-use std::io;
+use std::io::{
+    self,
+    BufWriter, //
+};
 
 use slog::{
     Drain,
@@ -20,7 +23,8 @@
 
 /// A logger for one process. Each line carries the host and the program.
 pub fn logger(section: &LoggingSection, host: &str, process: &'static str) -> Logger {
-    let json = Json::new(io::stderr())
+    // Each line goes out in one piece, where the format alone would write every field apart.
+    let json = Json::new(BufWriter::new(io::stderr()))
         .set_newlines(true)
         .set_flush(true)
         .add_default_keys()
