--- a/wagtaildoor/src/logging.rs
+++ b/wagtaildoor/src/logging.rs
@@ -1,6 +1,9 @@
 //! Logging as JSON lines on standard error, written by a thread of its own.
 
-use std::io;
+use std::io::{
+    self,
+    Write, //
+};
 
 use slog::{
     Drain,
@@ -20,7 +23,17 @@
 
 /// A logger for one process. Each line carries the host and the program.
 pub fn logger(section: &LoggingSection, host: &str, process: &'static str) -> Logger {
-    let json = Json::new(io::stderr())
+    logger_to(io::stderr(), section, host, process)
+}
+
+/// As `logger`, into something else than standard error. Dropping it writes what waits.
+pub fn logger_to<W: Write + Send + 'static>(
+    output: W,
+    section: &LoggingSection,
+    host: &str,
+    process: &'static str,
+) -> Logger {
+    let json = Json::new(output)
         .set_newlines(true)
         .set_flush(true)
         .add_default_keys()
--- a/wagtaildoor/src/timeline.rs
+++ b/wagtaildoor/src/timeline.rs
@@ -35,6 +35,9 @@
 /// Message of the log lines that carry an event.
 pub const EVENT_MESSAGE: &str = "timeline event";
 
+/// Longest detail that is kept, in bytes; it may carry what an endpoint sent.
+const DETAIL_LIMIT_BYTES: usize = 2000;
+
 /// An event before it is stamped.
 #[derive(Clone, Debug, PartialEq)]
 pub struct EventDraft {
@@ -185,7 +188,7 @@
             request: draft.request,
             account: draft.account,
             endpoint: draft.endpoint,
-            detail: draft.detail,
+            detail: cut(draft.detail),
         };
         write(&state.log, &event);
         if ring.events.len() >= state.capacity {
@@ -212,6 +215,18 @@
     }
 }
 
+/// A detail of bounded length.
+fn cut(detail: Box<str>) -> Box<str> {
+    if detail.len() <= DETAIL_LIMIT_BYTES {
+        return detail;
+    }
+    let end = (0..=DETAIL_LIMIT_BYTES)
+        .rev()
+        .find(|&at| detail.is_char_boundary(at));
+    let kept = &detail[..end.unwrap_or(0)];
+    format!("{kept}…").into()
+}
+
 /// Writes an event to the log, in the form that `log_lines` reads.
 fn write(log: &Logger, event: &TimelineEvent) {
     slog::info!(log, "{}", EVENT_MESSAGE;
--- a/wagtaildoor/tests/template_file.rs
+++ b/wagtaildoor/tests/template_file.rs
@@ -351,3 +351,24 @@
     assert_eq!(kept.changes, []);
     assert_eq!(kept.newer_weights, [Box::from("drafter")]);
 }
+
+#[test]
+fn the_operators_page_lists_every_key() {
+    let schema = include_str!("../../schema/configuration.json");
+    let page = include_str!("../../docs/operators/templates.md");
+    let schema: serde_json::Value = serde_json::from_str(schema).expect("the schema is JSON");
+    let cases = [
+        ("Account", ["id", "parameters"].as_slice()),
+        ("Pool", &["id"]),
+        ("Template", &["levels"]),
+    ];
+    for (definition, set_elsewhere) in cases {
+        let properties = &schema["definitions"][definition]["properties"];
+        for (key, property) in properties.as_object().expect("an object") {
+            let description = property["description"].as_str().expect("a description");
+            let row = format!("| `{key}` | {description} |");
+            let listed = set_elsewhere.contains(&key.as_str()) || page.contains(&row);
+            assert!(listed, "{definition} {key} is not on the page");
+        }
+    }
+}
--- a/wagtaildoor/tests/timeline.rs
+++ b/wagtaildoor/tests/timeline.rs
@@ -12,14 +12,14 @@
 mod seeds;
 
 use quickcheck::Arbitrary;
-use slog::{
-    Drain,
-    Logger, //
-};
+use slog::Logger;
 use wagtaildoor::{
+    logging,
     schema::{
         EventKind,
         EventPage,
+        LoggingSection,
+        LoggingSectionLevel,
         TimelineEvent, //
     },
     timeline::{
@@ -55,14 +55,20 @@
     }
 }
 
-/// A logger into bytes, in the form of `logging::logger`.
-fn logger(bytes: &LogBytes, host: &str) -> Logger {
-    let json = slog_json::Json::default(bytes.clone());
-    let drain = Mutex::new(json).fuse();
-    Logger::root(
-        drain,
-        slog::o!("host" => host.to_string(), "process" => "entry"),
-    )
+/// A logger into bytes.
+fn logger(bytes: &LogBytes, level: LoggingSectionLevel) -> Logger {
+    let section = LoggingSection {
+        level,
+        timeline_events: 100,
+    };
+    logging::logger_to(bytes.clone(), &section, "north-1", "entry")
+}
+
+impl LogBytes {
+    /// What was written, as text.
+    fn text(&self) -> String {
+        String::from_utf8(self.0.lock().expect("bytes").clone()).expect("text")
+    }
 }
 
 /// A draft of a request's event.
@@ -141,18 +147,17 @@
 #[test]
 fn events_are_read_back_from_the_log() {
     let bytes = LogBytes::default();
-    let log = logger(&bytes, "north-1");
+    let log = logger(&bytes, LoggingSectionLevel::Info);
     let recorder = EventRecorder::new("north-1", "entry", 10, log.clone());
     slog::info!(log, "something else"; "wall_ms" => 1);
     recorder.record(draft("r", "with \"quotes\"\nand lines"));
     recorder.record(EventDraft::new(EventKind::ProcessLeaving, "leaving"));
-    let mut text = String::from_utf8(bytes.0.lock().expect("bytes").clone()).expect("text");
+    let kept = recorder.page(&EventFilter::default()).events;
+    drop((recorder, log));
+    let mut text = bytes.text();
     text.push_str("{\"msg\":\"timeline event\",\"event\":\"no_such_kind\"}\n{\"cut\": \n");
     let reading = log_lines::read(&text);
-    assert_eq!(
-        reading.page.events,
-        recorder.page(&EventFilter::default()).events
-    );
+    assert_eq!(reading.page.events, kept);
     assert_eq!(reading.malformed, 2);
 }
 
@@ -256,3 +261,47 @@
         assert!(!page.contains(word), "{word}");
     }
 }
+
+#[test]
+fn logs_are_json_lines_from_the_level_on() {
+    use LoggingSectionLevel as Level;
+    let cases = [
+        (Level::Error, 1),
+        (Level::Warning, 2),
+        (Level::Info, 3),
+        (Level::Debug, 4),
+    ];
+    for (level, expected) in cases {
+        let bytes = LogBytes::default();
+        let log = logger(&bytes, level);
+        slog::error!(log, "line");
+        slog::warn!(log, "line");
+        slog::info!(log, "two\nlines");
+        slog::debug!(log, "line");
+        drop(log);
+        let text = bytes.text();
+        assert_eq!(text.lines().count(), expected, "{level}: {text}");
+        for line in text.lines() {
+            let line: serde_json::Value = serde_json::from_str(line).expect("JSON");
+            assert_eq!(
+                (&line["host"], &line["process"]),
+                (&"north-1".into(), &"entry".into())
+            );
+        }
+    }
+}
+
+#[test]
+fn long_details_are_cut() {
+    let recorder = EventRecorder::new("north-1", "entry", 10, silent());
+    recorder.record(draft("r", &"é".repeat(100_000)));
+    recorder.record(draft("r", "short"));
+    let events = recorder.page(&EventFilter::default()).events;
+    assert!(
+        events[0].detail.len() <= 2 * 1024,
+        "{}",
+        events[0].detail.len()
+    );
+    assert!(events[0].detail.ends_with('…'));
+    assert_eq!(&*events[1].detail, "short");
+}
--- a/wtd/tests/cli.rs
+++ b/wtd/tests/cli.rs
@@ -88,3 +88,12 @@
         assert_eq!(error.exit_code(), 2, "{line:?}");
     }
 }
+
+#[test]
+fn exit_codes_are_on_the_operators_page() {
+    let page = include_str!("../../docs/operators/README.md");
+    for kind in ExitKind::ALL {
+        let row = format!("| {} | {} |", kind.code(), kind.meaning());
+        assert!(page.contains(&row), "{row}");
+    }
+}
