--- /dev/null
+++ b/wagtaildoor/src/lease_holder.rs
@@ -0,0 +1,222 @@
+//! Acquires, renews and releases leases for one process.
+
+use std::time::Duration;
+
+use tokio::time::Instant;
+
+use crate::{
+    ids::{
+        FencingNumber,
+        LeaseId,
+        LogOffset, //
+    },
+    lease_ledger::{
+        LeaseLedger,
+        LEASE_STREAM, //
+    },
+    log_store::{
+        LogError,
+        LogStore,
+        Result, //
+    },
+    schema::{
+        LeaseGrant,
+        LeaseRecord, //
+    },
+};
+
+/// Records read at a time.
+const PAGE_RECORDS: usize = 256;
+/// Longest wait for an own record whose answer was lost.
+const SETTLE_WAIT: Duration = Duration::from_millis(500);
+/// Part of a lease's time that its holder leaves unused.
+const MARGIN_PART: u32 = 4;
+
+/// A lease that this process holds.
+#[derive(Clone, Debug)]
+pub struct HeldLease {
+    /// Name.
+    pub lease: LeaseId,
+    /// Number that goes with every order under the lease.
+    pub fencing: FencingNumber,
+    /// Name of the holder, another for each lease acquired.
+    holder: Box<str>,
+    /// How long it holds from each record.
+    duration: Duration,
+    /// Time on the own clock from which on it must not be used.
+    valid_until: Instant,
+    /// When it was read back for the first time.
+    granted: Instant,
+}
+
+impl HeldLease {
+    /// Whether it may be used now. To be asked right before each use.
+    pub fn is_valid(&self) -> bool {
+        Instant::now() < self.valid_until
+    }
+
+    /// Time on the own clock until which it may be used.
+    pub fn valid_until(&self) -> Instant {
+        self.valid_until
+    }
+
+    /// Time from which on no order of an earlier holder can act on an endpoint that ignores
+    /// fencing numbers, when orders act for so long at most.
+    pub fn alone_from(&self, order_limit: Duration) -> Instant {
+        self.granted + order_limit
+    }
+
+    /// Whether it is time to renew it.
+    pub fn wants_renewal(&self) -> bool {
+        let left = self.valid_until.saturating_duration_since(Instant::now());
+        left < self.duration / 2
+    }
+}
+
+/// Reads the lease stream, and asks for leases in the name of one process.
+pub struct LeaseHolder<L> {
+    /// Log.
+    log: L,
+    /// Host and start of the process.
+    name: Box<str>,
+    /// Leases as read so far.
+    ledger: LeaseLedger,
+    /// Offset of the next record to read.
+    cursor: LogOffset,
+    /// The log's time at the last read.
+    log_ms: u64,
+    /// Leases asked for so far.
+    asked: u64,
+}
+
+impl<L: LogStore> LeaseHolder<L> {
+    /// A holder; the name must be another for each start of the process.
+    pub fn new(log: L, name: &str) -> Self {
+        Self {
+            log,
+            name: name.into(),
+            ledger: LeaseLedger::default(),
+            cursor: 1,
+            log_ms: 0,
+            asked: 0,
+        }
+    }
+
+    /// Asks for a lease; `None` when another holds it.
+    pub async fn acquire(&mut self, lease: &str, duration: Duration) -> Result<Option<HeldLease>> {
+        self.read_on(Duration::ZERO, 0).await?;
+        let taken = self.ledger.holder(lease, self.log_ms).is_some();
+        if taken || self.ledger.is_unclear(lease, self.log_ms) {
+            return Ok(None);
+        }
+        self.asked += 1;
+        let grant = LeaseGrant {
+            duration_ms: duration.as_millis() as u64,
+            fencing: 0,
+            // A late record of an earlier ask must not look like this one.
+            holder: format!("{}#{}", self.name, self.asked).into(),
+            lease: lease.into(),
+        };
+        // Taken before the append, and so before the log's time of the record.
+        let asked = Instant::now();
+        self.append(&LeaseRecord::Grant(grant.clone())).await?;
+        let state = self.ledger.holder(lease, self.log_ms);
+        Ok(state
+            .filter(|state| state.holder == grant.holder)
+            .map(|state| HeldLease {
+                lease: lease.into(),
+                fencing: state.fencing,
+                holder: grant.holder.clone(),
+                duration,
+                valid_until: asked + duration - duration / MARGIN_PART,
+                granted: Instant::now(),
+            }))
+    }
+
+    /// Prolongs a lease; `false` when it was not read back as prolonged.
+    pub async fn renew(&mut self, held: &mut HeldLease) -> Result<bool> {
+        let asked = Instant::now();
+        if !held.is_valid() {
+            return Ok(false);
+        }
+        let offset = self.append(&LeaseRecord::Grant(held.grant())).await?;
+        let state = self.ledger.holder(&held.lease, self.log_ms);
+        let own = state.is_some_and(|s| s.fencing == held.fencing && s.holder == held.holder);
+        // Without its offset, the own record may not be among those that were read.
+        if !own || offset.is_none() {
+            return Ok(false);
+        }
+        held.valid_until = asked + held.duration - held.duration / MARGIN_PART;
+        Ok(true)
+    }
+
+    /// Gives a lease back, for others to take at once.
+    pub async fn release(&mut self, held: HeldLease) -> Result<()> {
+        self.append(&LeaseRecord::Release(held.grant())).await?;
+        Ok(())
+    }
+
+    /// Appends a record and reads on; gives its offset if the log told.
+    async fn append(&mut self, record: &LeaseRecord) -> Result<Option<LogOffset>> {
+        let data = serde_json::to_string(record).expect("a record has string keys only");
+        match self.log.append(LEASE_STREAM, data.into()).await {
+            Ok(appended) => {
+                self.read_on(SETTLE_WAIT, appended.offset).await?;
+                Ok((self.cursor > appended.offset).then_some(appended.offset))
+            }
+            Err(LogError::Unavailable(text)) => Err(LogError::Unavailable(text)),
+            Err(LogError::Uncertain(_) | LogError::Malformed(_)) => {
+                self.read_on(SETTLE_WAIT, self.cursor).await?;
+                Ok(None)
+            }
+        }
+    }
+
+    /// Reads to the end of the log, and waits for an offset.
+    async fn read_on(&mut self, wait: Duration, until: LogOffset) -> Result<()> {
+        let deadline = Instant::now() + wait;
+        loop {
+            let left = deadline.saturating_duration_since(Instant::now());
+            let wait = if self.cursor <= until {
+                left
+            } else {
+                Duration::ZERO
+            };
+            let page = self
+                .log
+                .read(LEASE_STREAM, self.cursor, PAGE_RECORDS, wait)
+                .await?;
+            if page.first > self.cursor {
+                let first_ms = page.records.first().map_or(page.time_ms, |r| r.time_ms);
+                self.ledger.miss_records(first_ms);
+                self.cursor = page.first;
+            }
+            for record in &page.records {
+                self.ledger.take(record);
+                self.cursor = record.offset + 1;
+            }
+            self.log_ms = page.time_ms;
+            let reached = self.cursor > until || Instant::now() >= deadline;
+            if self.cursor >= page.next && reached {
+                return Ok(());
+            }
+        }
+    }
+}
+
+impl HeldLease {
+    /// The record that renews or releases it.
+    fn grant(&self) -> LeaseGrant {
+        LeaseGrant {
+            duration_ms: self.duration.as_millis() as u64,
+            fencing: self.fencing,
+            holder: self.holder.clone(),
+            lease: self.lease.clone(),
+        }
+    }
+}
+
+/// Names of a pool's load slots: whoever holds one may load weights onto one replica.
+pub fn load_slots(pool: &str, slots: u32) -> impl Iterator<Item = LeaseId> + '_ {
+    (0..slots).map(move |slot| format!("load/{pool}/{slot}").into())
+}
--- a/wagtaildoor/src/lib.rs
+++ b/wagtaildoor/src/lib.rs
@@ -33,6 +33,8 @@
 pub mod ids;
 pub mod keeper_connection;
 pub mod keeper_link;
+pub mod lease_holder;
+pub mod lease_ledger;
 pub mod load_view;
 pub mod log_http;
 pub mod log_store;
