Keep a cold cluster from spreading its prompts, and trust few samples

One step of a queue taken as service time over running requests: one own request then counted as seconds of foreign work. Requests of other entries counted by the mean of missed tokens, which grows as prompts spread, so that they spread more. Prefill rate learnt from requests that were expected not to wait, most of which did: the rate fell, and requests were refused as too late. Each level had a home of its own that was believed to hold everything before it, so that an account's glossary went to every engine.

`cargo test -p wagtaildoor`: all passed.

--- a/wagtaildoor/src/candidates.rs
+++ b/wagtaildoor/src/candidates.rs
@@ -8,6 +8,10 @@
 use rand::Rng;
 
 use crate::{
+    candidate_list::{
+        CandidateList,
+        NO_RANK, //
+    },
     endpoint_slot::EndpointSlot,
     error::ErrorKind,
     ids::PrefixId,
@@ -20,7 +24,10 @@
         PlacementQuery,
         PlacementReason, //
     },
-    rendezvous::HomeMember,
+    rendezvous::{
+        self,
+        HomeMember, //
+    },
     residency::{
         HoldingState,
         SlotIndex, //
@@ -31,18 +38,6 @@
 /// Result of a choice.
 type Result<T> = std::result::Result<T, ErrorKind>;
 
-/// Most endpoints that are compared.
-const CANDIDATES_LIMIT: usize = 32;
-/// Rank of candidates that are no home.
-const NO_RANK: u32 = u32::MAX;
-
-/// Endpoints to compare.
-#[derive(Debug)]
-struct CandidateList {
-    /// Candidates, each endpoint once.
-    candidates: Vec<PlacementCandidate>,
-}
-
 /// A candidate with its cost.
 type CostedCandidate = (PlacementCandidate, CandidateCost);
 
@@ -65,9 +60,13 @@
 
     /// Endpoints to compare: holders, homes and a few drawn ones.
     fn gather(&mut self, query: &PlacementQuery, now: Instant) -> Result<CandidateList> {
+        if !self.pools.contains_key(query.pool) {
+            return Err(ErrorKind::NoEndpoint);
+        }
         let mut list = CandidateList::new();
-        self.add_holders(query, &mut list);
-        self.add_homes(query, &mut list, now)?;
+        let known = self.add_holders(query, &mut list);
+        self.believe_in_homes(query, known, &mut list);
+        self.add_homes(query, &mut list, now);
         let members = self.pools[query.pool].homes.members();
         if members.len() <= self.policy.compare_all {
             list.add_all(members);
@@ -80,9 +79,11 @@
         Ok(list)
     }
 
-    /// Adds the endpoints that may hold levels of the prompt, the innermost first.
-    fn add_holders(&self, query: &PlacementQuery, list: &mut CandidateList) {
-        for level in query.levels.iter().rev() {
+    /// Adds the endpoints that may hold levels of the prompt, the innermost first; gives the
+    /// number of levels that any of them may hold.
+    fn add_holders(&self, query: &PlacementQuery, list: &mut CandidateList) -> usize {
+        let mut known = 0;
+        for (place, level) in query.levels.iter().enumerate().rev() {
             for holder in self.residency.holders(level.id) {
                 let (source, belief) = match holder.state {
                     HoldingState::Certain => (CandidateSource::Holder, 1.0),
@@ -93,38 +94,58 @@
                         (CandidateSource::Expected, self.policy.expected_belief)
                     }
                 };
+                known = known.max(place + 1);
                 list.add(holder.slot, source, level.tokens as f64 * belief, NO_RANK);
             }
         }
+        known
     }
 
-    /// Adds the homes of each level, the outermost first.
-    fn add_homes(
-        &mut self,
-        query: &PlacementQuery,
-        list: &mut CandidateList,
-        now: Instant,
-    ) -> Result<()> {
+    /// Believes that the levels which no endpoint is known to hold are at one that all hosts
+    /// would choose: the home of the next level among the holders of those before it, or among
+    /// all endpoints.
+    fn believe_in_homes(&mut self, query: &PlacementQuery, known: usize, list: &mut CandidateList) {
+        let Some(next) = query.levels.get(known) else {
+            return;
+        };
+        let innermost = query.levels[query.levels.len() - 1].tokens as f64;
+        let held = match known {
+            0 => 0.0,
+            _ => query.levels[known - 1].tokens as f64,
+        };
+        let believed = held + self.policy.home_belief * (innermost - held);
+        if known > 0 {
+            let members = list.holders_of(held * self.policy.doubtful_belief);
+            let hashed = members.filter_map(|slot| {
+                let hash = self.slot(slot)?.hash;
+                Some(HomeMember { slot, hash })
+            });
+            if let Some(home) = rendezvous::first_home(next.id, hashed) {
+                list.add(home, CandidateSource::Home, believed, 0);
+            }
+        } else if let Some(pool) = self.pools.get_mut(query.pool) {
+            for (place, home) in pool.homes.homes(next.id).slots().take(2).enumerate() {
+                let cached = believed / (1 + 2 * place) as f64;
+                list.add(home, CandidateSource::Home, cached, place as u32);
+            }
+        }
+    }
+
+    /// Adds the homes of the outermost and the innermost level.
+    fn add_homes(&mut self, query: &PlacementQuery, list: &mut CandidateList, now: Instant) {
+        let outermost = query.levels.first();
+        let innermost = query.levels.last();
         let mut rank = 0;
-        for level in query.levels {
+        for level in outermost.into_iter().chain(innermost) {
             let wanted = self.homes_wanted(level.id, now);
-            let known = self.residency.holders(level.id).next().is_some();
-            let belief = match known {
-                true => 0.0,
-                false => self.policy.home_belief * level.tokens as f64,
+            let Some(pool) = self.pools.get_mut(query.pool) else {
+                return;
             };
-            let pool = self.pools.get_mut(query.pool);
-            let homes = pool.ok_or(ErrorKind::NoEndpoint)?.homes.homes(level.id);
-            for (place, slot) in homes.slots().take(wanted).enumerate() {
-                let cached = belief / (place + 1) as f64;
-                list.add(slot, CandidateSource::Home, cached, rank);
+            for slot in pool.homes.homes(level.id).slots().take(wanted) {
+                list.add(slot, CandidateSource::Home, 0.0, rank);
                 rank += 1;
             }
         }
-        match self.pools.contains_key(query.pool) {
-            true => Ok(()),
-            false => Err(ErrorKind::NoEndpoint),
-        }
     }
 
     /// Homes of a level, more when it is in demand.
@@ -284,58 +305,3 @@
         })
     }
 }
-
-impl CandidateList {
-    /// An empty list.
-    fn new() -> Self {
-        Self {
-            candidates: Vec::with_capacity(CANDIDATES_LIMIT),
-        }
-    }
-
-    /// Adds an endpoint, or raises what is believed of it.
-    fn add(&mut self, slot: SlotIndex, source: CandidateSource, cached_tokens: f64, rank: u32) {
-        let known = self
-            .candidates
-            .iter_mut()
-            .find(|candidate| candidate.slot == slot);
-        if let Some(candidate) = known {
-            candidate.cached_tokens = candidate.cached_tokens.max(cached_tokens);
-            candidate.rank = candidate.rank.min(rank);
-        } else if self.candidates.len() < CANDIDATES_LIMIT {
-            self.candidates.push(PlacementCandidate {
-                slot,
-                source,
-                cached_tokens,
-                rank,
-            });
-        }
-    }
-
-    /// Adds all members of a pool, over the limit too.
-    fn add_all(&mut self, members: &[HomeMember]) {
-        for member in members {
-            if self
-                .candidates
-                .iter()
-                .all(|known| known.slot != member.slot)
-            {
-                self.candidates.push(PlacementCandidate {
-                    slot: member.slot,
-                    source: CandidateSource::Random,
-                    cached_tokens: 0.0,
-                    rank: NO_RANK,
-                });
-            }
-        }
-    }
-
-    /// Most tokens believed to be in any candidate's cache.
-    fn best_cached(&self) -> f64 {
-        let cached = self
-            .candidates
-            .iter()
-            .map(|candidate| candidate.cached_tokens);
-        cached.fold(0.0, f64::max)
-    }
-}
--- a/wagtaildoor/src/lib.rs
+++ b/wagtaildoor/src/lib.rs
@@ -3,6 +3,7 @@
 pub mod account_limit;
 pub mod admission;
 pub mod breaker;
+mod candidate_list;
 mod candidates;
 pub mod claim_key;
 pub mod claim_ledger;
--- a/wagtaildoor/src/load_view.rs
+++ b/wagtaildoor/src/load_view.rs
@@ -12,26 +12,27 @@
 const SAMPLE_SHARE: f64 = 0.1;
 /// Most sends remembered since a report.
 const SENDS_LIMIT: usize = 256;
+/// Part that a sample below the mean has in the prefill rate.
+const LOW_SAMPLE_SHARE: f64 = 0.002;
+/// Prompt tokens from which a prefill tells the rate.
+const RATE_SAMPLE_TOKENS: u64 = 256;
 /// Time after which a report tells nothing more of the queue.
 const REPORT_LIFE: Duration = Duration::from_secs(30);
 
+/// Prompt tokens that a request misses before anything is learnt.
+const MISSED_TOKENS: f64 = 500.0;
+
 /// Rates of a pool's engines, learnt from answers.
 #[derive(Clone, Copy, Debug)]
 pub struct EngineRates {
     /// Prompt tokens prefilled a second.
     pub prefill_tokens_per_s: f64,
-    /// Prompt tokens that a request misses, on average.
-    pub missed_tokens: f64,
-    /// Time from dispatch to the end of an answer, on average, in seconds.
-    pub service_s: f64,
 }
 
 impl Default for EngineRates {
     fn default() -> Self {
         Self {
             prefill_tokens_per_s: 8_000.0,
-            missed_tokens: 500.0,
-            service_s: 1.0,
         }
     }
 }
@@ -42,29 +43,31 @@
         Duration::from_secs_f64((tokens / self.prefill_tokens_per_s).max(0.0))
     }
 
-    /// Takes how long an idle engine took to its first token.
+    /// Takes what a request missed, and how long it took to its first token.
+    ///
+    /// Most of that time may be a wait that nobody saw, so that the rate follows high samples
+    /// fast and low ones slowly. Short prefills tell more of the network than of the engine.
     pub fn take_first_token(&mut self, missed_tokens: u64, elapsed: Duration) {
         let seconds = elapsed.as_secs_f64();
-        if seconds > 0.0 && missed_tokens > 0 {
-            mix(
-                &mut self.prefill_tokens_per_s,
-                missed_tokens as f64 / seconds,
-            );
+        if seconds <= 0.0 || missed_tokens < RATE_SAMPLE_TOKENS {
+            return;
         }
+        let sample = missed_tokens as f64 / seconds;
+        let share = match sample > self.prefill_tokens_per_s {
+            true => SAMPLE_SHARE,
+            false => LOW_SAMPLE_SHARE,
+        };
+        self.prefill_tokens_per_s += (sample - self.prefill_tokens_per_s) * share;
     }
+}
 
-    /// Takes what a whole answer took.
-    pub fn take_answer(&mut self, missed_tokens: u64, elapsed: Duration) {
-        mix(&mut self.missed_tokens, missed_tokens as f64);
-        mix(&mut self.service_s, elapsed.as_secs_f64());
-    }
-
-    /// Time between two requests leaving a queue, with so many running.
-    fn queue_step(&self, running: u32) -> Duration {
-        let prefill = self.prefill_time(self.missed_tokens);
-        let service = Duration::from_secs_f64(self.service_s / f64::from(running.max(1)));
-        prefill.max(service)
-    }
+/// An own request that the endpoint's last word does not count.
+#[derive(Clone, Copy, Debug)]
+struct SentRequest {
+    /// When it was sent.
+    at: Instant,
+    /// Prompt tokens that no other request shares.
+    unshared_tokens: u64,
 }
 
 /// Load of one endpoint.
@@ -78,8 +81,10 @@
     told_at: Instant,
     /// Own requests without a first token when that word was true.
     waiting_then: u32,
-    /// When own requests were sent since that word, the oldest first.
-    sent_since: VecDeque<Instant>,
+    /// Own requests sent since that word, the oldest first.
+    sent_since: VecDeque<SentRequest>,
+    /// Prompt tokens that own requests missed there of late, on average.
+    mean_missed: f64,
     /// Own requests without an end.
     in_flight: u32,
     /// Own requests without a first token.
@@ -97,6 +102,7 @@
             told_at: now,
             waiting_then: 0,
             sent_since: VecDeque::new(),
+            mean_missed: MISSED_TOKENS,
             in_flight: 0,
             waiting: 0,
             waiting_tokens: 0,
@@ -111,20 +117,28 @@
         self.running = running.unwrap_or(self.running);
         self.queued = queued;
         self.told_at = true_at;
-        while self.sent_since.front().is_some_and(|&sent| sent <= true_at) {
+        while self
+            .sent_since
+            .front()
+            .is_some_and(|sent| sent.at <= true_at)
+        {
             self.sent_since.pop_front();
         }
         self.waiting_then = self.waiting.saturating_sub(self.sent_count());
     }
 
-    /// Counts an own request that was sent at a time.
-    pub fn add(&mut self, missed_tokens: u64, now: Instant) {
+    /// Counts an own request that was sent at a time, with the prompt tokens that it is
+    /// expected to miss, and those that no other request shares.
+    pub fn add(&mut self, missed_tokens: u64, unshared_tokens: u64, now: Instant) {
         self.in_flight += 1;
         self.waiting += 1;
         if self.sent_since.len() >= SENDS_LIMIT {
             self.sent_since.pop_front();
         }
-        self.sent_since.push_back(now);
+        self.sent_since.push_back(SentRequest {
+            at: now,
+            unshared_tokens,
+        });
         self.waiting_tokens += missed_tokens;
     }
 
@@ -152,23 +166,30 @@
         self.in_flight
     }
 
+    /// Takes what an own request missed there.
+    pub fn answered(&mut self, missed_tokens: u64) {
+        mix(&mut self.mean_missed, missed_tokens as f64);
+    }
+
     /// Expected time that a request sent now waits before its prefill starts.
     ///
     /// Own requests count by their tokens. Requests of other entries count by the endpoint's
-    /// last word, less what has left the queue since, and by the own rate of sending times the
-    /// number of other entries.
+    /// last word; those sent since by the unshared tokens that this entry sent since, times the
+    /// number of other entries, as shared ones are prefilled once; less what the endpoint has
+    /// prefilled since.
     pub fn expected_wait(&self, rates: &EngineRates, others: u32, now: Instant) -> Duration {
+        let own = self.waiting_tokens as f64;
         let age = now.saturating_duration_since(self.told_at);
-        let step = rates.queue_step(self.running).as_secs_f64().max(1e-6);
-        let foreign_then = f64::from(self.queued.saturating_sub(self.waiting_then));
-        let foreign_since = f64::from(others) * f64::from(self.sent_count());
-        let left = age.as_secs_f64() / step;
-        let foreign = match age < REPORT_LIFE {
-            true => (foreign_then + foreign_since - left).max(0.0),
-            false => 0.0,
-        };
-        let own = rates.prefill_time(self.waiting_tokens as f64);
-        own + Duration::from_secs_f64(foreign * step)
+        if age >= REPORT_LIFE {
+            return rates.prefill_time(own);
+        }
+        let queued = self.queued.saturating_sub(self.waiting_then);
+        let foreign_then = f64::from(queued) * self.mean_missed;
+        let sent = self.sent_since.iter().map(|sent| sent.unshared_tokens);
+        let foreign_since = f64::from(others) * sent.sum::<u64>() as f64;
+        let prefilled = age.as_secs_f64() * rates.prefill_tokens_per_s;
+        let foreign = (foreign_then + foreign_since - prefilled).max(0.0);
+        rates.prefill_time(own + foreign)
     }
 
     /// Own requests sent since the last word.
--- a/wagtaildoor/src/placement.rs
+++ b/wagtaildoor/src/placement.rs
@@ -148,13 +148,16 @@
     pub compare_all: usize,
     /// Cost of going to another failure domain.
     pub cross_domain_cost: Duration,
-    /// Cost of missed tokens to others, as a part of their prefill time.
+    /// Cost of missed tokens to later requests, as a part of their prefill time.
     pub displacement: f64,
+    /// Wait at an endpoint at which that cost is twice as high, since more requests come before
+    /// its queue is empty.
+    pub displacement_wait: Duration,
     /// Belief that an endpoint holds what was confirmed before missed events.
     pub doubtful_belief: f64,
     /// Belief that an endpoint will hold what is on its way there.
     pub expected_belief: f64,
-    /// Belief that the first home holds a level that no endpoint is known to hold.
+    /// Belief that the home of a level holds it when no endpoint is known to.
     pub home_belief: f64,
     /// Own requests that one endpoint may have at a time.
     pub endpoint_in_flight: u32,
@@ -172,9 +175,10 @@
             compare_all: 24,
             cross_domain_cost: Duration::from_millis(3),
             displacement: 0.5,
+            displacement_wait: Duration::from_millis(250),
             doubtful_belief: 0.7,
-            expected_belief: 0.95,
-            home_belief: 0.3,
+            expected_belief: 0.99,
+            home_belief: 0.8,
             endpoint_in_flight: 64,
             import_tokens_per_s: None,
         }
@@ -238,6 +242,12 @@
 }
 
 impl PlacementPolicy {
+    /// Score of an endpoint by wait and prefill time there, in seconds; the lowest is best.
+    pub fn score(&self, wait_s: f64, prefill_s: f64) -> f64 {
+        let crowding = 1.0 + wait_s / self.displacement_wait.as_secs_f64();
+        wait_s + prefill_s * (1.0 + self.displacement * crowding)
+    }
+
     /// What a candidate would cost.
     pub(crate) fn cost(&self, inputs: &CostInputs) -> CandidateCost {
         let missed = (inputs.prompt_tokens - inputs.cached_tokens).max(0.0);
@@ -256,7 +266,7 @@
         CandidateCost {
             wait: inputs.wait,
             first_token: Duration::from_secs_f64(wait_s + ready_s + domain_s),
-            score: wait_s + ready_s * (1.0 + self.displacement) + domain_s,
+            score: self.score(wait_s, ready_s) + domain_s,
             imports,
         }
     }
--- a/wagtaildoor/src/rendezvous.rs
+++ b/wagtaildoor/src/rendezvous.rs
@@ -100,6 +100,15 @@
     }
 }
 
+/// The first home of a prefix among few members.
+pub fn first_home(
+    prefix: PrefixId,
+    members: impl Iterator<Item = HomeMember>,
+) -> Option<SlotIndex> {
+    let first = members.max_by_key(|member| weight(prefix, member.hash));
+    first.map(|member| member.slot)
+}
+
 /// Weight of a member for a prefix.
 fn weight(prefix: PrefixId, member: u64) -> u64 {
     let mut mixed = prefix ^ member;
--- a/wagtaildoor/src/routing_table.rs
+++ b/wagtaildoor/src/routing_table.rs
@@ -76,16 +76,14 @@
     pub(crate) lease: u32,
     /// When it was sent.
     pub(crate) sent_at: Instant,
-    /// Wait that was expected.
-    pub(crate) expected_wait: Duration,
     /// Prompt tokens that were expected to be missed.
     pub(crate) missed_tokens: u64,
     /// Weights it must run on.
     pub(crate) weights_version: WeightsVersion,
     /// Levels of its prompt.
     pub(crate) levels: Box<[LevelPrefix]>,
-    /// Its first token came.
-    pub(crate) started: bool,
+    /// Time to its first token.
+    pub(crate) first_token_after: Option<Duration>,
     /// Its answer or failure was taken.
     settled: bool,
     /// State to give the load back to.
@@ -175,11 +173,10 @@
             slot: choice.slot,
             lease: choice.lease,
             sent_at: now,
-            expected_wait: choice.expected_wait,
             missed_tokens,
             weights_version: choice.weights_version,
             levels: choice.levels.clone(),
-            started: false,
+            first_token_after: None,
             settled: false,
             state: Arc::clone(&self.state),
         }
@@ -192,9 +189,9 @@
 
     /// Takes the first token of an answer.
     pub fn first_token(&self, ticket: &mut DispatchTicket, now: Instant) {
-        if !ticket.started {
-            self.lock().started(ticket, now);
-            ticket.started = true;
+        if ticket.first_token_after.is_none() {
+            self.lock().started(ticket);
+            ticket.first_token_after = Some(now.saturating_duration_since(ticket.sent_at));
         }
     }
 
@@ -214,7 +211,7 @@
     pub fn served(&self, mut ticket: DispatchTicket, news: &EndpointNews, now: Instant) {
         let mut state = self.lock();
         state.heard(&ticket, news, now);
-        state.succeeded(&ticket, 0, now);
+        state.succeeded(&ticket, 0);
         ticket.settled = true;
         drop(state);
     }
--- a/wagtaildoor/src/table_state.rs
+++ b/wagtaildoor/src/table_state.rs
@@ -5,10 +5,7 @@
         HashMap,
         HashSet, //
     },
-    time::{
-        Duration,
-        Instant, //
-    },
+    time::Instant,
 };
 
 use rand::{
@@ -171,7 +168,9 @@
     /// Counts a request that is about to be sent.
     pub fn dispatched(&mut self, choice: &PlacementChoice, missed: u64, now: Instant) {
         if let Some(slot) = leased(&mut self.slots, choice.slot, choice.lease) {
-            slot.load.add(missed, now);
+            let shared = choice.levels.last().map_or(0, |level| level.tokens);
+            let unshared = choice.prompt_tokens.saturating_sub(shared);
+            slot.load.add(missed, unshared.min(missed), now);
             self.residency.expect(choice.slot, &choice.levels, now);
         }
     }
@@ -197,18 +196,10 @@
         true
     }
 
-    /// Takes the first token of a request, and learns from it when nothing else waited.
-    pub fn started(&mut self, ticket: &DispatchTicket, now: Instant) {
-        let Some(slot) = leased(&mut self.slots, ticket.slot, ticket.lease) else {
-            return;
-        };
-        slot.load.started(ticket.missed_tokens);
-        let elapsed = now.saturating_duration_since(ticket.sent_at);
-        if ticket.expected_wait > Duration::from_millis(1) {
-            return;
-        }
-        if let Some(pool) = self.pools.get_mut(&slot.pool) {
-            pool.rates.take_first_token(ticket.missed_tokens, elapsed);
+    /// Takes the first token of a request.
+    pub fn started(&mut self, ticket: &DispatchTicket) {
+        if let Some(slot) = leased(&mut self.slots, ticket.slot, ticket.lease) {
+            slot.load.started(ticket.missed_tokens);
         }
     }
 
@@ -227,11 +218,9 @@
             queued: done.queued,
         };
         let current = self.heard(ticket, &news, now);
-        self.succeeded(
-            ticket,
-            done.prompt_tokens.saturating_sub(done.cached_tokens),
-            now,
-        );
+        let missed = done.prompt_tokens.saturating_sub(done.cached_tokens);
+        self.succeeded(ticket, missed);
+        self.learn_rate(ticket, missed);
         let weights_fit = done.weights_version == ticket.weights_version;
         if current && weights_fit {
             self.residency
@@ -241,18 +230,26 @@
         }
     }
 
-    /// Counts an answer for the breaker and the rates.
-    pub fn succeeded(&mut self, ticket: &DispatchTicket, missed: u64, now: Instant) {
+    /// Learns how fast the engines of a pool prefill.
+    fn learn_rate(&mut self, ticket: &DispatchTicket, missed: u64) {
         let Some(slot) = leased(&mut self.slots, ticket.slot, ticket.lease) else {
             return;
         };
-        slot.breaker.succeeded();
-        let elapsed = now.saturating_duration_since(ticket.sent_at);
-        if let Some(pool) = self.pools.get_mut(&slot.pool) {
-            pool.rates.take_answer(missed, elapsed);
+        let pool = self.pools.get_mut(&slot.pool);
+        if let (Some(pool), Some(elapsed)) = (pool, ticket.first_token_after) {
+            pool.rates.take_first_token(missed, elapsed);
         }
     }
 
+    /// Counts an answer, and the prompt tokens it missed.
+    pub fn succeeded(&mut self, ticket: &DispatchTicket, missed: u64) {
+        let Some(slot) = leased(&mut self.slots, ticket.slot, ticket.lease) else {
+            return;
+        };
+        slot.breaker.succeeded();
+        slot.load.answered(missed);
+    }
+
     /// Takes the failure of an attempt.
     pub fn failed(&mut self, ticket: &DispatchTicket, kind: ErrorKind, now: Instant) {
         self.residency.unexpect(ticket.slot, &ticket.levels);
@@ -273,7 +270,7 @@
     /// Gives back a request's share of an endpoint's load.
     pub fn released(&mut self, ticket: &DispatchTicket) {
         if let Some(slot) = leased(&mut self.slots, ticket.slot, ticket.lease) {
-            if !ticket.started {
+            if ticket.first_token_after.is_none() {
                 slot.load.started(ticket.missed_tokens);
             }
             slot.load.ended();
--- a/wagtaildoor_bench/src/policy.rs
+++ b/wagtaildoor_bench/src/policy.rs
@@ -227,7 +227,7 @@
         }
         PolicyKind::Bound => {
             let start = |_, _| KnowingBound {
-                displacement: own.displacement,
+                policy: own,
                 prefill_tokens_per_s: shape.prefill_tokens_per_s,
             };
             run_with(shape, fault, &requests, &start, epoch)
