Let a keeper leave without the loss of a claim

A keeper that goes tells its entries; they send no more calls there, wait for the answers on their way, and give calls in between to the next keeper, or to the same one once it is back. Before, a call in flight at the keeper's end was uncertain, and one right after it was refused.

--- a/wagtaildoor/src/keeper_link.rs
+++ b/wagtaildoor/src/keeper_link.rs
@@ -220,14 +220,25 @@
         self.shared.next_call.fetch_add(1, Ordering::Relaxed)
     }
 
-    /// Sends a call over the connection in use.
+    /// Sends a call over the connection in use, or over the next one when there is none.
+    ///
+    /// A keeper that restarts is back within moments, so that the call waits for it.
     async fn call(&self, number: CallNumber, frame: EntryFrame, wait: Duration) -> CallResult {
-        let connection = self.shared.current.borrow().clone();
+        let started = Instant::now();
+        let connection = time::timeout(wait, self.connection()).await;
+        let left = wait.saturating_sub(started.elapsed());
         match connection {
-            Some(connection) => connection.call(number, frame, wait).await,
-            None => CallResult::NotSent,
+            Ok(Some(connection)) => connection.call(number, frame, left).await,
+            Ok(None) | Err(_) => CallResult::NotSent,
         }
     }
+
+    /// The connection in use, or the next one; `None` when the link has ended.
+    async fn connection(&self) -> Option<Arc<KeeperConnection>> {
+        let mut current = self.shared.current.subscribe();
+        let connection = current.wait_for(Option::is_some).await.ok()?;
+        connection.clone()
+    }
 }
 
 impl LinkShared {
@@ -257,21 +268,36 @@
     async fn follow(&self, found: FoundKeeper) {
         let mut rank = found.rank;
         let mut feed = self.adopt(found.opened);
-        while let Some(better) = self.read_until_better(rank, &mut feed).await {
-            rank = better.rank;
-            let left = std::mem::replace(&mut feed, self.adopt(better.opened));
-            // Calls on the keeper left behind still get their answers.
-            tokio::spawn(left.finish());
+        loop {
+            match self.read_until_end(rank, &mut feed).await {
+                FeedEnd::Lost => return,
+                FeedEnd::Leaving => {
+                    // Calls from now on wait for the next keeper, or for this one to be back.
+                    self.current.send_replace(None);
+                    tokio::spawn(feed.finish());
+                    return;
+                }
+                FeedEnd::Better(better) => {
+                    rank = better.rank;
+                    let left = std::mem::replace(&mut feed, self.adopt(better.opened));
+                    // Calls on the keeper left behind still get their answers.
+                    tokio::spawn(left.finish());
+                }
+            }
         }
     }
 
-    /// Reads from a keeper until one before its rank shows a view; `None` when it is lost.
-    async fn read_until_better(&self, rank: usize, feed: &mut KeeperFeed) -> Option<FoundKeeper> {
+    /// Reads from a keeper until it is lost or leaves, or one before its rank shows a view.
+    async fn read_until_end(&self, rank: usize, feed: &mut KeeperFeed) -> FeedEnd {
         let mut better = pin!(self.find_better(rank));
         loop {
             tokio::select! {
-                frame = feed.next() => self.take(frame?),
-                found = &mut better, if rank > 0 => return Some(found),
+                frame = feed.next() => match frame {
+                    Some(KeeperFrame::Leaving(_)) => return FeedEnd::Leaving,
+                    Some(frame) => self.take(frame),
+                    None => return FeedEnd::Lost,
+                },
+                found = &mut better, if rank > 0 => return FeedEnd::Better(found),
             }
         }
     }
@@ -315,7 +341,7 @@
             KeeperFrame::Pong(stamp) => {
                 self.stamp.send_replace(Some(stamp));
             }
-            KeeperFrame::ClaimReply(_) | KeeperFrame::RecordReply(_) => {}
+            KeeperFrame::ClaimReply(_) | KeeperFrame::RecordReply(_) | KeeperFrame::Leaving(_) => {}
         }
     }
 
@@ -355,6 +381,16 @@
     }
 }
 
+/// Why a keeper is no longer followed.
+enum FeedEnd {
+    /// The connection is lost, or silent.
+    Lost,
+    /// The keeper is leaving.
+    Leaving,
+    /// A preferred keeper is back.
+    Better(FoundKeeper),
+}
+
 /// A keeper that shows a view.
 struct FoundKeeper {
     /// Its place in the list.
--- a/wagtaildoor/src/schema.rs
+++ b/wagtaildoor/src/schema.rs
@@ -1183,6 +1183,20 @@
         value.clone()
     }
 }
+///Answer to GET /held-configuration: for peers that are behind.
+#[derive(::serde::Deserialize, ::serde::Serialize, Clone, Debug, PartialEq)]
+#[serde(deny_unknown_fields)]
+pub struct HeldConfiguration {
+    ///Configuration at the head.
+    pub configuration: Configuration,
+    ///Head in force.
+    pub head: ConfigHead,
+}
+impl ::std::convert::From<&HeldConfiguration> for HeldConfiguration {
+    fn from(value: &HeldConfiguration) -> Self {
+        value.clone()
+    }
+}
 ///Who this process is.
 #[derive(::serde::Deserialize, ::serde::Serialize, Clone, Debug, PartialEq)]
 #[serde(deny_unknown_fields)]
@@ -1241,6 +1255,9 @@
     ///Time since the log last answered, in milliseconds.
     #[serde(rename = "platform_age_ms")]
     PlatformAgeMs(u64),
+    ///This keeper takes no more calls after those on their way.
+    #[serde(rename = "leaving")]
+    Leaving(crate::ids::HostId),
 }
 impl ::std::convert::From<&Self> for KeeperFrame {
     fn from(value: &KeeperFrame) -> Self {
@@ -1287,6 +1304,11 @@
         Self::PlatformAgeMs(value)
     }
 }
+impl ::std::convert::From<crate::ids::HostId> for KeeperFrame {
+    fn from(value: crate::ids::HostId) -> Self {
+        Self::Leaving(value)
+    }
+}
 ///Settings of wagtaildoor-keeper.
 #[derive(::serde::Deserialize, ::serde::Serialize, Clone, Debug, PartialEq)]
 #[serde(deny_unknown_fields)]
--- a/wagtaildoor/src/view_board.rs
+++ b/wagtaildoor/src/view_board.rs
@@ -37,7 +37,10 @@
         FrameReader,
         FrameWriter, //
     },
-    ids::EndpointId,
+    ids::{
+        EndpointId,
+        HostId, //
+    },
     schema::{
         ClaimCall,
         ClaimReply,
@@ -104,6 +107,8 @@
     version: watch::Sender<u64>,
     /// Cache news on the way to the entries.
     news: broadcast::Sender<Arc<PrefixNews>>,
+    /// Host that is leaving; `None` while it is not.
+    leaving: watch::Sender<Option<HostId>>,
     /// Ends all connections.
     token: CancellationToken,
 }
@@ -115,6 +120,7 @@
             state: Mutex::new(ViewState::default()),
             version: watch::Sender::new(0),
             news: broadcast::Sender::new(NEWS_CAPACITY),
+            leaving: watch::Sender::new(None),
             token,
         };
         Self {
@@ -146,6 +152,11 @@
         let _ = self.shared.news.send(Arc::new(news));
     }
 
+    /// Tells entries to go elsewhere; calls that are on their way are still answered.
+    pub fn leave(&self, host: HostId) {
+        self.shared.leaving.send_replace(Some(host));
+    }
+
     /// Serves one entry until it goes, falls silent within a frame, or the token is cancelled.
     pub async fn serve<S, H>(&self, stream: S, calls: H) -> frame::Result<()>
     where
@@ -181,6 +192,8 @@
         let mut version = self.shared.version.subscribe();
         let mut feed = NewsFeed::new(self.shared.news.subscribe());
         let mut ages = time::interval(PLATFORM_AGE_PERIOD);
+        let mut leaving = self.shared.leaving.subscribe();
+        let mut told = false;
         let mut sent = 0;
         let mut due = Instant::now();
         version.mark_changed();
@@ -210,6 +223,10 @@
                     }
                     due = Instant::now() + UPDATE_PACE;
                 }
+                host = left(&mut leaving), if !told => {
+                    told = true;
+                    send(&mut writer, &KeeperFrame::Leaving(host)).await?;
+                }
                 news = feed.next() => match news {
                     Some(news) => send(&mut writer, &KeeperFrame::PrefixNews(news)).await?,
                     None => return Ok(()),
@@ -362,6 +379,15 @@
     }
 }
 
+/// Waits until the keeper is leaving; gives its host.
+async fn left(leaving: &mut watch::Receiver<Option<HostId>>) -> HostId {
+    let host = leaving.wait_for(Option::is_some).await;
+    match host.ok().and_then(|host| host.clone()) {
+        Some(host) => host,
+        None => std::future::pending().await,
+    }
+}
+
 /// Sends one frame, and fails when the entry does not read it.
 async fn send<W: AsyncWrite + Unpin>(
     writer: &mut FrameWriter<W>,
