--- a/wagtaildoor_entry/src/server.rs
+++ b/wagtaildoor_entry/src/server.rs
@@ -29,13 +29,20 @@
     task::TaskTracker, //
 };
 use wagtaildoor::{
+    admission::{
+        AdmissionLimits,
+        AdmissionQueue, //
+    },
+    clock_exchange,
     keeper_link::KeeperLink,
     logging,
+    retry_budget::AttemptBudget,
     routing_table::RoutingTable,
     schema::{
         EntryHello,
         EntrySettings,
         EventKind,
+        KeeperView,
         ListenSection, //
     },
     timeline::{
@@ -54,8 +61,8 @@
 
 /// Name of the program in logs and time lines.
 const PROCESS: &str = "wagtaildoor-entry";
-/// Time between two exchanges of clock readings with the keeper.
-const CLOCK_PERIOD: Duration = Duration::from_secs(1);
+/// Entry hosts known before the first view: this one.
+const HOSTS_AT_START: u32 = 1;
 /// Time between two looks at the drain.
 const DRAIN_STEP: Duration = Duration::from_millis(50);
 
@@ -85,7 +92,8 @@
     let token = CancellationToken::new();
     let state = build_state(settings, &token)?;
     tokio::spawn(feed_table(Arc::clone(&state), token.clone()));
-    tokio::spawn(exchange_clocks(Arc::clone(&state), token.clone()));
+    let (link, recorder) = (state.link.clone(), state.recorder.clone());
+    tokio::spawn(clock_exchange::run(link, recorder, token.clone()));
     let server = rocket::custom(server_config(&state.settings.listen))
         .manage(Arc::clone(&state))
         .attach(announce(Arc::clone(&state)));
@@ -111,7 +119,13 @@
     let retry = Duration::from_millis(settings.keepers.retry_ms);
     let addresses = settings.keepers.addresses.clone();
     let link = KeeperLink::start(addresses, hello, retry, token.child_token());
+    let limits = AdmissionLimits {
+        in_flight: settings.limits.in_flight,
+        queued: settings.limits.queued,
+    };
     Ok(Arc::new(EntryState {
+        admission: AdmissionQueue::new(limits, HOSTS_AT_START),
+        retries: AttemptBudget::new(settings.limits.retry_budget_percent),
         view: link.view(),
         link,
         table: Arc::new(RoutingTable::new()),
@@ -139,6 +153,7 @@
                 let held = view.borrow_and_update().clone();
                 if let Some(held) = held {
                     state.table.take_view(&held.view);
+                    state.admission.set_hosts(live_hosts(&held.view));
                 }
             }
             item = news.recv() => match item {
@@ -152,25 +167,10 @@
     }
 }
 
-/// Exchanges clock readings with the keeper, so that time lines stay in causal order.
-async fn exchange_clocks(state: Arc<EntryState>, token: CancellationToken) {
-    let mut stamps = state.link.stamps();
-    let mut ticks = tokio::time::interval(CLOCK_PERIOD);
-    loop {
-        tokio::select! {
-            () = token.cancelled() => return,
-            _ = ticks.tick() => state.link.ping(state.recorder.clock().now()),
-            changed = stamps.changed() => {
-                if changed.is_err() {
-                    return;
-                }
-                let stamp = stamps.borrow_and_update().clone();
-                if let Some(stamp) = stamp {
-                    state.recorder.clock().observe(stamp);
-                }
-            }
-        }
-    }
+/// Entry hosts that share the accounts' limits, this one included.
+fn live_hosts(view: &KeeperView) -> u32 {
+    let live = view.hosts.iter().filter(|host| host.alive).count();
+    u32::try_from(live).unwrap_or(u32::MAX).max(HOSTS_AT_START)
 }
 
 /// Settings of the HTTP server.
