Wire peers, endpoints and the drain into the daemons

The keeper joins its peers by datagrams, tells them its head, takes over the configuration of one that is ahead (GET /held-configuration, head and configuration in one answer, so that they fit), polls endpoints, and leaves with its entries sent elsewhere first. Hosts come from the peers; the list only says where there may be some. The entry's drain counts requests and the streams still on their way to callers by guards: looked at every 50 ms, requests shorter than that did not count as new work, and a stream counted only until its run had ended.

--- a/wagtaildoor/src/keeper_link.rs
+++ b/wagtaildoor/src/keeper_link.rs
@@ -297,7 +297,7 @@
                     Some(frame) => self.take(frame),
                     None => return FeedEnd::Lost,
                 },
-                found = &mut better, if rank > 0 => return FeedEnd::Better(found),
+                found = &mut better, if rank > 0 => return FeedEnd::Better(Box::new(found)),
             }
         }
     }
@@ -388,7 +388,7 @@
     /// The keeper is leaving.
     Leaving,
     /// A preferred keeper is back.
-    Better(FoundKeeper),
+    Better(Box<FoundKeeper>),
 }
 
 /// A keeper that shows a view.
--- a/wagtaildoor/tests/keeper_link.rs
+++ b/wagtaildoor/tests/keeper_link.rs
@@ -267,9 +267,13 @@
         let arrived = time::timeout(LIMIT, keeper.arrived.wait_for(|count| *count == 1)).await;
         arrived.expect("in time").expect("a keeper");
         keeper.board.leave("h1".into());
-        while link.connected() {
-            tokio::task::yield_now().await;
-        }
+        let left = async {
+            while link.connected() {
+                tokio::task::yield_now().await;
+            }
+        };
+        let left = time::timeout(LIMIT, left).await;
+        left.expect("the entry turns away");
         let after = ask(link.clone());
         // The keeper ends the work in hand, and goes.
         keeper.gate.send_replace(true);
--- a/wagtaildoor_entry/src/caller_answer.rs
+++ b/wagtaildoor_entry/src/caller_answer.rs
@@ -32,6 +32,7 @@
 use serde::Serialize;
 use tokio::sync::mpsc;
 use wagtaildoor::{
+    drain_gate::WorkGuard,
     error::{
         ErrorKind,
         RequestError, //
@@ -196,8 +197,8 @@
 pub enum ModelBody {
     /// Whole answer, in JSON.
     Whole(ChatAnswer),
-    /// First event of the stream, and the events after it.
-    Stream(RunEvent, mpsc::Receiver<RunEvent>),
+    /// First event of the stream, the events after it, and what holds a shutdown off.
+    Stream(RunEvent, mpsc::Receiver<RunEvent>, WorkGuard),
 }
 
 impl<'r> Responder<'r, 'r> for ModelReply {
@@ -205,8 +206,9 @@
         let id = self.head.request.to_string();
         let mut response = match self.body {
             ModelBody::Whole(answer) => RawJson(json(&answer)).respond_to(request)?,
-            ModelBody::Stream(first, events) => {
-                EventStream::from(stream_events(self.head, first, events)).respond_to(request)?
+            ModelBody::Stream(first, events, work) => {
+                let pieces = stream_events(self.head, first, events, work);
+                EventStream::from(pieces).respond_to(request)?
             }
         };
         response.set_raw_header("x-request-id", id);
@@ -233,19 +235,21 @@
     head: AnswerHead,
     first: RunEvent,
     events: mpsc::Receiver<RunEvent>,
+    work: WorkGuard,
 ) -> impl Stream<Item = Event> {
-    let start = (head, StreamPlace::Event(first), events);
-    stream::unfold(start, |(head, place, mut events)| async move {
+    let start = (head, StreamPlace::Event(first), events, work);
+    stream::unfold(start, |(head, place, mut events, work)| async move {
         let event = match place {
             StreamPlace::Event(event) => event,
             StreamPlace::Waiting => events.recv().await.unwrap_or_else(lost_run),
             StreamPlace::Ending => {
-                return Some((Event::data(STREAM_END), (head, StreamPlace::Over, events)));
+                let over = (head, StreamPlace::Over, events, work);
+                return Some((Event::data(STREAM_END), over));
             }
             StreamPlace::Over => return None,
         };
         let (sent, place) = sent_event(&head, event);
-        Some((sent, (head, place, events)))
+        Some((sent, (head, place, events, work)))
     })
 }
 
--- a/wagtaildoor_entry/src/request_scope.rs
+++ b/wagtaildoor_entry/src/request_scope.rs
@@ -5,6 +5,7 @@
 use tokio::time::Instant;
 use uuid::Uuid;
 use wagtaildoor::{
+    drain_gate::WorkGuard,
     ids::RequestId,
     schema::EventKind,
     timeline::EventDraft, //
@@ -23,6 +24,8 @@
     pub request: RequestId,
     /// When it came.
     pub received: Instant,
+    /// Holds a shutdown off.
+    _work: WorkGuard,
 }
 
 impl RequestScope {
@@ -33,6 +36,7 @@
             state: Arc::clone(state),
             request: new_request(),
             received: Instant::now(),
+            _work: state.gate.start(),
         }
     }
 
--- a/wagtaildoor_entry/src/routes.rs
+++ b/wagtaildoor_entry/src/routes.rs
@@ -143,7 +143,7 @@
 /// The balancer may send requests here.
 #[get("/ready")]
 fn ready(state: &Shared) -> (Status, &'static str) {
-    if state.leaving.is_cancelled() {
+    if state.gate.is_leaving() {
         return (Status::ServiceUnavailable, "leaving\n");
     }
     if state.view.borrow().is_none() {
@@ -210,6 +210,8 @@
     let wish = wish?;
     let request = scope.request.clone();
     let stream = wish.stream;
+    // A stream is work until its last piece has gone out, which is after the end of its run.
+    let work = scope.state.gate.start();
     let head_of_answer = AnswerHead::new(request, wish.template.clone(), wish.shape);
     let mut events = start_model(scope, &head, wish)?;
     let mut start = None;
@@ -223,7 +225,7 @@
                 return Ok(ModelReply {
                     head: head_of_answer,
                     start: start.clone(),
-                    body: ModelBody::Stream(RunEvent::Chunk(piece), events),
+                    body: ModelBody::Stream(RunEvent::Chunk(piece), events, work),
                 });
             }
             (RunEvent::Chunk(piece), _) => text.push_str(&piece),
@@ -231,7 +233,7 @@
                 return Ok(ModelReply {
                     head: head_of_answer,
                     start: start.clone(),
-                    body: ModelBody::Stream(RunEvent::Done(done), events),
+                    body: ModelBody::Stream(RunEvent::Done(done), events, work),
                 });
             }
             (RunEvent::Done(done), Some(start)) => {
--- a/wagtaildoor_entry/src/server.rs
+++ b/wagtaildoor_entry/src/server.rs
@@ -22,7 +22,6 @@
         SignalKind, //
     },
     sync::broadcast::error::RecvError,
-    time::Instant,
 };
 use tokio_util::{
     sync::CancellationToken,
@@ -34,6 +33,10 @@
         AdmissionQueue, //
     },
     clock_exchange,
+    drain_gate::{
+        DrainGate,
+        DrainLimits, //
+    },
     keeper_link::KeeperLink,
     logging,
     retry_budget::AttemptBudget,
@@ -63,8 +66,6 @@
 const PROCESS: &str = "wagtaildoor-entry";
 /// Entry hosts known before the first view: this one.
 const HOSTS_AT_START: u32 = 1;
-/// Time between two looks at the drain.
-const DRAIN_STEP: Duration = Duration::from_millis(50);
 
 /// Result of running an entry.
 pub type Result<T> = std::result::Result<T, ServerError>;
@@ -132,7 +133,7 @@
         clients: HttpClients::new()?,
         metrics: EntryMetrics::new()?,
         runs: TaskTracker::new(),
-        leaving: CancellationToken::new(),
+        gate: DrainGate::new(),
         settings,
         log,
         recorder,
@@ -213,38 +214,24 @@
 /// A second signal ends the process at once.
 async fn drain(state: Arc<EntryState>, mut terminate: Signal, stop: rocket::Shutdown) {
     terminate.recv().await;
-    state.leaving.cancel();
     note(
         &state,
         EventKind::ProcessLeaving,
         "told to end: not ready, still serving",
     );
     let shutdown = &state.settings.shutdown;
-    let limit = Instant::now() + Duration::from_millis(shutdown.limit_ms);
-    let quiet = Duration::from_millis(shutdown.quiet_ms);
-    tokio::select! {
-        () = work_ends(&state, quiet) => {}
-        () = tokio::time::sleep_until(limit) => {
-            warn!(state.log, "drain limit reached"; "running" => state.runs.len());
-        }
-        _ = terminate.recv() => {
-            warn!(state.log, "second signal"; "running" => state.runs.len());
-        }
-    }
+    let limits = DrainLimits {
+        quiet: Duration::from_millis(shutdown.quiet_ms),
+        whole: Duration::from_millis(shutdown.limit_ms),
+    };
+    let hurry = async {
+        terminate.recv().await;
+    };
+    let end = state.gate.drain(limits, hurry).await;
+    info!(state.log, "drained"; "end" => %end, "running" => state.gate.running());
     stop.notify();
 }
 
-/// Waits until no request has been in work for the quiet time.
-async fn work_ends(state: &EntryState, quiet: Duration) {
-    let mut idle_since = Instant::now();
-    while idle_since.elapsed() < quiet {
-        tokio::time::sleep(DRAIN_STEP).await;
-        if !state.runs.is_empty() {
-            idle_since = Instant::now();
-        }
-    }
-}
-
 /// Notes something of this process.
 fn note(state: &EntryState, kind: EventKind, detail: impl Into<Box<str>>) {
     state.recorder.record(EventDraft::new(kind, detail));
--- a/wagtaildoor_entry/src/state.rs
+++ b/wagtaildoor_entry/src/state.rs
@@ -4,12 +4,10 @@
 
 use slog::Logger;
 use tokio::sync::watch;
-use tokio_util::{
-    sync::CancellationToken,
-    task::TaskTracker, //
-};
+use tokio_util::task::TaskTracker;
 use wagtaildoor::{
     admission::AdmissionQueue,
+    drain_gate::DrainGate,
     error::{
         ErrorKind,
         RequestError,
@@ -54,8 +52,8 @@
     pub metrics: EntryMetrics,
     /// Tasks that run requests; they outlive their callers' connections.
     pub runs: TaskTracker,
-    /// Cancelled once the entry is leaving.
-    pub leaving: CancellationToken,
+    /// Work in hand, which a shutdown waits for.
+    pub gate: DrainGate,
 }
 
 impl EntryState {
--- a/wagtaildoor_keeper/src/entry_calls.rs
+++ b/wagtaildoor_keeper/src/entry_calls.rs
@@ -34,6 +34,7 @@
 
 impl EntryCalls for CallDesk {
     async fn claim(&self, call: ClaimCall) -> ClaimVerdict {
+        let _work = self.state.gate.start();
         let wait = Duration::from_millis(call.wait_ms);
         let verdict = self.state.claims.claim(call.start, wait).await;
         self.state.metrics.claimed(&verdict);
@@ -41,21 +42,13 @@
     }
 
     async fn record(&self, call: RecordCall) -> bool {
+        let _work = self.state.gate.start();
         let wait = Duration::from_millis(call.wait_ms);
         self.state.claims.record(call.record, wait).await
     }
 
     async fn news(&self, news: EndpointNews) {
-        self.state.endpoints.send_if_modified(|endpoints| {
-            let Some(endpoint) = endpoints.iter_mut().find(|known| known.id == news.endpoint)
-            else {
-                return false;
-            };
-            let changed = endpoint.boot_id != news.boot_id || endpoint.queued != news.queued;
-            endpoint.boot_id = news.boot_id.clone();
-            endpoint.queued = news.queued;
-            changed
-        });
+        self.state.watch.take_news(&news);
     }
 
     fn observe(&self, seen: ClockStamp) -> ClockStamp {
--- a/wagtaildoor_keeper/src/lib.rs
+++ b/wagtaildoor_keeper/src/lib.rs
@@ -4,6 +4,7 @@
 pub mod entry_calls;
 pub mod metrics;
 pub mod operators;
+pub mod peers;
 pub mod platform_list;
 pub mod server;
 pub mod state;
--- a/wagtaildoor_keeper/src/operators.rs
+++ b/wagtaildoor_keeper/src/operators.rs
@@ -42,6 +42,7 @@
         Configuration,
         EventKind,
         EventPage,
+        HeldConfiguration,
         HostView,
         KeeperStatus,
         PublishAnswer,
@@ -81,6 +82,7 @@
         health,
         status,
         configuration,
+        held_configuration,
         unresolved,
         publish,
         settle,
@@ -118,6 +120,16 @@
     Json((*config.configuration).clone())
 }
 
+/// Configuration in force with its head, for peers that are behind.
+#[get("/held-configuration")]
+fn held_configuration(state: &Shared) -> Json<HeldConfiguration> {
+    let config = state.config.watch().borrow().clone();
+    Json(HeldConfiguration {
+        configuration: (*config.configuration).clone(),
+        head: config.head,
+    })
+}
+
 /// Requests whose outcome is not on record.
 #[get("/unresolved")]
 fn unresolved(state: &Shared) -> Json<UnresolvedPage> {
--- /dev/null
+++ b/wagtaildoor_keeper/src/peers.rs
@@ -0,0 +1,143 @@
+//! This keeper among its peers: joins them, tells them its head, catches up with theirs.
+
+use std::{
+    fs,
+    net::SocketAddr,
+    sync::Arc,
+    time::Duration, //
+};
+
+use reqwest::Client;
+use slog::warn;
+use tokio::time;
+use tokio_util::sync::CancellationToken;
+use uuid::Uuid;
+use wagtaildoor::{
+    datagram_port::UdpPort,
+    membership::{
+        MemberSettings,
+        PeerMember, //
+    },
+    schema::{
+        HeldConfiguration,
+        HostView,
+        KeeperSettings, //
+    },
+    timeline::EventRecorder,
+};
+
+use crate::{
+    server::{
+        Result,
+        ServerError, //
+    },
+    state::KeeperState,
+};
+
+/// Wait after a peer's configuration could not be read.
+const CATCH_UP_PAUSE: Duration = Duration::from_millis(200);
+
+/// Joins the peers.
+pub async fn join(
+    settings: &KeeperSettings,
+    entries: SocketAddr,
+    recorder: &EventRecorder,
+    token: CancellationToken,
+) -> Result<PeerMember> {
+    let peers = &settings.peers;
+    let secret = fs::read(&*peers.secret_file).map_err(|error| {
+        let file = peers.secret_file.clone();
+        ServerError::Secret { file, error }
+    })?;
+    let port = UdpPort::bind(settings.serve.peers).await?;
+    let member = MemberSettings {
+        host: settings.host.name.clone(),
+        domain: settings.host.domain.clone(),
+        peers: port.address()?,
+        entries,
+        operators: settings.serve.operators,
+        probe: Duration::from_millis(peers.probe_ms),
+        incarnation: recorder.clock().now().wall_ms,
+        seed: Uuid::new_v4().as_u64_pair().0,
+    };
+    let noted = Some(recorder.clone());
+    let member = PeerMember::new(member, &secret, port, noted, token)?;
+    member.seed(peers.seeds.clone()).await;
+    Ok(member)
+}
+
+/// Tells peers of each head this keeper comes to hold, until cancelled.
+pub async fn tell_heads(state: Arc<KeeperState>, token: CancellationToken) {
+    let mut config = state.config.watch();
+    loop {
+        let head = config.borrow_and_update().head.clone();
+        state.member.set_head(head).await;
+        tokio::select! {
+            () = token.cancelled() => return,
+            changed = config.changed() => if changed.is_err() { return },
+        }
+    }
+}
+
+/// Passes on to the endpoint watch which hosts are there, until cancelled.
+pub async fn tell_hosts(state: Arc<KeeperState>, token: CancellationToken) {
+    let mut hosts = state.hosts.clone();
+    loop {
+        let known = hosts.borrow_and_update().clone();
+        state.watch.take_hosts(&known);
+        tokio::select! {
+            () = token.cancelled() => return,
+            changed = hosts.changed() => if changed.is_err() { return },
+        }
+    }
+}
+
+/// Takes over the configuration of a peer that holds a newer one, until cancelled.
+///
+/// The log tells of it too; a keeper that is cut off from the log has only its peers.
+pub async fn catch_up(state: Arc<KeeperState>, client: Client, token: CancellationToken) {
+    let mut hosts = state.hosts.clone();
+    loop {
+        hosts.mark_unchanged();
+        let round = async {
+            match state.member.newest_head() {
+                Some(peer) => take_over(&state, &client, &peer).await,
+                None => hosts.changed().await.is_ok(),
+            }
+        };
+        tokio::select! {
+            () = token.cancelled() => return,
+            done = round => if !done {
+                time::sleep(CATCH_UP_PAUSE).await;
+            },
+        }
+    }
+}
+
+/// Takes over the configuration of one peer; false when it could not be had.
+async fn take_over(state: &KeeperState, client: &Client, peer: &HostView) -> bool {
+    let held = match read(client, peer).await {
+        Ok(held) => held,
+        Err(error) => {
+            warn!(state.log, "peer's configuration"; "peer" => &*peer.id, "error" => %error);
+            return false;
+        }
+    };
+    let taken = state
+        .config
+        .offer(&held.head, &Arc::new(held.configuration));
+    let head = state.config.watch().borrow().head.clone();
+    // Before the next look at the peers, so that this one does not count as newer any more.
+    state.member.set_head(head).await;
+    taken
+}
+
+/// Reads what a peer holds.
+async fn read(
+    client: &Client,
+    peer: &HostView,
+) -> std::result::Result<HeldConfiguration, reqwest::Error> {
+    let url = format!("http://{}/held-configuration", peer.operators);
+    let answer = client.get(url).send().await?.error_for_status()?;
+    answer.json().await
+}
--- a/wagtaildoor_keeper/src/platform_list.rs
+++ b/wagtaildoor_keeper/src/platform_list.rs
@@ -22,11 +22,8 @@
 /// Result of a read.
 pub type Result<T> = std::result::Result<T, reqwest::Error>;
 
-/// Reads the list again and again, and hands each new one on.
-pub async fn run<T>(state: Arc<KeeperState>, client: Client, token: CancellationToken, take: T)
-where
-    T: Fn(PlatformList) + Send,
-{
+/// Reads the list again and again, and takes each one over.
+pub async fn run(state: Arc<KeeperState>, client: Client, token: CancellationToken) {
     let period = Duration::from_millis(state.settings.platform.list_poll_ms);
     let mut ticks = time::interval(period);
     ticks.set_missed_tick_behavior(MissedTickBehavior::Delay);
@@ -39,7 +36,7 @@
         let result = read(&client, &state.settings.platform.list_url).await;
         let answered = result.is_ok();
         match result {
-            Ok(list) => take(list),
+            Ok(list) => take(&state, list).await,
             Err(error) => warn!(state.log, "list"; "error" => %error),
         }
         if answered != reachable {
@@ -49,6 +46,14 @@
     }
 }
 
+/// Takes a list over: its endpoints, and its hosts as addresses where there may be peers.
+async fn take(state: &KeeperState, list: PlatformList) {
+    state.watch.take_list(&list.endpoints);
+    let listed = list.hosts.iter().map(|host| host.peers);
+    let seeds = state.settings.peers.seeds.iter().copied();
+    state.member.seed(seeds.chain(listed).collect()).await;
+}
+
 /// Reads the list once.
 async fn read(client: &Client, url: &str) -> Result<PlatformList> {
     client
--- a/wagtaildoor_keeper/src/server.rs
+++ b/wagtaildoor_keeper/src/server.rs
@@ -1,20 +1,24 @@
 //! Puts a keeper together and runs it until a signal ends it.
 
 use std::{
-    collections::HashMap,
+    net::SocketAddr,
     sync::Arc,
     time::Duration, //
 };
 
 use reqwest::Client;
-use slog::info;
+use slog::{
+    info,
+    warn, //
+};
 use tokio::{
     net::TcpListener,
     signal::unix::{
         self,
+        Signal,
         SignalKind, //
     },
-    sync::watch,
+    sync::broadcast::error::RecvError,
     time::Instant,
 };
 use tokio_util::sync::CancellationToken;
@@ -22,15 +26,25 @@
     claim_policy::ClaimPolicy,
     claim_service::ClaimService,
     config_follower::ConfigFollower,
-    ids::EndpointId,
+    drain_gate::{
+        DrainGate,
+        DrainLimits, //
+    },
+    endpoint_probe::{
+        HttpProbe,
+        ProbeError, //
+    },
+    endpoint_watch::{
+        EndpointWatch,
+        WatchSettings, //
+    },
     log_http::HttpLog,
     log_store::LogError,
     logging,
+    peer_datagram::DatagramFault,
     schema::{
-        EndpointView,
         EventKind,
-        KeeperSettings,
-        PlatformList, //
+        KeeperSettings, //
     },
     timeline::EventRecorder,
     view_board::ViewBoard,
@@ -41,6 +55,7 @@
     entries,
     metrics::KeeperMetrics,
     operators,
+    peers,
     platform_list,
     state::KeeperState,
     view_builder, //
@@ -50,6 +65,13 @@
 const PROCESS: &str = "wagtaildoor-keeper";
 /// Longest wait for an answer of the list.
 const LIST_TIMEOUT: Duration = Duration::from_secs(2);
+/// Longest wait for an answer of an endpoint.
+const PROBE_TIMEOUT: Duration = Duration::from_secs(1);
+/// How long a keeper goes on for the calls of its entries, which turn away at its word.
+const DRAIN_LIMITS: DrainLimits = DrainLimits {
+    quiet: Duration::from_millis(200),
+    whole: Duration::from_secs(10),
+};
 
 /// Result of running a keeper.
 pub type Result<T> = std::result::Result<T, ServerError>;
@@ -69,6 +91,21 @@
     /// The metrics could not be built.
     #[display("metrics: {_0}")]
     Metrics(opentelemetry_sdk::error::OTelSdkError),
+    /// The probe of endpoints could not be built.
+    #[display("{_0}")]
+    Probe(ProbeError),
+    /// The secret shared with the peers could not be read.
+    #[display("[peers] secret_file {file}: {error}")]
+    #[from(skip)]
+    Secret {
+        /// File.
+        file: Box<str>,
+        /// Why not.
+        error: std::io::Error,
+    },
+    /// The secret shared with the peers is of no use.
+    #[display("[peers] secret_file: {_0}")]
+    Datagram(DatagramFault),
     /// A socket or signal could not be had.
     #[display("{_0}")]
     System(std::io::Error),
@@ -76,22 +113,23 @@
 
 /// Runs a keeper with these settings until it is told to end.
 pub async fn run(settings: KeeperSettings) -> Result<()> {
-    let mut terminate = unix::signal(SignalKind::terminate())?;
+    let terminate = unix::signal(SignalKind::terminate())?;
     let token = CancellationToken::new();
     let client = Client::builder().no_proxy().timeout(LIST_TIMEOUT).build()?;
-    let state = build_state(settings, &token)?;
-    let listener = TcpListener::bind(state.settings.serve.entries).await?;
-    start_tasks(&state, client, listener, &token);
+    let listener = TcpListener::bind(settings.serve.entries).await?;
+    let state = build_state(settings, listener.local_addr()?, &token).await?;
+    let accepting = token.child_token();
+    start_tasks(&state, client, &token);
+    tokio::spawn(entries::run(
+        Arc::clone(&state),
+        listener,
+        accepting.clone(),
+    ));
     let server = rocket::custom(http_server::config(state.settings.serve.operators))
         .manage(Arc::clone(&state));
     let server = operators::mount(server).ignite().await.map_err(Box::new)?;
     let stop = server.shutdown();
-    let leaving = Arc::clone(&state);
-    tokio::spawn(async move {
-        terminate.recv().await;
-        leaving.note(EventKind::ProcessLeaving, "told to end");
-        stop.notify();
-    });
+    tokio::spawn(leave(Arc::clone(&state), terminate, accepting, stop));
     info!(state.log, "listening"; "entries" => %state.settings.serve.entries);
     state.note(EventKind::ProcessStarted, "started");
     server.launch().await.map_err(Box::new)?;
@@ -100,11 +138,38 @@
     Ok(())
 }
 
+/// Waits for the signal, sends entries elsewhere, ends the work in hand, and stops the server.
+///
+/// A second signal ends the process at once.
+async fn leave(
+    state: Arc<KeeperState>,
+    mut terminate: Signal,
+    accepting: CancellationToken,
+    stop: rocket::Shutdown,
+) {
+    terminate.recv().await;
+    state.note(EventKind::ProcessLeaving, "told to end");
+    accepting.cancel();
+    state.board.leave(state.settings.host.name.clone());
+    let hurry = async {
+        terminate.recv().await;
+    };
+    let work = state.gate.drain(DRAIN_LIMITS, hurry);
+    let (end, ()) = tokio::join!(work, state.member.leave());
+    info!(state.log, "left"; "end" => %end);
+    stop.notify();
+}
+
 /// Puts the state of a keeper together.
-fn build_state(settings: KeeperSettings, token: &CancellationToken) -> Result<Arc<KeeperState>> {
+async fn build_state(
+    settings: KeeperSettings,
+    entries: SocketAddr,
+    token: &CancellationToken,
+) -> Result<Arc<KeeperState>> {
     let log = logging::logger(&settings.logging, &settings.host.name, PROCESS);
     let capacity = settings.logging.timeline_events as usize;
     let recorder = EventRecorder::new(&settings.host.name, PROCESS, capacity, log.clone());
+    let member = peers::join(&settings, entries, &recorder, token.child_token()).await?;
     let platform = &settings.platform;
     let store = HttpLog::new(
         &platform.log_url,
@@ -112,12 +177,24 @@
     )?;
     let retention = Duration::from_millis(platform.retention_ms);
     let policy = ClaimPolicy::new(platform.claim_shards, retention);
+    let watch = EndpointWatch::new(
+        WatchSettings {
+            host: settings.host.name.clone(),
+            poll: Duration::from_millis(platform.report_poll_ms),
+        },
+        HttpProbe::new(PROBE_TIMEOUT)?,
+        Some(recorder.clone()),
+        token.child_token(),
+    );
     Ok(Arc::new(KeeperState {
         config: ConfigFollower::new(store.clone(), token.child_token()),
         claims: ClaimService::new(store.clone(), policy, token.child_token()),
         board: ViewBoard::new(token.child_token()),
-        endpoints: watch::Sender::new(Vec::new()),
-        hosts: watch::Sender::new(Vec::new()),
+        endpoints: watch.endpoints(),
+        watch,
+        hosts: member.hosts(),
+        member,
+        gate: DrainGate::new(),
         metrics: KeeperMetrics::new()?,
         started: Instant::now(),
         store,
@@ -128,54 +205,32 @@
 }
 
 /// Starts one task for each thing a keeper follows.
-fn start_tasks(
-    state: &Arc<KeeperState>,
-    client: Client,
-    listener: TcpListener,
-    token: &CancellationToken,
-) {
+fn start_tasks(state: &Arc<KeeperState>, client: Client, token: &CancellationToken) {
+    let shared = || Arc::clone(state);
     tokio::spawn(state.config.clone().run());
     tokio::spawn(state.claims.clone().run());
-    tokio::spawn(view_builder::run(Arc::clone(state), token.clone()));
-    tokio::spawn(entries::run(Arc::clone(state), listener, token.clone()));
-    let taker = Arc::clone(state);
-    let take = move |list| take_list(&taker, list);
-    tokio::spawn(platform_list::run(
-        Arc::clone(state),
-        client,
-        token.clone(),
-        take,
-    ));
+    tokio::spawn(view_builder::run(shared(), token.clone()));
+    tokio::spawn(peers::tell_heads(shared(), token.clone()));
+    tokio::spawn(peers::tell_hosts(shared(), token.clone()));
+    tokio::spawn(peers::catch_up(shared(), client.clone(), token.clone()));
+    tokio::spawn(pass_news_on(shared(), token.clone()));
+    tokio::spawn(platform_list::run(shared(), client, token.clone()));
 }
 
-/// Takes over what the platform's list says; what endpoints said of themselves stays.
-fn take_list(state: &KeeperState, list: PlatformList) {
-    let known: HashMap<EndpointId, EndpointView> = state
-        .endpoints
-        .borrow()
-        .iter()
-        .map(|endpoint| (endpoint.id.clone(), endpoint.clone()))
-        .collect();
-    let endpoints: Vec<EndpointView> = list
-        .endpoints
-        .iter()
-        .map(|listed| match known.get(&listed.id) {
-            Some(old) if old.address == listed.address => EndpointView {
-                state: listed.state,
-                ..old.clone()
-            },
-            _ => view_builder::listed_endpoint(listed),
-        })
-        .collect();
-    state.endpoints.send_if_modified(|held| {
-        let changed = *held != endpoints;
-        *held = endpoints;
-        changed
-    });
-    let hosts = list.hosts.iter().map(view_builder::listed_host).collect();
-    state.hosts.send_if_modified(|held| {
-        let changed = *held != hosts;
-        *held = hosts;
-        changed
-    });
+/// Passes cache news of the endpoints on to the entries, until cancelled.
+async fn pass_news_on(state: Arc<KeeperState>, token: CancellationToken) {
+    let mut news = state.watch.news();
+    loop {
+        let item = tokio::select! {
+            () = token.cancelled() => return,
+            item = news.recv() => item,
+        };
+        match item {
+            Ok(item) => state.board.publish_news(item),
+            Err(RecvError::Lagged(missed)) => {
+                warn!(state.log, "cache news missed"; "count" => missed);
+            }
+            Err(RecvError::Closed) => return,
+        }
+    }
 }
--- a/wagtaildoor_keeper/src/state.rs
+++ b/wagtaildoor_keeper/src/state.rs
@@ -8,7 +8,11 @@
 use wagtaildoor::{
     claim_service::ClaimService,
     config_follower::ConfigFollower,
+    drain_gate::DrainGate,
+    endpoint_probe::HttpProbe,
+    endpoint_watch::EndpointWatch,
     log_http::HttpLog,
+    membership::PeerMember,
     schema::{
         EndpointView,
         EventKind,
@@ -40,10 +44,16 @@
     pub claims: ClaimService<HttpLog>,
     /// What entries see.
     pub board: ViewBoard,
+    /// Watches the endpoints.
+    pub watch: EndpointWatch<HttpProbe>,
     /// Endpoints, as far as they are known.
-    pub endpoints: watch::Sender<Vec<EndpointView>>,
+    pub endpoints: watch::Receiver<Vec<EndpointView>>,
+    /// This keeper among its peers.
+    pub member: PeerMember,
     /// Entry hosts, as far as they are known.
-    pub hosts: watch::Sender<Vec<HostView>>,
+    pub hosts: watch::Receiver<Vec<HostView>>,
+    /// Work in hand, which a shutdown waits for.
+    pub gate: DrainGate,
     /// Metrics.
     pub metrics: KeeperMetrics,
     /// When this process started.
--- a/wagtaildoor_keeper/src/view_builder.rs
+++ b/wagtaildoor_keeper/src/view_builder.rs
@@ -4,12 +4,8 @@
 
 use tokio_util::sync::CancellationToken;
 use wagtaildoor::schema::{
-    EndpointView,
     EventKind,
-    HostView,
-    KeeperView,
-    ListedEndpoint,
-    ListedHost, //
+    KeeperView, //
 };
 
 use crate::state::KeeperState;
@@ -20,8 +16,8 @@
 /// refuse every caller.
 pub async fn run(state: Arc<KeeperState>, token: CancellationToken) {
     let mut config = state.config.watch();
-    let mut endpoints = state.endpoints.subscribe();
-    let mut hosts = state.hosts.subscribe();
+    let mut endpoints = state.endpoints.clone();
+    let mut hosts = state.hosts.clone();
     let mut shown = 0;
     loop {
         let sequence = config.borrow_and_update().head.sequence;
@@ -58,33 +54,3 @@
         platform_age_ms: state.platform_age_ms(),
     }
 }
-
-/// What is known of an endpoint that the list names.
-pub fn listed_endpoint(listed: &ListedEndpoint) -> EndpointView {
-    EndpointView {
-        address: listed.address,
-        boot_id: "".into(),
-        domain: listed.domain.clone(),
-        id: listed.id.clone(),
-        pool: listed.pool.clone(),
-        queued: 0,
-        report_age_ms: 0,
-        running: 0,
-        state: listed.state,
-        weights_version: 0,
-    }
-}
-
-/// What is known of a host that the list names.
-pub fn listed_host(listed: &ListedHost) -> HostView {
-    HostView {
-        alive: true,
-        domain: listed.domain.clone(),
-        entries: listed.entries,
-        head: wagtaildoor::config_chain::ConfigChain::default()
-            .head()
-            .clone(),
-        id: listed.id.clone(),
-        operators: listed.operators,
-    }
-}
