--- a/wagtaildoor_entry/src/request_scope.rs
+++ b/wagtaildoor_entry/src/request_scope.rs
@@ -7,12 +7,15 @@
 use wagtaildoor::{
     drain_gate::WorkGuard,
     ids::RequestId,
-    schema::EventKind,
-    timeline::EventDraft, //
+    schema::{
+        Account,
+        EventKind, //
+    },
 };
 
 use crate::{
     access::AccessGrant,
+    request_notes::RequestNotes,
     state::EntryState, //
 };
 
@@ -59,10 +62,13 @@
             "{} asked for {}, {kind}, {}, due within {} ms, with {shared}",
             grant.account.id, template.id, template.urgency, template.deadline_ms
         );
-        let draft = EventDraft::new(EventKind::RequestReceived, detail)
-            .request(self.request.clone())
-            .account(grant.account.id.clone());
-        self.state.recorder.record(draft);
+        self.notes(grant.account)
+            .note(EventKind::RequestReceived, detail);
+    }
+
+    /// The time line of this request.
+    pub fn notes(&self, account: &Account) -> RequestNotes {
+        RequestNotes::new(&self.state.recorder, &self.request, &account.id)
     }
 }
 
