--- a/wagtaildoor/src/config_chain.rs
+++ b/wagtaildoor/src/config_chain.rs
@@ -54,6 +54,8 @@
     hash: ConfigHash,
     /// Its offset.
     offset: LogOffset,
+    /// The log's time of it.
+    time_ms: u64,
     /// The record.
     record: ConfigRecord,
 }
@@ -74,6 +76,10 @@
     broken: bool,
     /// Records that wait for proof, while broken.
     candidates: VecDeque<ChainCandidate>,
+    /// The log's time of the head, when it is a checkpoint.
+    checkpoint_ms: Option<u64>,
+    /// The log's time of the newest record from which the chain can be built anew.
+    rebuilt_from_ms: Option<u64>,
 }
 
 impl Default for ConfigChain {
@@ -95,6 +101,8 @@
             configuration,
             broken: false,
             candidates: VecDeque::new(),
+            checkpoint_ms: None,
+            rebuilt_from_ms: None,
         }
     }
 
@@ -113,6 +121,12 @@
         self.broken
     }
 
+    /// The log's time of the newest record from which a host without any state can build the chain,
+    /// as far as this one has seen it: the chain's start, or a checkpoint with a child.
+    pub fn rebuilt_from_ms(&self) -> Option<u64> {
+        self.rebuilt_from_ms
+    }
+
     /// Notes that records after the head were missed.
     pub fn miss_records(&mut self) {
         self.broken = true;
@@ -128,9 +142,9 @@
             self.prove(&link.parent);
         }
         if self.broken {
-            return self.keep_candidate(record.offset, link);
+            return self.keep_candidate(record, link);
         }
-        self.extend(record.offset, &link)
+        self.extend(record.offset, record.time_ms, &link)
     }
 
     /// The record that would put changes in force after the head.
@@ -155,7 +169,7 @@
     }
 
     /// Takes a record as the new head if it follows the present one.
-    fn extend(&mut self, offset: LogOffset, link: &ConfigRecord) -> ChainStep {
+    fn extend(&mut self, offset: LogOffset, time_ms: u64, link: &ConfigRecord) -> ChainStep {
         if link.parent != self.head.hash || link.sequence != self.head.sequence + 1 {
             return ChainStep::Lost;
         }
@@ -170,12 +184,27 @@
         {
             return ChainStep::Unreadable;
         }
-        self.advance(offset, link, configuration);
+        self.advance(offset, time_ms, link, configuration);
         ChainStep::Advanced
     }
 
     /// Moves the head to a record.
-    fn advance(&mut self, offset: LogOffset, link: &ConfigRecord, configuration: Configuration) {
+    fn advance(
+        &mut self,
+        offset: LogOffset,
+        time_ms: u64,
+        link: &ConfigRecord,
+        configuration: Configuration,
+    ) {
+        if let Some(checkpoint_ms) = self.checkpoint_ms.take() {
+            self.rebuilt_from_ms = Some(checkpoint_ms);
+        }
+        if link.checkpoint.is_some() {
+            self.checkpoint_ms = Some(time_ms);
+        }
+        if link.sequence == 1 {
+            self.rebuilt_from_ms = Some(time_ms);
+        }
         self.head = ConfigHead {
             hash: hash(link),
             offset,
@@ -185,13 +214,14 @@
     }
 
     /// Keeps a record until a child proves it.
-    fn keep_candidate(&mut self, offset: LogOffset, record: ConfigRecord) -> ChainStep {
+    fn keep_candidate(&mut self, logged: &LogRecord, record: ConfigRecord) -> ChainStep {
         if self.candidates.len() == CANDIDATE_LIMIT {
             self.candidates.pop_front();
         }
         self.candidates.push_back(ChainCandidate {
             hash: hash(&record),
-            offset,
+            offset: logged.offset,
+            time_ms: logged.time_ms,
             record,
         });
         ChainStep::Unproven
@@ -207,8 +237,10 @@
             return;
         }
         if let Some(configuration) = proven.record.checkpoint.clone() {
-            self.advance(proven.offset, &proven.record, configuration);
-        } else if self.extend(proven.offset, &proven.record) != ChainStep::Advanced {
+            self.checkpoint_ms = None;
+            self.advance(proven.offset, proven.time_ms, &proven.record, configuration);
+        } else if self.extend(proven.offset, proven.time_ms, &proven.record) != ChainStep::Advanced
+        {
             return;
         }
         self.broken = false;
--- a/wagtaildoor/src/config_follower.rs
+++ b/wagtaildoor/src/config_follower.rs
@@ -66,6 +66,8 @@
     chain: ConfigChain,
     /// Offset of the next record to read.
     cursor: LogOffset,
+    /// The log's time at the last read.
+    log_ms: u64,
 }
 
 /// Follows the chain; clones share it.
@@ -96,7 +98,11 @@
         Self {
             log,
             token,
-            state: Arc::new(Mutex::new(FollowerState { chain, cursor: 1 })),
+            state: Arc::new(Mutex::new(FollowerState {
+                chain,
+                cursor: 1,
+                log_ms: 0,
+            })),
             changes: Arc::new(changes),
             offered: Arc::default(),
         }
@@ -112,6 +118,12 @@
         self.lock().chain.clone()
     }
 
+    /// The log's time as far as this host can tell; `None` before its first answer.
+    pub fn log_now_ms(&self) -> Option<u64> {
+        let seen = self.changes.borrow().log_seen?;
+        Some(self.lock().log_ms + seen.elapsed().as_millis() as u64)
+    }
+
     /// Takes a head that a peer or an earlier keeper held, if it is newer than the own one.
     ///
     /// The peer folded the same log, so that a higher sequence number is later in the same chain.
@@ -186,6 +198,7 @@
             );
             state.cursor = record.offset + 1;
         }
+        state.log_ms = page.time_ms;
         self.tell(&state, Some(Instant::now()));
         state.cursor >= page.next
     }
--- a/wagtaildoor/src/config_publisher.rs
+++ b/wagtaildoor/src/config_publisher.rs
@@ -223,7 +223,9 @@
             for record in &page.records {
                 self.cursor = record.offset + 1;
                 if self.chain.take(record) == ChainStep::Advanced {
-                    return Some(self.decide(&record.data));
+                    if let Some(outcome) = self.decide(&record.data) {
+                        return Some(outcome);
+                    }
                 }
             }
             if self.cursor >= page.next {
@@ -241,13 +243,28 @@
         PublishOutcome::Unavailable(why.into())
     }
 
-    /// Tells whose record became the head.
-    fn decide(&self, data: &str) -> PublishOutcome {
+    /// Tells whose record became the head; `None` when it changed nothing and the own one follows.
+    fn decide(&mut self, data: &str) -> Option<PublishOutcome> {
         let head = self.chain.head().clone();
         if head.hash == self.hash {
-            return PublishOutcome::Published(head);
+            return Some(PublishOutcome::Published(head));
         }
-        let operator = config_chain::parse(data).map_or_else(Box::default, |r| r.operator);
-        PublishOutcome::LostTo { operator, head }
+        let winner = config_chain::parse(data)?;
+        if winner.changes.is_empty() {
+            self.follow(&head);
+            return None;
+        }
+        Some(PublishOutcome::LostTo {
+            operator: winner.operator,
+            head,
+        })
+    }
+
+    /// Puts the own record behind a checkpoint; the one before can no longer come in force.
+    fn follow(&mut self, head: &ConfigHead) {
+        self.record.parent = head.hash.clone();
+        self.record.sequence = head.sequence + 1;
+        self.hash = config_chain::hash(&self.record);
+        self.handed = false;
     }
 }
--- a/wagtaildoor/src/lib.rs
+++ b/wagtaildoor/src/lib.rs
@@ -15,6 +15,7 @@
 pub mod clock_exchange;
 pub mod config_chain;
 pub mod config_change;
+pub mod config_checkpoint;
 pub mod config_follower;
 pub mod config_publisher;
 pub mod datagram_port;
