Learn from answers how often beliefs about caches are right

Cause: a fixed belief in homes was too high where prompts are rarely asked for (the desk's pitch histories) and too low where they are hot (the publisher's chapters). Each answer tells what was really cached, so that belief in certain and doubtful holders, requests on their way and homes follows it, for each pool.

--- a/wagtaildoor/src/candidate_list.rs
+++ b/wagtaildoor/src/candidate_list.rs
@@ -1,10 +1,11 @@
 //! The endpoints that one placement compares.
 
 use crate::{
-    placement::{
-        CandidateSource,
-        PlacementCandidate, //
+    belief::{
+        BeliefRates,
+        TokenBelief, //
     },
+    placement::PlacementCandidate,
     rendezvous::HomeMember,
     residency::SlotIndex,
 };
@@ -19,29 +20,36 @@
 pub(crate) struct CandidateList {
     /// Endpoints.
     pub candidates: Vec<PlacementCandidate>,
+    /// How often beliefs are right.
+    rates: BeliefRates,
 }
 
 impl CandidateList {
     /// An empty list.
-    pub fn new() -> Self {
+    pub fn new(rates: BeliefRates) -> Self {
         Self {
             candidates: Vec::with_capacity(CANDIDATES_LIMIT),
+            rates,
         }
     }
 
     /// Adds an endpoint, or raises what is believed of it.
-    pub fn add(&mut self, slot: SlotIndex, source: CandidateSource, cached_tokens: f64, rank: u32) {
+    pub fn add(&mut self, slot: SlotIndex, belief: TokenBelief, rank: u32) {
+        let cached_tokens = self.rates.tokens(&belief);
         let known = self
             .candidates
             .iter_mut()
             .find(|candidate| candidate.slot == slot);
         if let Some(candidate) = known {
-            candidate.cached_tokens = candidate.cached_tokens.max(cached_tokens);
             candidate.rank = candidate.rank.min(rank);
+            if cached_tokens > candidate.cached_tokens {
+                candidate.cached_tokens = cached_tokens;
+                candidate.belief = belief;
+            }
         } else if self.candidates.len() < CANDIDATES_LIMIT {
             self.candidates.push(PlacementCandidate {
                 slot,
-                source,
+                belief,
                 cached_tokens,
                 rank,
             });
@@ -58,7 +66,7 @@
             {
                 self.candidates.push(PlacementCandidate {
                     slot: member.slot,
-                    source: CandidateSource::Random,
+                    belief: TokenBelief::NONE,
                     cached_tokens: 0.0,
                     rank: NO_RANK,
                 });
@@ -66,11 +74,11 @@
         }
     }
 
-    /// Endpoints that are believed to hold at least so many tokens.
+    /// Endpoints that hold at least so many tokens when what is believed of them is right.
     pub fn holders_of(&self, tokens: f64) -> impl Iterator<Item = SlotIndex> + '_ {
         let candidates = self.candidates.iter();
         candidates
-            .filter(move |candidate| candidate.cached_tokens >= tokens)
+            .filter(move |candidate| candidate.belief.most >= tokens)
             .map(|candidate| candidate.slot)
     }
 
--- a/wagtaildoor/src/candidates.rs
+++ b/wagtaildoor/src/candidates.rs
@@ -8,6 +8,10 @@
 use rand::Rng;
 
 use crate::{
+    belief::{
+        BeliefKind,
+        TokenBelief, //
+    },
     candidate_list::{
         CandidateList,
         NO_RANK, //
@@ -17,7 +21,6 @@
     ids::PrefixId,
     placement::{
         CandidateCost,
-        CandidateSource,
         CostInputs,
         PlacementCandidate,
         PlacementChoice,
@@ -60,10 +63,8 @@
 
     /// Endpoints to compare: holders, homes and a few drawn ones.
     fn gather(&mut self, query: &PlacementQuery, now: Instant) -> Result<CandidateList> {
-        if !self.pools.contains_key(query.pool) {
-            return Err(ErrorKind::NoEndpoint);
-        }
-        let mut list = CandidateList::new();
+        let pool = self.pools.get(query.pool).ok_or(ErrorKind::NoEndpoint)?;
+        let mut list = CandidateList::new(pool.beliefs);
         let known = self.add_holders(query, &mut list);
         self.believe_in_homes(query, known, &mut list);
         self.add_homes(query, &mut list, now);
@@ -74,7 +75,7 @@
         }
         for _ in 0..self.policy.randoms {
             let drawn = self.rng.random_range(0..members.len());
-            list.add(members[drawn].slot, CandidateSource::Random, 0.0, NO_RANK);
+            list.add(members[drawn].slot, TokenBelief::NONE, NO_RANK);
         }
         Ok(list)
     }
@@ -85,17 +86,18 @@
         let mut known = 0;
         for (place, level) in query.levels.iter().enumerate().rev() {
             for holder in self.residency.holders(level.id) {
-                let (source, belief) = match holder.state {
-                    HoldingState::Certain => (CandidateSource::Holder, 1.0),
-                    HoldingState::Doubtful => {
-                        (CandidateSource::Holder, self.policy.doubtful_belief)
-                    }
-                    HoldingState::Expected => {
-                        (CandidateSource::Expected, self.policy.expected_belief)
-                    }
+                let kind = match holder.state {
+                    HoldingState::Certain => BeliefKind::Certain,
+                    HoldingState::Doubtful => BeliefKind::Doubtful,
+                    HoldingState::Expected => BeliefKind::Expected,
+                };
+                let belief = TokenBelief {
+                    kind,
+                    least: 0.0,
+                    most: level.tokens as f64,
                 };
                 known = known.max(place + 1);
-                list.add(holder.slot, source, level.tokens as f64 * belief, NO_RANK);
+                list.add(holder.slot, belief, NO_RANK);
             }
         }
         known
@@ -113,20 +115,24 @@
             0 => 0.0,
             _ => query.levels[known - 1].tokens as f64,
         };
-        let believed = held + self.policy.home_belief * (innermost - held);
+        let belief = TokenBelief {
+            kind: BeliefKind::Home,
+            least: held,
+            most: innermost,
+        };
         if known > 0 {
-            let members = list.holders_of(held * self.policy.doubtful_belief);
+            let members = list.holders_of(held);
             let hashed = members.filter_map(|slot| {
                 let hash = self.slot(slot)?.hash;
                 Some(HomeMember { slot, hash })
             });
             if let Some(home) = rendezvous::first_home(next.id, hashed) {
-                list.add(home, CandidateSource::Home, believed, 0);
+                list.add(home, belief, 0);
             }
         } else if let Some(pool) = self.pools.get_mut(query.pool) {
-            for (place, home) in pool.homes.homes(next.id).slots().take(2).enumerate() {
-                let cached = believed / (1 + 2 * place) as f64;
-                list.add(home, CandidateSource::Home, cached, place as u32);
+            let home = pool.homes.homes(next.id).slots().next();
+            if let Some(home) = home {
+                list.add(home, belief, 0);
             }
         }
     }
@@ -142,7 +148,7 @@
                 return;
             };
             for slot in pool.homes.homes(level.id).slots().take(wanted) {
-                list.add(slot, CandidateSource::Home, 0.0, rank);
+                list.add(slot, TokenBelief::NONE, rank);
                 rank += 1;
             }
         }
@@ -248,13 +254,13 @@
         if query.levels.is_empty() {
             return PlacementReason::ShortestWait;
         }
-        match chosen.source {
-            CandidateSource::Holder => PlacementReason::HoldsPrefix {
+        match chosen.belief.kind {
+            BeliefKind::Certain | BeliefKind::Doubtful => PlacementReason::HoldsPrefix {
                 cached_tokens: chosen.cached_tokens as u64,
                 prompt_tokens: query.prompt_tokens,
             },
-            CandidateSource::Expected => PlacementReason::PrefixOnItsWay,
-            CandidateSource::Home | CandidateSource::Random => self
+            BeliefKind::Expected => PlacementReason::PrefixOnItsWay,
+            BeliefKind::Home | BeliefKind::None => self
                 .holder_wait(query, list, now)
                 .map_or(PlacementReason::PrefixHome, |holder_wait| {
                     PlacementReason::HoldersBusy { holder_wait }
@@ -273,7 +279,7 @@
         let holders = list
             .candidates
             .iter()
-            .filter(|candidate| candidate.source == CandidateSource::Holder);
+            .filter(|candidate| candidate.belief.kind == BeliefKind::Certain);
         holders
             .filter_map(|candidate| self.fitting(query, candidate.slot))
             .map(|slot| slot.load.expected_wait(rates, self.others, now))
@@ -299,6 +305,7 @@
             expected_cached_tokens: candidate.cached_tokens as u64,
             weights_version: query.weights_version,
             prompt_tokens: query.prompt_tokens,
+            belief: candidate.belief,
             levels: query.levels.into(),
             slot: candidate.slot,
             lease: slot.lease,
--- a/wagtaildoor/src/lib.rs
+++ b/wagtaildoor/src/lib.rs
@@ -2,6 +2,7 @@
 
 pub mod account_limit;
 pub mod admission;
+pub mod belief;
 pub mod breaker;
 mod candidate_list;
 mod candidates;
--- a/wagtaildoor/src/placement.rs
+++ b/wagtaildoor/src/placement.rs
@@ -10,6 +10,7 @@
 };
 
 use crate::{
+    belief::TokenBelief,
     ids::{
         BootId,
         EndpointId,
@@ -59,6 +60,8 @@
     pub weights_version: WeightsVersion,
     /// Estimated tokens of the whole prompt.
     pub prompt_tokens: u64,
+    /// What was believed of its cache.
+    pub(crate) belief: TokenBelief,
     /// Levels of the request, for the tables.
     pub(crate) levels: Box<[LevelPrefix]>,
     /// Place of the endpoint in the tables.
@@ -153,11 +156,12 @@
     /// Wait at an endpoint at which that cost is twice as high, since more requests come before
     /// its queue is empty.
     pub displacement_wait: Duration,
-    /// Belief that an endpoint holds what was confirmed before missed events.
+    /// Belief that an endpoint holds what was confirmed before missed events, likewise.
     pub doubtful_belief: f64,
-    /// Belief that an endpoint will hold what is on its way there.
+    /// Belief that an endpoint will hold what is on its way there, likewise.
     pub expected_belief: f64,
-    /// Belief that the home of a level holds it when no endpoint is known to.
+    /// Belief that the home of a level holds it when no endpoint is known to, before answers
+    /// tell how often it is right.
     pub home_belief: f64,
     /// Own requests that one endpoint may have at a time.
     pub endpoint_in_flight: u32,
@@ -185,27 +189,14 @@
     }
 }
 
-/// Where a candidate came from.
-#[derive(Clone, Copy, Debug, Eq, PartialEq)]
-pub(crate) enum CandidateSource {
-    /// Known to hold a level.
-    Holder,
-    /// Expected to hold a level.
-    Expected,
-    /// Home of a level.
-    Home,
-    /// Drawn.
-    Random,
-}
-
 /// An endpoint that is compared with others.
 #[derive(Clone, Copy, Debug)]
 pub(crate) struct PlacementCandidate {
     /// Endpoint.
     pub slot: SlotIndex,
-    /// Where it came from.
-    pub source: CandidateSource,
-    /// Tokens believed to be in its cache.
+    /// What is believed of its cache.
+    pub belief: TokenBelief,
+    /// Tokens to count on in its cache.
     pub cached_tokens: f64,
     /// Rank among the homes of the innermost level; lower goes first on equal cost.
     pub rank: u32,
--- a/wagtaildoor/src/routing_table.rs
+++ b/wagtaildoor/src/routing_table.rs
@@ -15,6 +15,7 @@
 };
 
 use crate::{
+    belief::TokenBelief,
     error::ErrorKind,
     ids::{
         BootId,
@@ -78,6 +79,10 @@
     pub(crate) sent_at: Instant,
     /// Prompt tokens that were expected to be missed.
     pub(crate) missed_tokens: u64,
+    /// Estimated tokens of its prompt.
+    pub(crate) prompt_tokens: u64,
+    /// What was believed of the endpoint's cache.
+    pub(crate) belief: TokenBelief,
     /// Weights it must run on.
     pub(crate) weights_version: WeightsVersion,
     /// Levels of its prompt.
@@ -174,6 +179,8 @@
             lease: choice.lease,
             sent_at: now,
             missed_tokens,
+            prompt_tokens: choice.prompt_tokens,
+            belief: choice.belief,
             weights_version: choice.weights_version,
             levels: choice.levels.clone(),
             first_token_after: None,
--- a/wagtaildoor/src/table_state.rs
+++ b/wagtaildoor/src/table_state.rs
@@ -14,6 +14,7 @@
 };
 
 use crate::{
+    belief::BeliefRates,
     endpoint_slot::{
         EndpointSlot,
         IncarnationChange, //
@@ -56,12 +57,25 @@
 const PREFIXES_LIMIT: usize = 100_000;
 
 /// A pool of endpoints.
-#[derive(Debug, Default)]
+#[derive(Debug)]
 pub(crate) struct PoolMembers {
     /// Live endpoints.
     pub homes: HomeMembers,
     /// Rates of its engines.
     pub rates: EngineRates,
+    /// How often beliefs about its caches are right.
+    pub beliefs: BeliefRates,
+}
+
+impl PoolMembers {
+    /// A pool of which nothing is learnt.
+    fn new(policy: &PlacementPolicy) -> Self {
+        Self {
+            homes: HomeMembers::default(),
+            rates: EngineRates::default(),
+            beliefs: BeliefRates::new(policy),
+        }
+    }
 }
 
 /// Everything a routing table knows.
@@ -220,7 +234,7 @@
         let current = self.heard(ticket, &news, now);
         let missed = done.prompt_tokens.saturating_sub(done.cached_tokens);
         self.succeeded(ticket, missed);
-        self.learn_rate(ticket, missed);
+        self.learn(ticket, done);
         let weights_fit = done.weights_version == ticket.weights_version;
         if current && weights_fit {
             self.residency
@@ -230,15 +244,21 @@
         }
     }
 
-    /// Learns how fast the engines of a pool prefill.
-    fn learn_rate(&mut self, ticket: &DispatchTicket, missed: u64) {
+    /// Learns how fast a pool's engines prefill, and how often beliefs about them are right.
+    fn learn(&mut self, ticket: &DispatchTicket, done: &EngineDone) {
         let Some(slot) = leased(&mut self.slots, ticket.slot, ticket.lease) else {
             return;
         };
-        let pool = self.pools.get_mut(&slot.pool);
-        if let (Some(pool), Some(elapsed)) = (pool, ticket.first_token_after) {
+        let Some(pool) = self.pools.get_mut(&slot.pool) else {
+            return;
+        };
+        if let Some(elapsed) = ticket.first_token_after {
+            let missed = done.prompt_tokens.saturating_sub(done.cached_tokens);
             pool.rates.take_first_token(missed, elapsed);
         }
+        let found = done.cached_tokens as f64 / done.prompt_tokens.max(1) as f64;
+        let found_tokens = found * ticket.prompt_tokens as f64;
+        pool.beliefs.learn(&ticket.belief, found_tokens);
     }
 
     /// Counts an answer, and the prompt tokens it missed.
@@ -340,7 +360,8 @@
         }
         self.pools.retain(|id, _| members.contains_key(id));
         for (id, members) in members {
-            let pool = self.pools.entry(id.clone()).or_default();
+            let pool = self.pools.entry(id.clone());
+            let pool = pool.or_insert_with(|| PoolMembers::new(&self.policy));
             pool.homes = HomeMembers::new(members);
         }
     }
