--- a/wagtaildoor/src/logging.rs
+++ b/wagtaildoor/src/logging.rs
@@ -2,7 +2,8 @@
 
 use std::io::{
     self,
-    BufWriter, //
+    BufWriter,
+    Write, //
 };
 
 use slog::{
@@ -23,8 +24,18 @@
 
 /// A logger for one process. Each line carries the host and the program.
 pub fn logger(section: &LoggingSection, host: &str, process: &'static str) -> Logger {
+    logger_to(io::stderr(), section, host, process)
+}
+
+/// As `logger`, into something else than standard error. Dropping it writes what waits.
+pub fn logger_to<W: Write + Send + 'static>(
+    output: W,
+    section: &LoggingSection,
+    host: &str,
+    process: &'static str,
+) -> Logger {
     // Each line goes out in one piece, where the format alone would write every field apart.
-    let json = Json::new(BufWriter::new(io::stderr()))
+    let json = Json::new(BufWriter::new(output))
         .set_newlines(true)
         .set_flush(true)
         .add_default_keys()
