Ask each process for its newest events only

A time line without a filter asked every process for all that it keeps: 20,000 events each, which over 380 hosts with two programs would be 15 million. `wtd timeline` now asks for the newest 2,000 of each (`--newest` for another number), and says how many are not shown.

Ruled out: a limit after the merge, which would still fetch everything.

--- a/extra/completions/wtd.bash
+++ b/extra/completions/wtd.bash
@@ -493,7 +493,7 @@
             return 0
             ;;
         wtd__subcmd__timeline)
-            opts="-h --request --account --endpoint --host --from --to --logs --html --json --settings --help"
+            opts="-h --request --account --endpoint --host --from --to --newest --logs --html --json --settings --help"
             if [[ ${cur} == -* || ${COMP_CWORD} -eq 2 ]] ; then
                 COMPREPLY=( $(compgen -W "${opts}" -- "${cur}") )
                 return 0
@@ -523,6 +523,10 @@
                     COMPREPLY=($(compgen -f "${cur}"))
                     return 0
                     ;;
+                --newest)
+                    COMPREPLY=($(compgen -f "${cur}"))
+                    return 0
+                    ;;
                 --logs)
                     COMPREPLY=($(compgen -f "${cur}"))
                     return 0
--- a/extra/completions/wtd.fish
+++ b/extra/completions/wtd.fish
@@ -72,6 +72,7 @@
 complete -c wtd -n "__fish_wtd_using_subcommand timeline" -l host -d 'Only events of this host' -r
 complete -c wtd -n "__fish_wtd_using_subcommand timeline" -l from -d 'Only events from this time on, in ms since the Unix epoch' -r
 complete -c wtd -n "__fish_wtd_using_subcommand timeline" -l to -d 'Only events up to this time, in ms since the Unix epoch' -r
+complete -c wtd -n "__fish_wtd_using_subcommand timeline" -l newest -d 'Newest events to ask of each process' -r
 complete -c wtd -n "__fish_wtd_using_subcommand timeline" -l logs -d 'Read collected JSON logs instead of asking the processes' -r -F
 complete -c wtd -n "__fish_wtd_using_subcommand timeline" -l html -d 'Write one HTML page, with a lane for each process' -r -F
 complete -c wtd -n "__fish_wtd_using_subcommand timeline" -l settings -d 'INI file with the settings of this tool' -r -F
--- a/wagtaildoor/src/schema.rs
+++ b/wagtaildoor/src/schema.rs
@@ -1173,7 +1173,7 @@
 #[derive(::serde::Deserialize, ::serde::Serialize, Clone, Debug, PartialEq)]
 #[serde(deny_unknown_fields)]
 pub struct EventPage {
-    ///Older events no longer kept, in events.
+    ///Older events that are not here: no longer kept, or beyond the number asked for.
     pub dropped: u64,
     ///Events, oldest first.
     pub events: ::std::vec::Vec<TimelineEvent>,
--- a/wagtaildoor/src/timeline.rs
+++ b/wagtaildoor/src/timeline.rs
@@ -99,6 +99,8 @@
     pub from_ms: Option<u64>,
     /// Events at or before this wall time, in milliseconds since the Unix epoch.
     pub to_ms: Option<u64>,
+    /// So many of each process at most, the newest ones.
+    pub newest: Option<usize>,
 }
 
 impl EventFilter {
@@ -201,10 +203,14 @@
     /// The kept events that a filter lets through, oldest first.
     pub fn page(&self, filter: &EventFilter) -> EventPage {
         let ring = self.ring();
-        let matching = ring.events.iter().filter(|event| filter.matches(event));
+        let matching = || ring.events.iter().filter(|event| filter.matches(event));
+        let skipped = match filter.newest {
+            Some(newest) => matching().count().saturating_sub(newest),
+            None => 0,
+        };
         EventPage {
-            dropped: ring.dropped,
-            events: matching.cloned().collect(),
+            dropped: ring.dropped + skipped as u64,
+            events: matching().skip(skipped).cloned().collect(),
         }
     }
 
--- a/wagtaildoor/src/timeline/html.rs
+++ b/wagtaildoor/src/timeline/html.rs
@@ -89,7 +89,7 @@
         let dropped = timeline.dropped;
         push(
             page,
-            format_args!("<p class=\"missing\">{dropped} older events are no longer kept.</p>\n"),
+            format_args!("<p class=\"missing\">{dropped} older events are not in this page.</p>\n"),
         );
     }
     for one in missing {
--- a/wagtaildoor/src/timeline/merge.rs
+++ b/wagtaildoor/src/timeline/merge.rs
@@ -13,7 +13,7 @@
 /// Events of all processes, and how many are no longer kept.
 #[derive(Clone, Debug, Default, PartialEq)]
 pub struct MergedTimeline {
-    /// Older events that some process no longer keeps, in events.
+    /// Older events that are not here: no longer kept, or beyond the number asked for.
     pub dropped: u64,
     /// Events, causes before effects.
     pub events: Vec<TimelineEvent>,
--- a/wagtaildoor/tests/timeline.rs
+++ b/wagtaildoor/tests/timeline.rs
@@ -95,6 +95,32 @@
     assert_eq!(details(&page.events), ["2", "3", "4"]);
 }
 
+#[test]
+fn a_page_holds_the_newest_events_that_are_asked_for() {
+    let recorder = EventRecorder::new("north-1", "entry", 5, silent());
+    for number in 0..8 {
+        let request = if number % 2 == 0 { "even" } else { "odd" };
+        recorder.record(draft(request, &number.to_string()));
+    }
+    let newest = |newest, request: Option<&str>| {
+        let filter = EventFilter {
+            newest: Some(newest),
+            request: request.map(Box::from),
+            ..EventFilter::default()
+        };
+        recorder.page(&filter)
+    };
+    let cases = [
+        (newest(2, None), 6, vec!["6", "7"]),
+        (newest(9, None), 3, vec!["3", "4", "5", "6", "7"]),
+        (newest(2, Some("odd")), 4, vec!["5", "7"]),
+        (newest(0, None), 8, vec![]),
+    ];
+    for (page, dropped, expected) in cases {
+        assert_eq!((page.dropped, details(&page.events)), (dropped, expected));
+    }
+}
+
 #[test]
 fn filters_let_through_what_they_name() {
     let recorder = EventRecorder::new("north-1", "entry", 10, silent());
@@ -253,7 +279,7 @@
     let page = html::page(&merged, &[hostile.to_string()]);
     assert_eq!(page.matches("<th>").count(), 1 + recorders.len());
     assert_eq!(page.matches("<div class=\"event").count(), recorders.len());
-    assert!(page.contains("7 older events are no longer kept"));
+    assert!(page.contains("7 older events are not in this page"));
     assert!(page.contains("Not in this page: &lt;script&gt;"));
     assert!(!page.contains("<script"), "{page}");
     let elsewhere = ["http:", "https:", "src=", "href=", "@import", "url("];
--- a/wagtaildoor_daemon/src/timeline_query.rs
+++ b/wagtaildoor_daemon/src/timeline_query.rs
@@ -16,6 +16,8 @@
     from_ms: Option<u64>,
     /// Latest time, in milliseconds since the Unix epoch.
     to_ms: Option<u64>,
+    /// So many events at most, the newest ones.
+    newest: Option<usize>,
 }
 
 impl From<TimelineQuery> for EventFilter {
@@ -26,6 +28,7 @@
             endpoint: query.endpoint.map(Box::from),
             from_ms: query.from_ms,
             to_ms: query.to_ms,
+            newest: query.newest,
             ..Self::default()
         }
     }
--- a/wtd/src/cli.rs
+++ b/wtd/src/cli.rs
@@ -15,6 +15,9 @@
 /// Settings file when none is named.
 pub const SETTINGS_FILE: &str = "wtd.ini";
 
+/// Events to ask of each process when no number is given.
+const NEWEST_EVENTS: &str = "2000";
+
 /// The command line.
 pub fn command() -> Command {
     Command::new("wtd")
@@ -217,6 +220,11 @@
             "to",
             "Only events up to this time, in ms since the Unix epoch",
         ))
+        .arg(
+            option("newest", "COUNT", "Newest events to ask of each process")
+                .default_value(NEWEST_EVENTS)
+                .value_parser(value_parser!(usize)),
+        )
         .arg(logs())
         .arg(
             Arg::new("html")
--- a/wtd/src/gather.rs
+++ b/wtd/src/gather.rs
@@ -88,14 +88,19 @@
         ("account", &filter.account),
         ("endpoint", &filter.endpoint),
     ];
-    let times = [("from_ms", filter.from_ms), ("to_ms", filter.to_ms)];
+    let newest = filter.newest.map(|newest| newest as u64);
+    let numbers = [
+        ("from_ms", filter.from_ms),
+        ("to_ms", filter.to_ms),
+        ("newest", newest),
+    ];
     let texts = texts.into_iter().filter_map(|(name, value)| {
         let value = value.as_deref()?.to_string();
         Some(QueryPart { name, value })
     });
-    let times = times.into_iter().filter_map(|(name, value)| {
+    let numbers = numbers.into_iter().filter_map(|(name, value)| {
         let value = value?.to_string();
         Some(QueryPart { name, value })
     });
-    texts.chain(times).collect()
+    texts.chain(numbers).collect()
 }
--- a/wtd/src/verbs/timeline.rs
+++ b/wtd/src/verbs/timeline.rs
@@ -33,7 +33,7 @@
 /// A time line as JSON.
 #[derive(Debug, Serialize)]
 struct TimelineReport {
-    /// Older events that are no longer kept, in events.
+    /// Older events that are not here: no longer kept, or beyond the number asked for.
     dropped: u64,
     /// Processes that did not answer.
     missing: Vec<String>,
@@ -43,7 +43,11 @@
 
 /// Shows the time line of the live processes.
 pub async fn run(client: &OperatorClient, matches: &ArgMatches) -> Result<VerbAnswer> {
-    let gathered = gather::live(client, &filter(matches)).await;
+    let filter = EventFilter {
+        newest: matches.get_one("newest").copied(),
+        ..filter(matches)
+    };
+    let gathered = gather::live(client, &filter).await;
     let addresses = client.settings.keepers.len() + client.settings.entries.len();
     if gathered.missing.len() == addresses {
         let text = format!("no process answered: {}", gathered.missing.join("; "));
@@ -68,6 +72,7 @@
         host: text("host"),
         from_ms: matches.get_one("from").copied(),
         to_ms: matches.get_one("to").copied(),
+        newest: None,
     }
 }
 
@@ -85,7 +90,7 @@
     let answer = answer.missing(&report.missing);
     Ok(match report.dropped {
         0 => answer,
-        dropped => answer.warning(format!("{dropped} older events are no longer kept")),
+        dropped => answer.warning(format!("{dropped} older events are not shown")),
     })
 }
 
--- a/wtd/tests/verbs.rs
+++ b/wtd/tests/verbs.rs
@@ -333,13 +333,15 @@
         event("north-1", 2, EventKind::RequestReceived, "two\nlines"),
         event("south-1", 1, EventKind::RequestReceived, "first"),
     ];
-    let keeper = keeping(events).start().await;
+    let server = keeping(events);
+    let keeper = server.start().await;
     let text = printed(wtd(&[keeper], &[], &["timeline"]).await);
     let lines: Vec<&str> = text.lines().collect();
     assert_eq!(lines.len(), 2);
     assert!(lines[0].starts_with("1970-01-01 00:00:00.001 UTC +0 south-1/entry request_received"));
     let north = printed(wtd(&[keeper], &[], &["timeline", "--host", "north-1"]).await);
     assert_eq!(north.lines().count(), 1);
+    assert_eq!(server.seen("GET /timeline?newest=2000").len(), 2);
     let none = wtd(&[nobody()], &[], &["timeline"]).await;
     assert_eq!(exit(&none), ExitKind::NoAnswer);
 }
