--- a/wagtaildoor/src/lib.rs
+++ b/wagtaildoor/src/lib.rs
@@ -2,7 +2,9 @@
 
 pub mod account_limit;
 pub mod admission;
+pub mod belief;
 pub mod breaker;
+mod candidate_list;
 mod candidates;
 pub mod claim_key;
 pub mod claim_ledger;
@@ -15,6 +17,7 @@
 pub mod clock_exchange;
 pub mod config_chain;
 pub mod config_change;
+pub mod config_checkpoint;
 pub mod config_follower;
 pub mod config_publisher;
 pub mod datagram_port;
@@ -33,6 +36,8 @@
 pub mod ids;
 pub mod keeper_connection;
 pub mod keeper_link;
+pub mod lease_holder;
+pub mod lease_ledger;
 pub mod load_view;
 pub mod log_http;
 pub mod log_store;
--- a/wagtaildoor_entry/src/request_scope.rs
+++ b/wagtaildoor_entry/src/request_scope.rs
@@ -5,6 +5,7 @@
 use tokio::time::Instant;
 use uuid::Uuid;
 use wagtaildoor::{
+    drain_gate::WorkGuard,
     ids::RequestId,
     schema::{
         Account,
@@ -26,6 +27,8 @@
     pub request: RequestId,
     /// When it came.
     pub received: Instant,
+    /// Holds a shutdown off.
+    _work: WorkGuard,
 }
 
 impl RequestScope {
@@ -36,6 +39,7 @@
             state: Arc::clone(state),
             request: new_request(),
             received: Instant::now(),
+            _work: state.gate.start(),
         }
     }
 
