--- a/wagtaildoor/src/placement.rs
+++ b/wagtaildoor/src/placement.rs
@@ -60,6 +60,8 @@
     pub weights_version: WeightsVersion,
     /// Estimated tokens of the whole prompt.
     pub prompt_tokens: u64,
+    /// Part of the expected wait that is known.
+    pub(crate) known_wait: Duration,
     /// What was believed of its cache.
     pub(crate) belief: TokenBelief,
     /// Levels of the request, for the tables.
@@ -207,6 +209,8 @@
 pub(crate) struct CandidateCost {
     /// Expected wait before prefill.
     pub wait: Duration,
+    /// Part of it that is known.
+    pub known_wait: Duration,
     /// Expected time to the first token.
     pub first_token: Duration,
     /// Score that is compared.
@@ -220,6 +224,8 @@
 pub(crate) struct CostInputs {
     /// Expected wait before prefill.
     pub wait: Duration,
+    /// Part of it that is known.
+    pub known_wait: Duration,
     /// Tokens of the prompt.
     pub prompt_tokens: f64,
     /// Tokens believed to be in the candidate's cache.
@@ -256,6 +262,7 @@
         };
         CandidateCost {
             wait: inputs.wait,
+            known_wait: inputs.known_wait,
             first_token: Duration::from_secs_f64(wait_s + ready_s + domain_s),
             score: self.score(wait_s, ready_s) + domain_s,
             imports,
