--- a/wagtaildoor/src/candidates.rs
+++ b/wagtaildoor/src/candidates.rs
@@ -195,10 +195,8 @@
         now: Instant,
     ) -> CandidateCost {
         let rates = &self.pools[query.pool].rates;
-        let known_wait = slot.load.known_wait(rates, self.others, now);
         let inputs = CostInputs {
-            wait: known_wait + rates.unseen_wait(slot.load.age(now)),
-            known_wait,
+            wait: slot.load.expected_wait(rates, self.others, now),
             prompt_tokens: query.prompt_tokens as f64,
             cached_tokens: candidate.cached_tokens,
             best_cached,
@@ -284,7 +282,7 @@
             .filter(|candidate| candidate.belief.kind == BeliefKind::Certain);
         holders
             .filter_map(|candidate| self.fitting(query, candidate.slot))
-            .map(|slot| slot.load.known_wait(rates, self.others, now))
+            .map(|slot| slot.load.expected_wait(rates, self.others, now))
             .min()
     }
 
@@ -307,7 +305,6 @@
             expected_cached_tokens: candidate.cached_tokens as u64,
             weights_version: query.weights_version,
             prompt_tokens: query.prompt_tokens,
-            known_wait: cost.known_wait,
             belief: candidate.belief,
             levels: query.levels.into(),
             slot: candidate.slot,
--- a/wagtaildoor/src/load_view.rs
+++ b/wagtaildoor/src/load_view.rs
@@ -14,8 +14,6 @@
 const SENDS_LIMIT: usize = 256;
 /// Part that a sample below the mean has in the prefill rate.
 const LOW_SAMPLE_SHARE: f64 = 0.002;
-/// Time after which an endpoint's word on its queue is mostly forgotten.
-const WORD_LIFE: Duration = Duration::from_millis(150);
 /// Prompt tokens from which a prefill tells the rate.
 const RATE_SAMPLE_TOKENS: u64 = 256;
 /// Time after which a report tells nothing more of the queue.
@@ -29,15 +27,12 @@
 pub struct EngineRates {
     /// Prompt tokens prefilled a second.
     pub prefill_tokens_per_s: f64,
-    /// Wait that requests met and nothing foretold, on average, in seconds.
-    pub unseen_wait_s: f64,
 }
 
 impl Default for EngineRates {
     fn default() -> Self {
         Self {
             prefill_tokens_per_s: 8_000.0,
-            unseen_wait_s: 0.0,
         }
     }
 }
@@ -48,22 +43,6 @@
         Duration::from_secs_f64((tokens / self.prefill_tokens_per_s).max(0.0))
     }
 
-    /// Wait to expect beyond what is known of an endpoint that last spoke so long ago.
-    ///
-    /// An endpoint that has just said that nothing waits is likely to be idle still.
-    pub fn unseen_wait(&self, age: Duration) -> Duration {
-        let forgotten = 1.0 - (-age.as_secs_f64() / WORD_LIFE.as_secs_f64()).exp();
-        Duration::from_secs_f64(self.unseen_wait_s * forgotten)
-    }
-
-    /// Takes how long a request took to its first token, when such a wait was known before and
-    /// so many tokens were missed.
-    pub fn take_unseen_wait(&mut self, elapsed: Duration, known: Duration, missed_tokens: u64) {
-        let prefill = self.prefill_time(missed_tokens as f64);
-        let unseen = elapsed.saturating_sub(known + prefill);
-        mix(&mut self.unseen_wait_s, unseen.as_secs_f64());
-    }
-
     /// Takes what a request missed, and how long it took to its first token.
     ///
     /// Most of that time may be a wait that nobody saw, so that the rate follows high samples
@@ -192,20 +171,15 @@
         mix(&mut self.mean_missed, missed_tokens as f64);
     }
 
-    /// Age of the endpoint's last word.
-    pub fn age(&self, now: Instant) -> Duration {
-        now.saturating_duration_since(self.told_at)
-    }
-
-    /// Time that a request sent now would wait before its prefill by what is known.
+    /// Expected time that a request sent now waits before its prefill starts.
     ///
     /// Own requests count by their tokens. Requests of other entries count by the endpoint's
     /// last word; those sent since by the unshared tokens that this entry sent since, times the
     /// number of other entries, as shared ones are prefilled once; less what the endpoint has
     /// prefilled since.
-    pub fn known_wait(&self, rates: &EngineRates, others: u32, now: Instant) -> Duration {
+    pub fn expected_wait(&self, rates: &EngineRates, others: u32, now: Instant) -> Duration {
         let own = self.waiting_tokens as f64;
-        let age = self.age(now);
+        let age = now.saturating_duration_since(self.told_at);
         if age >= REPORT_LIFE {
             return rates.prefill_time(own);
         }
--- a/wagtaildoor/src/placement.rs
+++ b/wagtaildoor/src/placement.rs
@@ -60,8 +60,6 @@
     pub weights_version: WeightsVersion,
     /// Estimated tokens of the whole prompt.
     pub prompt_tokens: u64,
-    /// Part of the expected wait that is known.
-    pub(crate) known_wait: Duration,
     /// What was believed of its cache.
     pub(crate) belief: TokenBelief,
     /// Levels of the request, for the tables.
@@ -209,8 +207,6 @@
 pub(crate) struct CandidateCost {
     /// Expected wait before prefill.
     pub wait: Duration,
-    /// Part of it that is known.
-    pub known_wait: Duration,
     /// Expected time to the first token.
     pub first_token: Duration,
     /// Score that is compared.
@@ -224,8 +220,6 @@
 pub(crate) struct CostInputs {
     /// Expected wait before prefill.
     pub wait: Duration,
-    /// Part of it that is known.
-    pub known_wait: Duration,
     /// Tokens of the prompt.
     pub prompt_tokens: f64,
     /// Tokens believed to be in the candidate's cache.
@@ -262,7 +256,6 @@
         };
         CandidateCost {
             wait: inputs.wait,
-            known_wait: inputs.known_wait,
             first_token: Duration::from_secs_f64(wait_s + ready_s + domain_s),
             score: self.score(wait_s, ready_s) + domain_s,
             imports,
--- a/wagtaildoor/src/routing_table.rs
+++ b/wagtaildoor/src/routing_table.rs
@@ -81,8 +81,6 @@
     pub(crate) missed_tokens: u64,
     /// Estimated tokens of its prompt.
     pub(crate) prompt_tokens: u64,
-    /// Wait that was known before.
-    pub(crate) known_wait: Duration,
     /// What was believed of the endpoint's cache.
     pub(crate) belief: TokenBelief,
     /// Weights it must run on.
@@ -182,7 +180,6 @@
             sent_at: now,
             missed_tokens,
             prompt_tokens: choice.prompt_tokens,
-            known_wait: choice.known_wait,
             belief: choice.belief,
             weights_version: choice.weights_version,
             levels: choice.levels.clone(),
--- a/wagtaildoor/src/table_state.rs
+++ b/wagtaildoor/src/table_state.rs
@@ -255,8 +255,6 @@
         if let Some(elapsed) = ticket.first_token_after {
             let missed = done.prompt_tokens.saturating_sub(done.cached_tokens);
             pool.rates.take_first_token(missed, elapsed);
-            pool.rates
-                .take_unseen_wait(elapsed, ticket.known_wait, missed);
         }
         let found = done.cached_tokens as f64 / done.prompt_tokens.max(1) as f64;
         let found_tokens = found * ticket.prompt_tokens as f64;
--- a/wagtaildoor/tests/load_view.rs
+++ b/wagtaildoor/tests/load_view.rs
@@ -14,7 +14,6 @@
 fn rates() -> EngineRates {
     EngineRates {
         prefill_tokens_per_s: 5_000.0,
-        unseen_wait_s: 0.0,
     }
 }
 
@@ -101,7 +100,7 @@
     for (name, change, others, age_ms, expected_ms) in cases {
         let mut load = EndpointLoad::new(start);
         change(&mut load, start);
-        let wait = load.known_wait(&rates(), others, start + ms(age_ms));
+        let wait = load.expected_wait(&rates(), others, start + ms(age_ms));
         let error = wait.abs_diff(ms(expected_ms));
         assert!(error < ms(1), "{name}: {wait:?} for {expected_ms} ms");
     }
@@ -113,7 +112,7 @@
     let mut load = EndpointLoad::new(start);
     load.take_word(Some(4), 5, start + Duration::from_secs(2));
     load.take_word(Some(4), 90, start + Duration::from_secs(1));
-    let wait = load.known_wait(&rates(), 0, start + Duration::from_secs(2));
+    let wait = load.expected_wait(&rates(), 0, start + Duration::from_secs(2));
     assert!(
         wait.abs_diff(Duration::from_millis(500)) < Duration::from_millis(1),
         "{wait:?}"
