Prove streams through the entry, and name a hang-up that goes unnoticed

Ten faults, at one engine or at all, run against an entry with two engines: the caller gets the same text as without the fault, or an explicit error event after a true beginning. Found and not mended: a caller that hangs up before its answer begins, or while a whole answer is made, is not noticed until the deadline, since the HTTP library runs handlers in tasks of its own and does not tell them. The callers' tests are one program in three files now, since they share the rig; reading the stalled stream no longer depends on how busy the machine is: chunks can be padded, so that buffers fill in a moment. Seen to fail: hang-ups in a stream unnoticed, no deadline for a reader that stops, a crossed chunk that ends the attempt. Sending a resumed request from its start was not seen, and need not be: the pieces come twice and are dropped.

--- a/wagtaildoor_entry/tests/support/entry_rig.rs
+++ b/wagtaildoor_entry/tests/support/entry_rig.rs
@@ -3,7 +3,10 @@
 use std::{
     fs,
     net::SocketAddr,
-    path::PathBuf,
+    path::{
+        Path,
+        PathBuf, //
+    },
     sync::atomic::{
         AtomicU32,
         Ordering, //
@@ -55,8 +58,10 @@
 pub const DESK_TOKEN: &str = "desk-token";
 /// Token of the account that may not order.
 pub const GUIDES_TOKEN: &str = "guides-token";
+/// Deadline of the templates, but for `endless`.
+pub const PLAIN_DEADLINE: Duration = Duration::from_secs(5);
 /// Deadline of the template `endless`, in milliseconds.
-pub const ENDLESS_DEADLINE_MS: u64 = 5_000;
+pub const ENDLESS_DEADLINE_MS: u64 = 4_000;
 /// Number of the next rig in this process.
 static NEXT_RIG: AtomicU32 = AtomicU32::new(0);
 
@@ -66,14 +71,14 @@
     pub address: SocketAddr,
     /// Its keeper.
     pub keeper: FakeKeeper,
-    /// The one engine.
-    pub engine: FakeEngine,
+    /// Engines, of which most tests need one.
+    pub engines: Vec<FakeEngine>,
     /// The one plain service.
     pub service: FakeService,
     /// A client.
     pub client: Client,
     /// Servers of the stand-ins.
-    _servers: [ServerHandle; 2],
+    _servers: Vec<ServerHandle>,
     /// File with the entry's address.
     address_file: PathBuf,
 }
@@ -81,31 +86,27 @@
 impl EntryRig {
     /// Starts an entry without TLS.
     pub async fn start() -> Self {
-        Self::start_with(json!({})).await
+        Self::start_with(1).await
     }
 
-    /// Starts an entry with further settings of its section `listen`.
-    pub async fn start_with(listen: Value) -> Self {
-        let engine = FakeEngine::new(EngineProfile {
-            prefill_per_token: Duration::ZERO,
-            decode_per_token: Duration::ZERO,
-            decode_per_running: Duration::ZERO,
-            ..EngineProfile::default()
-        });
+    /// Starts an entry with a number of engines.
+    pub async fn start_with(count: usize) -> Self {
+        let engines: Vec<FakeEngine> = (0..count).map(|_| quick_engine()).collect();
         let service = FakeService::new(false);
-        let servers = serve(&engine, &service).await;
-        let view = view(servers[0].address, servers[1].address);
+        let servers = serve(&engines, &service).await;
+        let addresses: Vec<SocketAddr> = servers.iter().map(|server| server.address).collect();
+        let view = view(&addresses[..count], addresses[count]);
         let keeper = FakeKeeper::start(view).await;
         let number = NEXT_RIG.fetch_add(1, Ordering::Relaxed);
         let name = format!("wagtaildoor-entry-{}-{number}", std::process::id());
         let address_file = std::env::temp_dir().join(name);
-        let settings = settings(&keeper, &address_file, listen);
+        let settings = settings(&keeper, &address_file);
         tokio::spawn(server::run(settings));
         let address = read_address(&address_file).await;
         let rig = Self {
             address,
             keeper,
-            engine,
+            engines,
             service,
             client: Client::builder().no_proxy().build().expect("a client"),
             _servers: servers,
@@ -127,7 +128,8 @@
 
     /// Calls that reached an endpoint.
     pub fn endpoint_calls(&self) -> u64 {
-        self.engine.counts().taken + self.service.counts().calls
+        let engines = self.engines.iter().map(|engine| engine.counts().taken);
+        engines.sum::<u64>() + self.service.counts().calls
     }
 
     /// Waits until the entry holds a view.
@@ -141,11 +143,8 @@
                 time::sleep(PAUSE).await;
             }
         };
-        // With TLS the caller's own client has to look.
-        if self.address_file.exists() {
-            let waited = time::timeout(PATIENCE, ready).await;
-            waited.expect("the entry gets ready");
-        }
+        let waited = time::timeout(PATIENCE, ready).await;
+        waited.expect("the entry gets ready");
     }
 }
 
@@ -155,25 +154,35 @@
     }
 }
 
-/// Servers of the engine and of the service.
-async fn serve(engine: &FakeEngine, service: &FakeService) -> [ServerHandle; 2] {
+/// An engine that takes no time.
+fn quick_engine() -> FakeEngine {
+    FakeEngine::new(EngineProfile {
+        prefill_per_token: Duration::ZERO,
+        decode_per_token: Duration::ZERO,
+        decode_per_running: Duration::ZERO,
+        ..EngineProfile::default()
+    })
+}
+
+/// Servers of the engines, then that of the service.
+async fn serve(engines: &[FakeEngine], service: &FakeService) -> Vec<ServerHandle> {
     let free = || http_server::build(([127, 0, 0, 1], 0).into());
-    let weights = WeightSource::new(None, Client::new());
-    let engine = http_engine::mount(free(), engine.clone(), weights);
-    let service = http_service::mount(free(), service.clone());
-    let token = CancellationToken::new();
-    [
-        http_server::start(engine, token.clone())
-            .await
-            .expect("a free port"),
-        http_server::start(service, token)
-            .await
-            .expect("a free port"),
-    ]
+    let mut mounted = Vec::new();
+    for engine in engines {
+        let weights = WeightSource::new(None, Client::new());
+        mounted.push(http_engine::mount(free(), engine.clone(), weights));
+    }
+    mounted.push(http_service::mount(free(), service.clone()));
+    let mut servers = Vec::new();
+    for server in mounted {
+        let server = http_server::start(server, CancellationToken::new()).await;
+        servers.push(server.expect("a free port"));
+    }
+    servers
 }
 
 /// Waits for the entry's address.
-async fn read_address(file: &PathBuf) -> SocketAddr {
+async fn read_address(file: &Path) -> SocketAddr {
     let read = async {
         loop {
             let text = fs::read_to_string(file).unwrap_or_default();
@@ -187,19 +196,16 @@
 }
 
 /// Settings of the entry.
-fn settings(keeper: &FakeKeeper, address_file: &PathBuf, listen: Value) -> EntrySettings {
-    let mut section = json!({
+fn settings(keeper: &FakeKeeper, address_file: &Path) -> EntrySettings {
+    let listen = json!({
         "address": "127.0.0.1:0",
         "address_file": address_file,
         "body_limit_bytes": BODY_LIMIT_BYTES,
         "body_timeout_ms": BODY_TIMEOUT_MS,
     });
-    for (name, value) in listen.as_object().expect("a section") {
-        section[name] = value.clone();
-    }
     let settings = json!({
         "host": { "name": "kl-a-1", "domain": "kl-a", "region": "my-west" },
-        "listen": section,
+        "listen": listen,
         "keepers": { "addresses": [keeper.address] },
         "limits": {},
         "shutdown": {},
@@ -209,20 +215,21 @@
 }
 
 /// What the keeper shows.
-fn view(engine: SocketAddr, service: SocketAddr) -> KeeperView {
-    let endpoint = |id: &str, pool: &str, address: SocketAddr, weights_version: u64| {
+fn view(engines: &[SocketAddr], service: SocketAddr) -> KeeperView {
+    let endpoint = |id: String, pool: &str, address: &SocketAddr, weights_version: u64| {
         json!({
             "id": id, "pool": pool, "address": address, "domain": "kl-a", "state": "live",
             "boot_id": "", "queued": 0, "running": 0, "report_age_ms": 0,
             "weights_version": weights_version,
         })
     };
+    let numbered = engines.iter().enumerate();
+    let engine = |(place, address)| endpoint(format!("drafter-{place}"), "drafter", address, 1);
+    let mut endpoints: Vec<Value> = numbered.map(engine).collect();
+    endpoints.push(endpoint("app-0".into(), "app", &service, 0));
     let view = json!({
         "configuration": configuration(),
-        "endpoints": [
-            endpoint("drafter-1", "drafter", engine, 1),
-            endpoint("app-1", "app", service, 0),
-        ],
+        "endpoints": endpoints,
         "head": { "sequence": 1, "hash": "00", "offset": 1 },
         "hosts": [],
         "platform_age_ms": 0,
@@ -249,7 +256,7 @@
     let template = |id: &str, pool: &str, changes: Value| {
         let mut template = json!({
             "id": id, "pool": pool, "adapter": "", "path": "", "repeatable": true,
-            "urgency": "normal", "deadline_ms": 5_000, "first_token_ms": 1_000,
+            "urgency": "normal", "deadline_ms": PLAIN_DEADLINE.as_millis(), "first_token_ms": 1_000,
             "max_tokens": 20, "accounts": [], "levels": [],
         });
         for (name, value) in changes.as_object().expect("changes") {
--- a/wagtaildoor_entry/tests/support/fake_keeper.rs
+++ b/wagtaildoor_entry/tests/support/fake_keeper.rs
@@ -3,6 +3,10 @@
 use std::{
     net::SocketAddr,
     sync::{
+        atomic::{
+            AtomicU32,
+            Ordering, //
+        },
         Arc,
         Mutex, //
     },
@@ -33,6 +37,8 @@
     pub address: SocketAddr,
     /// What it answers to claims.
     verdict: Arc<Mutex<ClaimVerdict>>,
+    /// Records it was asked to put into the log.
+    records: Arc<AtomicU32>,
 }
 
 impl FakeKeeper {
@@ -41,13 +47,24 @@
         let listener = TcpListener::bind("127.0.0.1:0").await.expect("a free port");
         let address = listener.local_addr().expect("a bound address");
         let verdict = Arc::new(Mutex::new(ClaimVerdict::Won(1)));
-        let shared = Arc::clone(&verdict);
+        let records = Arc::new(AtomicU32::new(0));
+        let keeper = Self {
+            address,
+            verdict: Arc::clone(&verdict),
+            records: Arc::clone(&records),
+        };
         tokio::spawn(async move {
             while let Ok((stream, _)) = listener.accept().await {
-                tokio::spawn(serve(stream, view.clone(), Arc::clone(&shared)));
+                let (verdict, records) = (Arc::clone(&verdict), Arc::clone(&records));
+                tokio::spawn(serve(stream, view.clone(), verdict, records));
             }
         });
-        Self { address, verdict }
+        keeper
+    }
+
+    /// Records it was asked to put into the log so far.
+    pub fn records(&self) -> u32 {
+        self.records.load(Ordering::Relaxed)
     }
 
     /// Sets what it answers to claims from now on.
@@ -57,7 +74,12 @@
 }
 
 /// Serves one entry.
-async fn serve(stream: TcpStream, view: KeeperView, verdict: Arc<Mutex<ClaimVerdict>>) {
+async fn serve(
+    stream: TcpStream,
+    view: KeeperView,
+    verdict: Arc<Mutex<ClaimVerdict>>,
+    records: Arc<AtomicU32>,
+) {
     let (read, write) = stream.into_split();
     let mut reader = FrameReader::new(read);
     let mut writer = FrameWriter::new(write);
@@ -68,10 +90,13 @@
                 call: call.call,
                 verdict: verdict.lock().expect("no panic").clone(),
             }),
-            EntryFrame::Record(call) => KeeperFrame::RecordReply(RecordReply {
-                call: call.call,
-                recorded: true,
-            }),
+            EntryFrame::Record(call) => {
+                records.fetch_add(1, Ordering::Relaxed);
+                KeeperFrame::RecordReply(RecordReply {
+                    call: call.call,
+                    recorded: true,
+                })
+            }
             EntryFrame::Ping(stamp) => KeeperFrame::Pong(stamp),
             EntryFrame::News(_) => continue,
         };
--- a/wagtaildoor_fakes/src/fake_engine/engine_faults.rs
+++ b/wagtaildoor_fakes/src/fake_engine/engine_faults.rs
@@ -37,6 +37,8 @@
     pub truncated_percent: u32,
     /// Chunks after which every stream is cut; 0 for none.
     pub cut_after_chunks: u64,
+    /// Spaces added to the text of each chunk, so that a reader's buffers fill soon; in bytes.
+    pub padding_bytes: usize,
     /// Crashes and comes back empty, once, when the switch is set.
     pub crash: bool,
 }
--- a/wagtaildoor_fakes/src/fake_engine/engine_stream.rs
+++ b/wagtaildoor_fakes/src/fake_engine/engine_stream.rs
@@ -86,6 +86,8 @@
     text: AnswerText,
     /// What goes wrong.
     plan: FaultPlan,
+    /// Added to the text of each chunk.
+    padding: Box<str>,
     /// Where chunks go.
     sender: mpsc::Sender<EngineChunk>,
 }
@@ -101,10 +103,12 @@
             queued: start.queue.queued(),
             chunks,
         };
+        let faults = self.faults();
         let task = StreamTask {
             engine: self.clone(),
             text: AnswerText::new(&request),
-            plan: FaultPlan::draw(&self.faults(), &request),
+            plan: FaultPlan::draw(&faults, &request),
+            padding: " ".repeat(faults.padding_bytes).into(),
             start,
             request,
             sender,
@@ -258,7 +262,7 @@
             done: None,
             request_id: self.request.request_id.clone(),
             sequence,
-            text: self.text.chunk(sequence),
+            text: format!("{}{}", self.text.chunk(sequence), self.padding).into(),
         }
     }
 }
