--- a/wagtaildoor_bench/src/policy/deciders.rs
+++ b/wagtaildoor_bench/src/policy/deciders.rs
@@ -93,6 +93,9 @@
     /// Chooses an engine and counts the request as sent; `None` refuses it.
     fn place(&mut self, ask: &DecisionAsk, engines: &[EngineModel]) -> Option<usize>;
 
+    /// Takes the head of an answer, which comes when the engine takes the work.
+    fn heard(&mut self, _number: usize, _head: &AnswerHead, _now: RunMicros) {}
+
     /// Takes the first token.
     fn first_token(&mut self, _number: usize, _head: &AnswerHead, _now: RunMicros) {}
 
@@ -193,11 +196,17 @@
             .position(|view| view.id == choice.endpoint)
     }
 
-    fn first_token(&mut self, number: usize, head: &AnswerHead, now: RunMicros) {
+    fn heard(&mut self, number: usize, head: &AnswerHead, now: RunMicros) {
         let now = self.instant(now);
         let news = self.endpoint_news(head);
-        if let Some(ticket) = self.tickets.get_mut(&number) {
+        if let Some(ticket) = self.tickets.get(&number) {
             self.table.heard(ticket, &news, now);
+        }
+    }
+
+    fn first_token(&mut self, number: usize, _head: &AnswerHead, now: RunMicros) {
+        let now = self.instant(now);
+        if let Some(ticket) = self.tickets.get_mut(&number) {
             self.table.first_token(ticket, now);
         }
     }
--- a/wagtaildoor_bench/src/policy/report.rs
+++ b/wagtaildoor_bench/src/policy/report.rs
@@ -169,13 +169,14 @@
             let against = own.first_token_ms(0.99) / robin.first_token_ms(0.99);
             let _ = writeln!(
                 page,
-                "| {} | {} | {:.1}%{} | {:.2}{} | {:.2}{} | {:.2}{} |",
+                "| {} | {} | {:.1}%{} | {:.2}{}, {:+.2} points | {:.2}{} | {:.2}{} |",
                 shape.name,
                 fault.name,
                 hit * 100.0,
                 mark(hit >= HIT_TARGET),
                 waste,
                 mark(waste <= WASTE_TARGET),
+                (own.waste_rate() - bound.waste_rate()) * 100.0,
                 tail,
                 mark(tail <= TAIL_TARGET),
                 against,
--- a/wagtaildoor_bench/src/policy/run_world.rs
+++ b/wagtaildoor_bench/src/policy/run_world.rs
@@ -93,6 +93,15 @@
         /// Work.
         job: EngineJob,
     },
+    /// A host has the head of an answer.
+    Heard {
+        /// Request.
+        request: usize,
+        /// Attempt.
+        attempt: u32,
+        /// What the head says.
+        head: AnswerHead,
+    },
     /// A host has the first token.
     FirstToken {
         /// Request.
@@ -259,6 +268,11 @@
                 job,
             } => self.prefilled(engine, starts, cached_tokens, job, now),
             RunEvent::Ended { starts, head, job } => self.ended(starts, head, &job, now),
+            RunEvent::Heard {
+                request,
+                attempt,
+                head,
+            } => self.heard(request, attempt, &head, now),
             RunEvent::FirstToken {
                 request,
                 attempt,
@@ -333,10 +347,31 @@
             self.fail(engine, &job, now);
             return;
         }
+        let head = AnswerHead {
+            engine,
+            boot_id: self.engines[engine].boot_id(),
+            queued: self.engines[engine].queued(),
+            cached_tokens: 0,
+        };
+        let there = now + self.distance(self.requests[job.request].host, engine);
+        let heard = RunEvent::Heard {
+            request: job.request,
+            attempt: job.attempt,
+            head,
+        };
+        self.events.push(there, heard);
         self.engines[engine].push(job);
         self.advance(engine, now);
     }
 
+    /// A host has the head of an answer.
+    fn heard(&mut self, number: usize, attempt: u32, head: &AnswerHead, now: RunMicros) {
+        let progress = &self.progress[number];
+        if attempt == progress.attempts && !progress.ended && !progress.forgotten {
+            self.deciders[self.requests[number].host].heard(number, head, now);
+        }
+    }
+
     /// Starts the next prefill of an engine, and counts what it computes.
     fn advance(&mut self, engine: usize, now: RunMicros) {
         let Some(prefill) = self.engines[engine].start_prefill(now) else {
