Name the endpoint to import shared levels from

Cause: the score counted an import as cheaper, but the choice did not say where from, so that nobody could act on it.

Off unless a policy gives the rate of imports: no entry imports yet. Seen to fail with the comparison of import and prefill turned around; taken out again.

--- a/wagtaildoor/src/candidate_list.rs
+++ b/wagtaildoor/src/candidate_list.rs
@@ -82,6 +82,13 @@
             .map(|candidate| candidate.slot)
     }
 
+    /// The endpoint that is believed to hold most.
+    pub fn best_holder(&self) -> Option<SlotIndex> {
+        let candidates = self.candidates.iter();
+        let best = candidates.max_by(|near, far| near.cached_tokens.total_cmp(&far.cached_tokens));
+        best.map(|candidate| candidate.slot)
+    }
+
     /// Most tokens believed to be in any candidate's cache.
     pub fn best_cached(&self) -> f64 {
         let cached = self
--- a/wagtaildoor/src/candidates.rs
+++ b/wagtaildoor/src/candidates.rs
@@ -58,7 +58,12 @@
             return Err(ErrorKind::DeadlineUnreachable);
         }
         let reason = self.reason(query, &list, &candidate, &cost, now);
-        self.choice(query, &candidate, &cost, reason)
+        let mut choice = self.choice(query, &candidate, &cost, reason)?;
+        if cost.imports {
+            let source = list.best_holder().and_then(|slot| self.slot(slot));
+            choice.import_from = source.map(|slot| slot.address);
+        }
+        Ok(choice)
     }
 
     /// Endpoints to compare: holders, homes and a few drawn ones.
@@ -305,6 +310,7 @@
             expected_cached_tokens: candidate.cached_tokens as u64,
             weights_version: query.weights_version,
             prompt_tokens: query.prompt_tokens,
+            import_from: None,
             belief: candidate.belief,
             levels: query.levels.into(),
             slot: candidate.slot,
--- a/wagtaildoor/src/placement.rs
+++ b/wagtaildoor/src/placement.rs
@@ -60,6 +60,9 @@
     pub weights_version: WeightsVersion,
     /// Estimated tokens of the whole prompt.
     pub prompt_tokens: u64,
+    /// Endpoint to import shared levels from before the request goes, when that is cheaper than
+    /// prefill.
+    pub import_from: Option<SocketAddr>,
     /// What was believed of its cache.
     pub(crate) belief: TokenBelief,
     /// Levels of the request, for the tables.
--- a/wagtaildoor/tests/routing_table.rs
+++ b/wagtaildoor/tests/routing_table.rs
@@ -322,3 +322,33 @@
         second.reason
     );
 }
+
+#[test]
+fn levels_are_imported_from_a_busy_holder_when_that_is_cheaper_than_prefill() {
+    let start = Instant::now();
+    let cases = [
+        ("engines cannot import", None, false),
+        ("import is slower than prefill", Some(1_000.0), false),
+        ("import is faster than prefill", Some(1_000_000.0), true),
+    ];
+    for (name, import_tokens_per_s, expected) in cases {
+        let policy = PlacementPolicy {
+            import_tokens_per_s,
+            ..PlacementPolicy::default()
+        };
+        let table = RoutingTable::with_seed(policy, 1, start);
+        table.take_all_endpoints(&[drafter("d1"), drafter("d2")], start);
+        let shared = levels("acct");
+        let first = run_one(&table, &shared, start);
+        let mut busy = drafter(&first.endpoint);
+        busy.running = 16;
+        busy.queued = 60;
+        table.take_endpoints_at(&[busy], start);
+        let second = table
+            .place(&query(&shared, start), start)
+            .expect("an endpoint");
+        assert_ne!(second.endpoint, first.endpoint, "{name}");
+        let imports = second.import_from == Some(first.address);
+        assert_eq!(imports, expected, "{name}: {}", second.reason);
+    }
+}
