Ask entries by TLS where they serve callers by TLS

An entry has one address, and with a certificate in its settings it serves TLS alone there. wtd asked in plain HTTP, so explanations and time lines of such a deployment lacked all entries. The operator's settings now take the name in the entries' certificate and, where the system does not trust it, a file of roots; each entry is still asked by its own address. A roots file without a name is a fault.

Ruled out: taking any certificate, with which another host on the way could tell an operator that an order did not run.

--- a/wagtaildoor/src/schema.rs
+++ b/wagtaildoor/src/schema.rs
@@ -1739,6 +1739,12 @@
     ///Callers' addresses of the entries, for time lines, separated by commas.
     #[serde(default, skip_serializing_if = "::std::vec::Vec::is_empty")]
     pub entries: ::std::vec::Vec<::std::net::SocketAddr>,
+    ///Name in the certificate of the entries; they are asked by TLS when it is set.
+    #[serde(default, skip_serializing_if = "::std::option::Option::is_none")]
+    pub entries_tls_name: ::std::option::Option<::std::boxed::Box<str>>,
+    ///PEM file with the only certificates that entries' certificates may come from; without it, those that the system trusts.
+    #[serde(default, skip_serializing_if = "::std::option::Option::is_none")]
+    pub entries_tls_roots: ::std::option::Option<::std::boxed::Box<str>>,
     ///Operators' addresses of the keepers, separated by commas.
     pub keepers: ::std::vec::Vec<::std::net::SocketAddr>,
     ///Base URL of the log service.
--- a/wagtaildoor/src/settings.rs
+++ b/wagtaildoor/src/settings.rs
@@ -68,38 +68,49 @@
     let mut faults = FaultList::new(name);
     let file = IniFile::parse(text, &mut faults);
     let value = SchemaReader::new(SCHEMA).file(definition, &file, &mut faults);
-    for pair in PAIRS {
-        pair.check(&value, &mut faults);
+    for need in NEEDS {
+        need.check(&value, &mut faults);
     }
     faults.typed(value)
 }
 
-/// Keys of a section that are set together or not at all.
-struct KeyPair {
+/// A key that means nothing without another one.
+struct KeyNeed {
     /// Section.
     section: &'static str,
-    /// Both keys.
-    keys: [&'static str; 2],
+    /// Key.
+    key: &'static str,
+    /// Key that must be set with it.
+    needs: &'static str,
 }
 
 /// All such keys.
-const PAIRS: [KeyPair; 1] = [KeyPair {
-    section: "listen",
-    keys: ["tls_certificate", "tls_key"],
-}];
+const NEEDS: [KeyNeed; 3] = [
+    KeyNeed {
+        section: "listen",
+        key: "tls_certificate",
+        needs: "tls_key",
+    },
+    KeyNeed {
+        section: "listen",
+        key: "tls_key",
+        needs: "tls_certificate",
+    },
+    KeyNeed {
+        section: "operator",
+        key: "entries_tls_roots",
+        needs: "entries_tls_name",
+    },
+];
 
-impl KeyPair {
+impl KeyNeed {
     /// Checks what was read.
     fn check(&self, value: &Value, faults: &mut FaultList) {
         let set = |key: &str| value[self.section].get(key).is_some();
-        let [first, second] = self.keys;
-        let (absent, present) = match (set(first), set(second)) {
-            (true, false) => (second, first),
-            (false, true) => (first, second),
-            _ => return,
-        };
-        let allowed = format!("both, or neither, of {first} and {second}");
-        let problem = format!("is missing beside {present}");
-        faults.key(self.section, absent, &problem, &allowed);
+        if set(self.key) && !set(self.needs) {
+            let problem = format!("is missing beside {}", self.key);
+            let allowed = format!("{} only together with {}", self.key, self.needs);
+            faults.key(self.section, self.needs, &problem, &allowed);
+        }
     }
 }
--- a/wagtaildoor/tests/settings.rs
+++ b/wagtaildoor/tests/settings.rs
@@ -176,7 +176,7 @@
     assert!(!found.contains("list_url"), "{found}");
 
     let operator = "[operator]\nname = Mei\nkeepers =\nlog_url = http://127.0.0.1:1\n\
-                    entries = 127.0.0.1:1, 127.0.0.1\n";
+                    entries = 127.0.0.1:1, 127.0.0.1\nentries_tls_roots = a.pem\n";
     let errors =
         settings::read_text::<OperatorSettings>("operator.ini", operator, "OperatorSettings")
             .expect_err("faults");
@@ -185,6 +185,10 @@
         found.contains("keepers = \"\" has too few items"),
         "{found}"
     );
+    assert!(
+        found.contains("entries_tls_name is missing beside"),
+        "{found}"
+    );
     assert!(
         found.contains("has an item, \"127.0.0.1\", that does not"),
         "{found}"
--- a/wtd/src/client.rs
+++ b/wtd/src/client.rs
@@ -7,10 +7,9 @@
 
 use futures_util::future;
 use reqwest::{
-    Client,
+    RequestBuilder,
     Response,
-    StatusCode,
-    Url, //
+    StatusCode, //
 };
 use serde::{
     de::DeserializeOwned,
@@ -23,9 +22,12 @@
     OperatorSection, //
 };
 
-use crate::exit::{
-    Result,
-    ToolError, //
+use crate::{
+    exit::{
+        Result,
+        ToolError, //
+    },
+    target::ProcessTarget,
 };
 
 /// Longest wait for a keeper to take a change: it reads back from the log, and then waits for
@@ -71,8 +73,10 @@
 /// Calls to the processes that the settings name.
 #[derive(Clone, Debug)]
 pub struct OperatorClient {
-    /// HTTP client.
-    http: Client,
+    /// Keepers, in order of preference.
+    pub keepers: Vec<ProcessTarget>,
+    /// Entries.
+    pub entries: Vec<ProcessTarget>,
     /// Who calls, and where the processes are.
     pub settings: OperatorSection,
 }
@@ -80,64 +84,54 @@
 impl OperatorClient {
     /// A client by the settings.
     pub fn new(settings: OperatorSection) -> Result<Self> {
-        // A change must not be sent twice by the client library.
-        let http = Client::builder()
-            .no_proxy()
-            .retry(reqwest::retry::never())
-            .redirect(reqwest::redirect::Policy::none())
-            .connect_timeout(Duration::from_millis(settings.timeout_ms))
-            .build();
-        let http = http.map_err(|error| ToolError::NoAnswer(error.to_string().into()))?;
-        Ok(Self { http, settings })
+        Ok(Self {
+            keepers: ProcessTarget::keepers(&settings)?,
+            entries: ProcessTarget::entries(&settings)?,
+            settings,
+        })
+    }
+
+    /// All keepers, then all entries.
+    pub fn processes(&self) -> Vec<ProcessTarget> {
+        [self.keepers.as_slice(), self.entries.as_slice()].concat()
     }
 
     /// Asks one process.
     pub async fn get<T: DeserializeOwned>(
         &self,
-        address: SocketAddr,
+        target: &ProcessTarget,
         path: &str,
         query: &[QueryPart],
     ) -> ProcessAnswer<T> {
-        let answer = self.try_get(address, path, query).await;
+        let limit = Duration::from_millis(self.settings.timeout_ms);
+        let answer = match target.url(path, query) {
+            Ok(url) => fetch(target.http.get(url).timeout(limit)).await,
+            Err(problem) => Err(problem),
+        };
         ProcessAnswer {
-            address,
-            answer: answer.map_err(|error| plain(&error).into()),
+            address: target.address,
+            answer,
         }
     }
 
-    /// Asks one process, with the library's own errors.
-    async fn try_get<T: DeserializeOwned>(
-        &self,
-        address: SocketAddr,
-        path: &str,
-        query: &[QueryPart],
-    ) -> reqwest::Result<T> {
-        let limit = Duration::from_millis(self.settings.timeout_ms);
-        let request = self.http.get(url(address, path, query)).timeout(limit);
-        let response = request.send().await?.error_for_status()?;
-        response.json().await
-    }
-
     /// Asks all processes at once.
     pub async fn get_all<T: DeserializeOwned>(
         &self,
-        addresses: &[SocketAddr],
+        targets: &[ProcessTarget],
         path: &str,
         query: &[QueryPart],
     ) -> Vec<ProcessAnswer<T>> {
-        let calls = addresses
-            .iter()
-            .map(|&address| self.get(address, path, query));
+        let calls = targets.iter().map(|target| self.get(target, path, query));
         future::join_all(calls).await
     }
 
     /// Asks the keepers in their order until one answers.
     pub async fn get_first<T: DeserializeOwned>(&self, path: &str) -> Result<T> {
         let mut failures = Vec::new();
-        for &address in &self.settings.keepers {
-            match self.get(address, path, &[]).await.answer {
+        for keeper in &self.keepers {
+            match self.get(keeper, path, &[]).await.answer {
                 Ok(answer) => return Ok(answer),
-                Err(failure) => failures.push(format!("{address}: {failure}")),
+                Err(failure) => failures.push(format!("{}: {failure}", keeper.address)),
             }
         }
         Err(no_keeper(&failures))
@@ -146,10 +140,10 @@
     /// The configuration in force, and a head that is not newer, of one and the same keeper.
     pub async fn in_force(&self) -> Result<HeldConfiguration> {
         let mut failures = Vec::new();
-        for &address in &self.settings.keepers {
-            match self.held_by(address).await {
+        for keeper in &self.keepers {
+            match self.held_by(keeper).await {
                 Ok(held) => return Ok(held),
-                Err(failure) => failures.push(format!("{address}: {failure}")),
+                Err(failure) => failures.push(format!("{}: {failure}", keeper.address)),
             }
         }
         Err(no_keeper(&failures))
@@ -161,10 +155,10 @@
     /// name the older.
     async fn held_by(
         &self,
-        address: SocketAddr,
+        keeper: &ProcessTarget,
     ) -> std::result::Result<HeldConfiguration, Box<str>> {
-        let status: KeeperStatus = self.get(address, "/status", &[]).await.answer?;
-        let configuration = self.get(address, "/configuration", &[]).await.answer?;
+        let status: KeeperStatus = self.get(keeper, "/status", &[]).await.answer?;
+        let configuration = self.get(keeper, "/configuration", &[]).await.answer?;
         Ok(HeldConfiguration {
             head: status.head,
             configuration,
@@ -181,8 +175,10 @@
         R: DeserializeOwned,
     {
         let mut failures = Vec::new();
-        for &address in &self.settings.keepers {
-            let request = self.http.post(url(address, path, &[])).json(body);
+        for keeper in &self.keepers {
+            let address = keeper.address;
+            let url = keeper.url(path, &[]).map_err(ToolError::NoAnswer)?;
+            let request = keeper.http.post(url).json(body);
             match request.timeout(CHANGE_LIMIT).send().await {
                 Ok(response) => return change_answer(address, response).await,
                 Err(error) if error.is_connect() => {
@@ -195,6 +191,12 @@
     }
 }
 
+/// Sends a request and reads its answer.
+async fn fetch<T: DeserializeOwned>(request: RequestBuilder) -> std::result::Result<T, Box<str>> {
+    let answer = async { request.send().await?.error_for_status()?.json().await };
+    answer.await.map_err(|error| plain(&error).into())
+}
+
 /// Reads the answer to a change.
 async fn change_answer<T, R>(address: SocketAddr, response: Response) -> Result<ChangeAnswer<T, R>>
 where
@@ -232,19 +234,6 @@
     ToolError::NoAnswer(text.into())
 }
 
-/// The address of a route.
-fn url(address: SocketAddr, path: &str, query: &[QueryPart]) -> Url {
-    let url = format!("http://{address}{path}");
-    let mut url = Url::parse(&url).expect("an address and a path make a URL");
-    if !query.is_empty() {
-        let mut pairs = url.query_pairs_mut();
-        for part in query {
-            pairs.append_pair(part.name, &part.value);
-        }
-    }
-    url
-}
-
 /// An error with the causes below it, without the address, which is shown beside it.
 fn plain(error: &reqwest::Error) -> String {
     let mut text = match error.status() {
--- a/wtd/src/gather.rs
+++ b/wtd/src/gather.rs
@@ -40,10 +40,9 @@
 
 /// Asks all keepers and entries of the settings.
 pub async fn live(client: &OperatorClient, filter: &EventFilter) -> GatheredTimeline {
-    let settings = &client.settings;
-    let addresses = [settings.keepers.as_slice(), settings.entries.as_slice()].concat();
+    let processes = client.processes();
     let query = query(filter);
-    let answers = client.get_all(&addresses, "/timeline", &query).await;
+    let answers = client.get_all(&processes, "/timeline", &query).await;
     let mut pages: Vec<EventPage> = Vec::new();
     let mut missing = Vec::new();
     for answer in answers {
--- a/wtd/src/lib.rs
+++ b/wtd/src/lib.rs
@@ -7,4 +7,5 @@
 pub mod gather;
 pub mod run;
 pub mod table;
+pub mod target;
 pub mod verbs;
--- a/wtd/src/verbs/status.rs
+++ b/wtd/src/verbs/status.rs
@@ -38,9 +38,7 @@
 
 /// Shows what the keepers see.
 pub async fn run(client: &OperatorClient, matches: &ArgMatches) -> Result<VerbAnswer> {
-    let answers = client
-        .get_all(&client.settings.keepers, "/status", &[])
-        .await;
+    let answers = client.get_all(&client.keepers, "/status", &[]).await;
     let reports: Vec<KeeperReport> = answers.into_iter().map(KeeperReport::from).collect();
     let missing: Vec<String> = reports.iter().filter_map(KeeperReport::missing).collect();
     if missing.len() == reports.len() {
--- a/wtd/src/verbs/timeline.rs
+++ b/wtd/src/verbs/timeline.rs
@@ -48,8 +48,7 @@
         ..filter(matches)
     };
     let gathered = gather::live(client, &filter).await;
-    let addresses = client.settings.keepers.len() + client.settings.entries.len();
-    if gathered.missing.len() == addresses {
+    if gathered.missing.len() == client.processes().len() {
         let text = format!("no process answered: {}", gathered.missing.join("; "));
         return Err(ToolError::NoAnswer(text.into()));
     }
