--- a/wagtaildoor_keeper/src/platform_list.rs
+++ b/wagtaildoor_keeper/src/platform_list.rs
@@ -6,6 +6,7 @@
 };
 
 use reqwest::Client;
+use rocket::serde::DeserializeOwned;
 use slog::warn;
 use tokio::time::{
     self,
@@ -13,7 +14,11 @@
 };
 use tokio_util::sync::CancellationToken;
 use wagtaildoor::schema::{
+    EndpointState,
+    EndpointView,
     EventKind,
+    KeeperStatus,
+    ListedEndpoint,
     PlatformList, //
 };
 
@@ -33,12 +38,15 @@
             () = token.cancelled() => return,
             _ = ticks.tick() => {}
         }
-        let result = read(&client, &state.settings.platform.list_url).await;
+        let result = read::<PlatformList>(&client, &state.settings.platform.list_url).await;
         let answered = result.is_ok();
         match result {
             Ok(list) => take(&state, list).await,
             Err(error) => warn!(state.log, "list"; "error" => %error),
         }
+        if !answered && !*state.listed.borrow() {
+            take_from_peers(&state, &client).await;
+        }
         if answered != reachable {
             note_change(&state, answered);
         }
@@ -52,10 +60,40 @@
     let listed = list.hosts.iter().map(|host| host.peers);
     let seeds = state.settings.peers.seeds.iter().copied();
     state.member.seed(seeds.chain(listed).collect()).await;
+    state.listed.send_replace(true);
+}
+
+/// Without any list since the start, takes over which endpoints a peer knows.
+async fn take_from_peers(state: &KeeperState, client: &Client) {
+    let hosts = state.hosts.borrow().clone();
+    let own = &state.settings.host.name;
+    for peer in hosts.iter().filter(|host| host.alive && host.id != *own) {
+        let url = format!("http://{}/status", peer.operators);
+        let Ok(status) = read::<KeeperStatus>(client, &url).await else {
+            continue;
+        };
+        if !status.endpoints.is_empty() {
+            let listed: Vec<ListedEndpoint> = status.endpoints.iter().map(as_listed).collect();
+            state.watch.take_list(&listed);
+            state.listed.send_replace(true);
+            return;
+        }
+    }
+}
+
+/// An endpoint as a list would name it; whether it leaves, its next poll tells.
+fn as_listed(view: &EndpointView) -> ListedEndpoint {
+    ListedEndpoint {
+        address: view.address,
+        domain: view.domain.clone(),
+        id: view.id.clone(),
+        pool: view.pool.clone(),
+        state: EndpointState::Live,
+    }
 }
 
-/// Reads the list once.
-async fn read(client: &Client, url: &str) -> Result<PlatformList> {
+/// Reads a body.
+async fn read<T: DeserializeOwned>(client: &Client, url: &str) -> Result<T> {
     client
         .get(url)
         .send()
--- a/wagtaildoor_keeper/src/server.rs
+++ b/wagtaildoor_keeper/src/server.rs
@@ -18,7 +18,10 @@
         Signal,
         SignalKind, //
     },
-    sync::broadcast::error::RecvError,
+    sync::{
+        broadcast::error::RecvError,
+        watch, //
+    },
     time::Instant,
 };
 use tokio_util::sync::CancellationToken;
@@ -192,6 +195,7 @@
         board: ViewBoard::new(token.child_token()),
         endpoints: watch.endpoints(),
         watch,
+        listed: watch::Sender::new(false),
         hosts: member.hosts(),
         member,
         gate: DrainGate::new(),
--- a/wagtaildoor_keeper/src/state.rs
+++ b/wagtaildoor_keeper/src/state.rs
@@ -48,6 +48,8 @@
     pub watch: EndpointWatch<HttpProbe>,
     /// Endpoints, as far as they are known.
     pub endpoints: watch::Receiver<Vec<EndpointView>>,
+    /// Whether the endpoints were learnt since the start, from the list or from a peer.
+    pub listed: watch::Sender<bool>,
     /// This keeper among its peers.
     pub member: PeerMember,
     /// Entry hosts, as far as they are known.
--- a/wagtaildoor_keeper/src/view_builder.rs
+++ b/wagtaildoor_keeper/src/view_builder.rs
@@ -2,6 +2,10 @@
 
 use std::sync::Arc;
 
+use tokio::time::{
+    self,
+    Duration, //
+};
 use tokio_util::sync::CancellationToken;
 use wagtaildoor::schema::{
     EventKind,
@@ -10,11 +14,20 @@
 
 use crate::state::KeeperState;
 
+/// Longest wait of a starting keeper for its endpoints.
+const ENDPOINTS_WAIT: Duration = Duration::from_secs(3);
+
 /// Publishes changes until cancelled.
 ///
 /// Entries get nothing before the configuration was read once: a view without accounts would
-/// refuse every caller.
+/// refuse every caller. One without endpoints would too, so that those are waited for a while.
 pub async fn run(state: Arc<KeeperState>, token: CancellationToken) {
+    let mut listed = state.listed.subscribe();
+    tokio::select! {
+        () = token.cancelled() => return,
+        _ = listed.wait_for(|listed| *listed) => {}
+        () = time::sleep(ENDPOINTS_WAIT) => {}
+    }
     let mut config = state.config.watch();
     let mut endpoints = state.endpoints.clone();
     let mut hosts = state.hosts.clone();
