--- a/wagtaildoor/src/logging.rs
+++ b/wagtaildoor/src/logging.rs
@@ -1,6 +1,10 @@
 //! Logging as JSON lines on standard error, written by a thread of its own.
 
-use std::io;
+use std::io::{
+    self,
+    BufWriter,
+    Write, //
+};
 
 use slog::{
     Drain,
@@ -20,7 +24,18 @@
 
 /// A logger for one process. Each line carries the host and the program.
 pub fn logger(section: &LoggingSection, host: &str, process: &'static str) -> Logger {
-    let json = Json::new(io::stderr())
+    logger_to(io::stderr(), section, host, process)
+}
+
+/// As `logger`, into something else than standard error. Dropping it writes what waits.
+pub fn logger_to<W: Write + Send + 'static>(
+    output: W,
+    section: &LoggingSection,
+    host: &str,
+    process: &'static str,
+) -> Logger {
+    // Each line goes out in one piece, where the format alone would write every field apart.
+    let json = Json::new(BufWriter::new(output))
         .set_newlines(true)
         .set_flush(true)
         .add_default_keys()
--- a/wagtaildoor/src/table_state.rs
+++ b/wagtaildoor/src/table_state.rs
@@ -5,10 +5,7 @@
         HashMap,
         HashSet, //
     },
-    time::{
-        Duration,
-        Instant, //
-    },
+    time::Instant,
 };
 
 use rand::{
@@ -17,6 +14,7 @@
 };
 
 use crate::{
+    belief::BeliefRates,
     endpoint_slot::{
         EndpointSlot,
         IncarnationChange, //
@@ -59,12 +57,25 @@
 const PREFIXES_LIMIT: usize = 100_000;
 
 /// A pool of endpoints.
-#[derive(Debug, Default)]
+#[derive(Debug)]
 pub(crate) struct PoolMembers {
     /// Live endpoints.
     pub homes: HomeMembers,
     /// Rates of its engines.
     pub rates: EngineRates,
+    /// How often beliefs about its caches are right.
+    pub beliefs: BeliefRates,
+}
+
+impl PoolMembers {
+    /// A pool of which nothing is learnt.
+    fn new(policy: &PlacementPolicy) -> Self {
+        Self {
+            homes: HomeMembers::default(),
+            rates: EngineRates::default(),
+            beliefs: BeliefRates::new(policy),
+        }
+    }
 }
 
 /// Everything a routing table knows.
@@ -171,7 +182,9 @@
     /// Counts a request that is about to be sent.
     pub fn dispatched(&mut self, choice: &PlacementChoice, missed: u64, now: Instant) {
         if let Some(slot) = leased(&mut self.slots, choice.slot, choice.lease) {
-            slot.load.add(missed, now);
+            let shared = choice.levels.last().map_or(0, |level| level.tokens);
+            let unshared = choice.prompt_tokens.saturating_sub(shared);
+            slot.load.add(missed, unshared.min(missed), now);
             self.residency.expect(choice.slot, &choice.levels, now);
         }
     }
@@ -197,18 +210,10 @@
         true
     }
 
-    /// Takes the first token of a request, and learns from it when nothing else waited.
-    pub fn started(&mut self, ticket: &DispatchTicket, now: Instant) {
-        let Some(slot) = leased(&mut self.slots, ticket.slot, ticket.lease) else {
-            return;
-        };
-        slot.load.started(ticket.missed_tokens);
-        let elapsed = now.saturating_duration_since(ticket.sent_at);
-        if ticket.expected_wait > Duration::from_millis(1) {
-            return;
-        }
-        if let Some(pool) = self.pools.get_mut(&slot.pool) {
-            pool.rates.take_first_token(ticket.missed_tokens, elapsed);
+    /// Takes the first token of a request.
+    pub fn started(&mut self, ticket: &DispatchTicket) {
+        if let Some(slot) = leased(&mut self.slots, ticket.slot, ticket.lease) {
+            slot.load.started(ticket.missed_tokens);
         }
     }
 
@@ -227,11 +232,9 @@
             queued: done.queued,
         };
         let current = self.heard(ticket, &news, now);
-        self.succeeded(
-            ticket,
-            done.prompt_tokens.saturating_sub(done.cached_tokens),
-            now,
-        );
+        let missed = done.prompt_tokens.saturating_sub(done.cached_tokens);
+        self.succeeded(ticket, missed);
+        self.learn(ticket, done);
         let weights_fit = done.weights_version == ticket.weights_version;
         if current && weights_fit {
             self.residency
@@ -241,16 +244,30 @@
         }
     }
 
-    /// Counts an answer for the breaker and the rates.
-    pub fn succeeded(&mut self, ticket: &DispatchTicket, missed: u64, now: Instant) {
+    /// Learns how fast a pool's engines prefill, and how often beliefs about them are right.
+    fn learn(&mut self, ticket: &DispatchTicket, done: &EngineDone) {
         let Some(slot) = leased(&mut self.slots, ticket.slot, ticket.lease) else {
             return;
         };
-        slot.breaker.succeeded();
-        let elapsed = now.saturating_duration_since(ticket.sent_at);
-        if let Some(pool) = self.pools.get_mut(&slot.pool) {
-            pool.rates.take_answer(missed, elapsed);
+        let Some(pool) = self.pools.get_mut(&slot.pool) else {
+            return;
+        };
+        if let Some(elapsed) = ticket.first_token_after {
+            let missed = done.prompt_tokens.saturating_sub(done.cached_tokens);
+            pool.rates.take_first_token(missed, elapsed);
         }
+        let found = done.cached_tokens as f64 / done.prompt_tokens.max(1) as f64;
+        let found_tokens = found * ticket.prompt_tokens as f64;
+        pool.beliefs.learn(&ticket.belief, found_tokens);
+    }
+
+    /// Counts an answer, and the prompt tokens it missed.
+    pub fn succeeded(&mut self, ticket: &DispatchTicket, missed: u64) {
+        let Some(slot) = leased(&mut self.slots, ticket.slot, ticket.lease) else {
+            return;
+        };
+        slot.breaker.succeeded();
+        slot.load.answered(missed);
     }
 
     /// Takes the failure of an attempt.
@@ -273,7 +290,7 @@
     /// Gives back a request's share of an endpoint's load.
     pub fn released(&mut self, ticket: &DispatchTicket) {
         if let Some(slot) = leased(&mut self.slots, ticket.slot, ticket.lease) {
-            if !ticket.started {
+            if ticket.first_token_after.is_none() {
                 slot.load.started(ticket.missed_tokens);
             }
             slot.load.ended();
@@ -343,7 +360,8 @@
         }
         self.pools.retain(|id, _| members.contains_key(id));
         for (id, members) in members {
-            let pool = self.pools.entry(id.clone()).or_default();
+            let pool = self.pools.entry(id.clone());
+            let pool = pool.or_insert_with(|| PoolMembers::new(&self.policy));
             pool.homes = HomeMembers::new(members);
         }
     }
