Let the setting endpoint_in_flight reach placement

Cause: found by reading. The setting was checked and documented, and no code took it; placement kept its own 64. Its default stays 32 as the settings say.

--- a/wagtaildoor_entry/src/server.rs
+++ b/wagtaildoor_entry/src/server.rs
@@ -39,6 +39,7 @@
     },
     keeper_link::KeeperLink,
     logging,
+    placement::PlacementPolicy,
     retry_budget::AttemptBudget,
     routing_table::RoutingTable,
     schema::{
@@ -120,6 +121,10 @@
     let retry = Duration::from_millis(settings.keepers.retry_ms);
     let addresses = settings.keepers.addresses.clone();
     let link = KeeperLink::start(addresses, hello, retry, token.child_token());
+    let placement = PlacementPolicy {
+        endpoint_in_flight: settings.limits.endpoint_in_flight,
+        ..PlacementPolicy::default()
+    };
     let limits = AdmissionLimits {
         in_flight: settings.limits.in_flight,
         queued: settings.limits.queued,
@@ -129,7 +134,7 @@
         retries: AttemptBudget::new(settings.limits.retry_budget_percent),
         view: link.view(),
         link,
-        table: Arc::new(RoutingTable::new()),
+        table: Arc::new(RoutingTable::with_policy(placement)),
         clients: HttpClients::new()?,
         metrics: EntryMetrics::new()?,
         runs: TaskTracker::new(),
