Warn when two keepers hold different configurations of one number

An accepted configuration must never fork. The table of `wtd status` would have shown it, but only to someone who compares hashes by eye.

--- a/wtd/src/verbs/status.rs
+++ b/wtd/src/verbs/status.rs
@@ -1,5 +1,7 @@
 //! `wtd status`: what each keeper sees.
 
+use std::collections::BTreeMap;
+
 use clap::ArgMatches;
 use serde::Serialize;
 use wagtaildoor::schema::{
@@ -46,7 +48,26 @@
         return Err(ToolError::NoAnswer(text.into()));
     }
     let answer = VerbAnswer::of(matches.get_flag("json"), &reports, |all| text(all));
-    Ok(answer.missing(&missing))
+    let answer = answer.missing(&missing);
+    Ok(forks(&reports)
+        .into_iter()
+        .fold(answer, VerbAnswer::warning))
+}
+
+/// Keepers that hold different configurations of the same sequence; there must be none.
+fn forks(reports: &[KeeperReport]) -> Vec<String> {
+    let mut first: BTreeMap<u64, &KeeperStatus> = BTreeMap::new();
+    let mut forks = Vec::new();
+    for status in reports.iter().filter_map(|report| report.status.as_ref()) {
+        let one = *first.entry(status.head.sequence).or_insert(status);
+        if one.head.hash != status.head.hash {
+            forks.push(format!(
+                "{} and {} hold different configurations {}: keep their logs and report it",
+                one.host, status.host, status.head.sequence
+            ));
+        }
+    }
+    forks
 }
 
 impl From<ProcessAnswer<KeeperStatus>> for KeeperReport {
--- a/wtd/tests/verbs.rs
+++ b/wtd/tests/verbs.rs
@@ -483,3 +483,22 @@
         ExitKind::NoAnswer
     );
 }
+
+#[tokio::test]
+async fn status_warns_of_two_configurations_with_one_number() {
+    let mut other = status(vec![]);
+    other.host = "south-1".into();
+    let same = accepting_with(other.clone()).start().await;
+    other.head.hash = "another".into();
+    let forked = accepting_with(other).start().await;
+    let keeper = accepting().start().await;
+    let cases = [(vec![keeper, same], 0), (vec![keeper, same, forked], 1)];
+    for (keepers, expected) in cases {
+        let answer = wtd(&keepers, &[], &["status"]).await.expect("a status");
+        assert_eq!(answer.warnings.len(), expected, "{:?}", answer.warnings);
+        let named = answer.warnings.iter().all(|warning| {
+            warning.starts_with("north-1 and south-1 hold different configurations 2")
+        });
+        assert!(named, "{:?}", answer.warnings);
+    }
+}
