--- a/wagtaildoor/src/config_follower.rs
+++ b/wagtaildoor/src/config_follower.rs
@@ -43,7 +43,7 @@
 /// Records read at a time.
 const PAGE_RECORDS: usize = 256;
 /// Longest wait of one read for a new record.
-const READ_WAIT: Duration = Duration::from_millis(500);
+const READ_WAIT: Duration = Duration::from_secs(2);
 /// Wait after a read that failed.
 const RETRY_WAIT: Duration = Duration::from_millis(200);
 
@@ -66,6 +66,8 @@
     chain: ConfigChain,
     /// Offset of the next record to read.
     cursor: LogOffset,
+    /// The log's time at the last read.
+    log_ms: u64,
 }
 
 /// Follows the chain; clones share it.
@@ -96,7 +98,11 @@
         Self {
             log,
             token,
-            state: Arc::new(Mutex::new(FollowerState { chain, cursor: 1 })),
+            state: Arc::new(Mutex::new(FollowerState {
+                chain,
+                cursor: 1,
+                log_ms: 0,
+            })),
             changes: Arc::new(changes),
             offered: Arc::default(),
         }
@@ -112,6 +118,12 @@
         self.lock().chain.clone()
     }
 
+    /// The log's time as far as this host can tell; `None` before its first answer.
+    pub fn log_now_ms(&self) -> Option<u64> {
+        let seen = self.changes.borrow().log_seen?;
+        Some(self.lock().log_ms + seen.elapsed().as_millis() as u64)
+    }
+
     /// Takes a head that a peer or an earlier keeper held, if it is newer than the own one.
     ///
     /// The peer folded the same log, so that a higher sequence number is later in the same chain.
@@ -134,7 +146,7 @@
         let follow = async {
             loop {
                 tokio::select! {
-                    answer = self.read_once(READ_WAIT) => {
+                    answer = self.read_once(self.next_wait()) => {
                         if answer.is_err() {
                             time::sleep(RETRY_WAIT).await;
                         }
@@ -146,6 +158,12 @@
         token.run_until_cancelled(follow).await;
     }
 
+    /// How long the next read waits: the first one not at all.
+    fn next_wait(&self) -> Duration {
+        let seen = self.changes.borrow().log_seen;
+        seen.map_or(Duration::ZERO, |_| READ_WAIT)
+    }
+
     /// Reads on to the present end of the log.
     pub async fn catch_up(&self) -> Result<()> {
         while !self.read_once(Duration::ZERO).await? {}
@@ -180,6 +198,7 @@
             );
             state.cursor = record.offset + 1;
         }
+        state.log_ms = page.time_ms;
         self.tell(&state, Some(Instant::now()));
         state.cursor >= page.next
     }
--- a/wagtaildoor/src/schema.rs
+++ b/wagtaildoor/src/schema.rs
@@ -598,6 +598,20 @@
         value.clone()
     }
 }
+///When a failure domain was last heard.
+#[derive(::serde::Deserialize, ::serde::Serialize, Clone, Debug, PartialEq)]
+#[serde(deny_unknown_fields)]
+pub struct DomainReach {
+    ///Time since, in milliseconds.
+    pub age_ms: u64,
+    ///Failure domain.
+    pub domain: crate::ids::DomainId,
+}
+impl ::std::convert::From<&DomainReach> for DomainReach {
+    fn from(value: &DomainReach) -> Self {
+        value.clone()
+    }
+}
 ///What an answer said of its endpoint.
 #[derive(::serde::Deserialize, ::serde::Serialize, Clone, Debug, PartialEq)]
 #[serde(deny_unknown_fields)]
@@ -1159,7 +1173,7 @@
 #[derive(::serde::Deserialize, ::serde::Serialize, Clone, Debug, PartialEq)]
 #[serde(deny_unknown_fields)]
 pub struct EventPage {
-    ///Older events no longer kept, in events.
+    ///Older events that are not here: no longer kept, or beyond the number asked for.
     pub dropped: u64,
     ///Events, oldest first.
     pub events: ::std::vec::Vec<TimelineEvent>,
@@ -1169,6 +1183,20 @@
         value.clone()
     }
 }
+///Answer to GET /held-configuration: for peers that are behind.
+#[derive(::serde::Deserialize, ::serde::Serialize, Clone, Debug, PartialEq)]
+#[serde(deny_unknown_fields)]
+pub struct HeldConfiguration {
+    ///Configuration at the head.
+    pub configuration: Configuration,
+    ///Head in force.
+    pub head: ConfigHead,
+}
+impl ::std::convert::From<&HeldConfiguration> for HeldConfiguration {
+    fn from(value: &HeldConfiguration) -> Self {
+        value.clone()
+    }
+}
 ///Who this process is.
 #[derive(::serde::Deserialize, ::serde::Serialize, Clone, Debug, PartialEq)]
 #[serde(deny_unknown_fields)]
@@ -1227,6 +1255,9 @@
     ///Time since the log last answered, in milliseconds.
     #[serde(rename = "platform_age_ms")]
     PlatformAgeMs(u64),
+    ///This keeper takes no more calls after those on their way.
+    #[serde(rename = "leaving")]
+    Leaving(crate::ids::HostId),
 }
 impl ::std::convert::From<&Self> for KeeperFrame {
     fn from(value: &KeeperFrame) -> Self {
@@ -1273,6 +1304,11 @@
         Self::PlatformAgeMs(value)
     }
 }
+impl ::std::convert::From<crate::ids::HostId> for KeeperFrame {
+    fn from(value: crate::ids::HostId) -> Self {
+        Self::Leaving(value)
+    }
+}
 ///Settings of wagtaildoor-keeper.
 #[derive(::serde::Deserialize, ::serde::Serialize, Clone, Debug, PartialEq)]
 #[serde(deny_unknown_fields)]
@@ -1703,6 +1739,12 @@
     ///Callers' addresses of the entries, for time lines, separated by commas.
     #[serde(default, skip_serializing_if = "::std::vec::Vec::is_empty")]
     pub entries: ::std::vec::Vec<::std::net::SocketAddr>,
+    ///Name in the certificate of the entries; they are asked by TLS when it is set.
+    #[serde(default, skip_serializing_if = "::std::option::Option::is_none")]
+    pub entries_tls_name: ::std::option::Option<::std::boxed::Box<str>>,
+    ///PEM file with the only certificates that entries' certificates may come from; without it, those that the system trusts.
+    #[serde(default, skip_serializing_if = "::std::option::Option::is_none")]
+    pub entries_tls_roots: ::std::option::Option<::std::boxed::Box<str>>,
     ///Operators' addresses of the keepers, separated by commas.
     pub keepers: ::std::vec::Vec<::std::net::SocketAddr>,
     ///Base URL of the log service.
@@ -1820,11 +1862,13 @@
     pub from: crate::ids::HostId,
     ///Number of the probe.
     pub number: u64,
-    ///News passed along.
+    ///When each failure domain was last heard.
+    pub reach: ::std::vec::Vec<DomainReach>,
+    ///News passed along, the sender's own first.
     pub rumours: ::std::vec::Vec<PeerRumour>,
     ///Sender's clock.
     pub stamp: ClockStamp,
-    ///Host that is probed.
+    ///Host that is probed; empty for whichever has the address.
     pub target: crate::ids::HostId,
 }
 impl ::std::convert::From<&PeerProbe> for PeerProbe {
@@ -2125,6 +2169,8 @@
     pub note: ::std::boxed::Box<str>,
     ///Who publishes.
     pub operator: ::std::boxed::Box<str>,
+    ///Head that the changes were compared with; null publishes after whatever is newest.
+    pub seen: ::std::option::Option<ConfigHead>,
 }
 impl ::std::convert::From<&PublishCall> for PublishCall {
     fn from(value: &PublishCall) -> Self {
--- a/wagtaildoor/src/settings.rs
+++ b/wagtaildoor/src/settings.rs
@@ -6,6 +6,7 @@
 };
 
 use serde::de::DeserializeOwned;
+use serde_json::Value;
 
 use crate::{
     schema::{
@@ -67,5 +68,49 @@
     let mut faults = FaultList::new(name);
     let file = IniFile::parse(text, &mut faults);
     let value = SchemaReader::new(SCHEMA).file(definition, &file, &mut faults);
+    for need in NEEDS {
+        need.check(&value, &mut faults);
+    }
     faults.typed(value)
 }
+
+/// A key that means nothing without another one.
+struct KeyNeed {
+    /// Section.
+    section: &'static str,
+    /// Key.
+    key: &'static str,
+    /// Key that must be set with it.
+    needs: &'static str,
+}
+
+/// All such keys.
+const NEEDS: [KeyNeed; 3] = [
+    KeyNeed {
+        section: "listen",
+        key: "tls_certificate",
+        needs: "tls_key",
+    },
+    KeyNeed {
+        section: "listen",
+        key: "tls_key",
+        needs: "tls_certificate",
+    },
+    KeyNeed {
+        section: "operator",
+        key: "entries_tls_roots",
+        needs: "entries_tls_name",
+    },
+];
+
+impl KeyNeed {
+    /// Checks what was read.
+    fn check(&self, value: &Value, faults: &mut FaultList) {
+        let set = |key: &str| value[self.section].get(key).is_some();
+        if set(self.key) && !set(self.needs) {
+            let problem = format!("is missing beside {}", self.key);
+            let allowed = format!("{} only together with {}", self.key, self.needs);
+            faults.key(self.section, self.needs, &problem, &allowed);
+        }
+    }
+}
--- a/wagtaildoor_entry/src/request_scope.rs
+++ b/wagtaildoor_entry/src/request_scope.rs
@@ -5,13 +5,17 @@
 use tokio::time::Instant;
 use uuid::Uuid;
 use wagtaildoor::{
+    drain_gate::WorkGuard,
     ids::RequestId,
-    schema::EventKind,
-    timeline::EventDraft, //
+    schema::{
+        Account,
+        EventKind, //
+    },
 };
 
 use crate::{
     access::AccessGrant,
+    request_notes::RequestNotes,
     state::EntryState, //
 };
 
@@ -23,6 +27,8 @@
     pub request: RequestId,
     /// When it came.
     pub received: Instant,
+    /// Holds a shutdown off.
+    _work: WorkGuard,
 }
 
 impl RequestScope {
@@ -33,6 +39,7 @@
             state: Arc::clone(state),
             request: new_request(),
             received: Instant::now(),
+            _work: state.gate.start(),
         }
     }
 
@@ -55,10 +62,13 @@
             "{} asked for {}, {kind}, {}, due within {} ms, with {shared}",
             grant.account.id, template.id, template.urgency, template.deadline_ms
         );
-        let draft = EventDraft::new(EventKind::RequestReceived, detail)
-            .request(self.request.clone())
-            .account(grant.account.id.clone());
-        self.state.recorder.record(draft);
+        self.notes(grant.account)
+            .note(EventKind::RequestReceived, detail);
+    }
+
+    /// The time line of this request.
+    pub fn notes(&self, account: &Account) -> RequestNotes {
+        RequestNotes::new(&self.state.recorder, &self.request, &account.id)
     }
 }
 
--- a/wagtaildoor_entry/src/server.rs
+++ b/wagtaildoor_entry/src/server.rs
@@ -7,11 +7,7 @@
 };
 
 use rocket::{
-    config::{
-        LogLevel,
-        Shutdown,
-        TlsConfig, //
-    },
+    config::TlsConfig,
     fairing::AdHoc,
     Config, //
 };
@@ -26,20 +22,31 @@
         SignalKind, //
     },
     sync::broadcast::error::RecvError,
-    time::Instant,
 };
 use tokio_util::{
     sync::CancellationToken,
     task::TaskTracker, //
 };
 use wagtaildoor::{
+    admission::{
+        AdmissionLimits,
+        AdmissionQueue, //
+    },
+    clock_exchange,
+    drain_gate::{
+        DrainGate,
+        DrainLimits, //
+    },
     keeper_link::KeeperLink,
     logging,
+    placement::PlacementPolicy,
+    retry_budget::AttemptBudget,
     routing_table::RoutingTable,
     schema::{
         EntryHello,
         EntrySettings,
         EventKind,
+        KeeperView,
         ListenSection, //
     },
     timeline::{
@@ -47,6 +54,7 @@
         EventRecorder, //
     },
 };
+use wagtaildoor_daemon::http_server;
 
 use crate::{
     http_clients::HttpClients,
@@ -57,10 +65,8 @@
 
 /// Name of the program in logs and time lines.
 const PROCESS: &str = "wagtaildoor-entry";
-/// Time the server gives connections beyond our own drain, in seconds.
-const GRACE_S: u32 = 1;
-/// Time between two looks at the drain.
-const DRAIN_STEP: Duration = Duration::from_millis(50);
+/// Entry hosts known before the first view: this one.
+const HOSTS_AT_START: u32 = 1;
 
 /// Result of running an entry.
 pub type Result<T> = std::result::Result<T, ServerError>;
@@ -88,6 +94,8 @@
     let token = CancellationToken::new();
     let state = build_state(settings, &token)?;
     tokio::spawn(feed_table(Arc::clone(&state), token.clone()));
+    let (link, recorder) = (state.link.clone(), state.recorder.clone());
+    tokio::spawn(clock_exchange::run(link, recorder, token.clone()));
     let server = rocket::custom(server_config(&state.settings.listen))
         .manage(Arc::clone(&state))
         .attach(announce(Arc::clone(&state)));
@@ -113,14 +121,24 @@
     let retry = Duration::from_millis(settings.keepers.retry_ms);
     let addresses = settings.keepers.addresses.clone();
     let link = KeeperLink::start(addresses, hello, retry, token.child_token());
+    let placement = PlacementPolicy {
+        endpoint_in_flight: settings.limits.endpoint_in_flight,
+        ..PlacementPolicy::default()
+    };
+    let limits = AdmissionLimits {
+        in_flight: settings.limits.in_flight,
+        queued: settings.limits.queued,
+    };
     Ok(Arc::new(EntryState {
+        admission: AdmissionQueue::new(limits, HOSTS_AT_START),
+        retries: AttemptBudget::new(settings.limits.retry_budget_percent),
         view: link.view(),
         link,
-        table: Arc::new(RoutingTable::new()),
+        table: Arc::new(RoutingTable::with_policy(placement)),
         clients: HttpClients::new()?,
         metrics: EntryMetrics::new()?,
         runs: TaskTracker::new(),
-        leaving: CancellationToken::new(),
+        gate: DrainGate::new(),
         settings,
         log,
         recorder,
@@ -141,6 +159,7 @@
                 let held = view.borrow_and_update().clone();
                 if let Some(held) = held {
                     state.table.take_view(&held.view);
+                    state.admission.set_hosts(live_hosts(&held.view));
                 }
             }
             item = news.recv() => match item {
@@ -154,29 +173,22 @@
     }
 }
 
-/// Settings of the HTTP server: its own signals are off, since the drain goes first.
+/// Entry hosts that share the accounts' limits, this one included.
+fn live_hosts(view: &KeeperView) -> u32 {
+    let live = view.hosts.iter().filter(|host| host.alive).count();
+    u32::try_from(live).unwrap_or(u32::MAX).max(HOSTS_AT_START)
+}
+
+/// Settings of the HTTP server.
 fn server_config(listen: &ListenSection) -> Config {
-    let shutdown = Shutdown {
-        ctrlc: false,
-        signals: Default::default(),
-        grace: GRACE_S,
-        mercy: GRACE_S,
-        force: true,
-        ..Shutdown::default()
-    };
     let tls = listen
         .tls_certificate
         .as_deref()
         .zip(listen.tls_key.as_deref())
         .map(|(certificate, key)| TlsConfig::from_paths(certificate, key));
     Config {
-        address: listen.address.ip(),
-        port: listen.address.port(),
-        log_level: LogLevel::Off,
-        cli_colors: false,
         tls,
-        shutdown,
-        ..Config::release_default()
+        ..http_server::config(listen.address)
     }
 }
 
@@ -207,38 +219,24 @@
 /// A second signal ends the process at once.
 async fn drain(state: Arc<EntryState>, mut terminate: Signal, stop: rocket::Shutdown) {
     terminate.recv().await;
-    state.leaving.cancel();
     note(
         &state,
         EventKind::ProcessLeaving,
         "told to end: not ready, still serving",
     );
     let shutdown = &state.settings.shutdown;
-    let limit = Instant::now() + Duration::from_millis(shutdown.limit_ms);
-    let quiet = Duration::from_millis(shutdown.quiet_ms);
-    tokio::select! {
-        () = work_ends(&state, quiet) => {}
-        () = tokio::time::sleep_until(limit) => {
-            warn!(state.log, "drain limit reached"; "running" => state.runs.len());
-        }
-        _ = terminate.recv() => {
-            warn!(state.log, "second signal"; "running" => state.runs.len());
-        }
-    }
+    let limits = DrainLimits {
+        quiet: Duration::from_millis(shutdown.quiet_ms),
+        whole: Duration::from_millis(shutdown.limit_ms),
+    };
+    let hurry = async {
+        terminate.recv().await;
+    };
+    let end = state.gate.drain(limits, hurry).await;
+    info!(state.log, "drained"; "end" => %end, "running" => state.gate.running());
     stop.notify();
 }
 
-/// Waits until no request has been in work for the quiet time.
-async fn work_ends(state: &EntryState, quiet: Duration) {
-    let mut idle_since = Instant::now();
-    while idle_since.elapsed() < quiet {
-        tokio::time::sleep(DRAIN_STEP).await;
-        if !state.runs.is_empty() {
-            idle_since = Instant::now();
-        }
-    }
-}
-
 /// Notes something of this process.
 fn note(state: &EntryState, kind: EventKind, detail: impl Into<Box<str>>) {
     state.recorder.record(EventDraft::new(kind, detail));
--- a/wagtaildoor_entry/src/state.rs
+++ b/wagtaildoor_entry/src/state.rs
@@ -4,11 +4,10 @@
 
 use slog::Logger;
 use tokio::sync::watch;
-use tokio_util::{
-    sync::CancellationToken,
-    task::TaskTracker, //
-};
+use tokio_util::task::TaskTracker;
 use wagtaildoor::{
+    admission::AdmissionQueue,
+    drain_gate::DrainGate,
     error::{
         ErrorKind,
         RequestError,
@@ -18,6 +17,7 @@
         HeldView,
         KeeperLink, //
     },
+    retry_budget::AttemptBudget,
     routing_table::RoutingTable,
     schema::EntrySettings,
     timeline::EventRecorder,
@@ -42,14 +42,18 @@
     pub view: watch::Receiver<Option<Arc<HeldView>>>,
     /// Where requests can go.
     pub table: Arc<RoutingTable>,
+    /// Who gets a place in work, and when.
+    pub admission: AdmissionQueue,
+    /// Retries that may still be made.
+    pub retries: AttemptBudget,
     /// Clients towards endpoints.
     pub clients: HttpClients,
     /// Metrics.
     pub metrics: EntryMetrics,
     /// Tasks that run requests; they outlive their callers' connections.
     pub runs: TaskTracker,
-    /// Cancelled once the entry is leaving.
-    pub leaving: CancellationToken,
+    /// Work in hand, which a shutdown waits for.
+    pub gate: DrainGate,
 }
 
 impl EntryState {
--- a/wagtaildoor_keeper/src/lib.rs
+++ b/wagtaildoor_keeper/src/lib.rs
@@ -1,10 +1,10 @@
 //! Coordination daemon of wagtaildoor, one on each entry host.
 
-pub mod cli;
 pub mod entries;
 pub mod entry_calls;
 pub mod metrics;
 pub mod operators;
+pub mod peers;
 pub mod platform_list;
 pub mod server;
 pub mod state;
--- a/wagtaildoor_keeper/src/operators.rs
+++ b/wagtaildoor_keeper/src/operators.rs
@@ -42,6 +42,7 @@
         Configuration,
         EventKind,
         EventPage,
+        HeldConfiguration,
         HostView,
         KeeperStatus,
         PublishAnswer,
@@ -51,8 +52,8 @@
         UnresolvedOrder,
         UnresolvedPage, //
     },
-    timeline::EventFilter,
 };
+use wagtaildoor_daemon::timeline_query::TimelineQuery;
 
 use crate::{
     metrics::MetricReadings,
@@ -81,6 +82,7 @@
         health,
         status,
         configuration,
+        held_configuration,
         unresolved,
         publish,
         settle,
@@ -118,6 +120,16 @@
     Json((*config.configuration).clone())
 }
 
+/// Configuration in force with its head, for peers that are behind.
+#[get("/held-configuration")]
+fn held_configuration(state: &Shared) -> Json<HeldConfiguration> {
+    let config = state.config.watch().borrow().clone();
+    Json(HeldConfiguration {
+        configuration: (*config.configuration).clone(),
+        head: config.head,
+    })
+}
+
 /// Requests whose outcome is not on record.
 #[get("/unresolved")]
 fn unresolved(state: &Shared) -> Json<UnresolvedPage> {
@@ -149,9 +161,12 @@
 #[post("/publish", data = "<call>")]
 async fn publish(state: &Shared, call: Json<PublishCall>) -> Answer<PublishAnswer, PublishRefusal> {
     let call = call.into_inner();
-    let outcome = config_publisher::publish_after(
+    let chain = state.config.chain();
+    let seen = call.seen.unwrap_or_else(|| chain.head().clone());
+    let outcome = config_publisher::publish_seen(
         state.store.clone(),
-        state.config.chain(),
+        chain,
+        &seen,
         &call.operator,
         &call.note,
         call.changes,
@@ -288,24 +303,9 @@
 }
 
 /// Events of this process.
-#[get("/timeline?<request>&<account>&<endpoint>&<from_ms>&<to_ms>")]
-fn timeline(
-    state: &Shared,
-    request: Option<&str>,
-    account: Option<&str>,
-    endpoint: Option<&str>,
-    from_ms: Option<u64>,
-    to_ms: Option<u64>,
-) -> Json<EventPage> {
-    let filter = EventFilter {
-        request: request.map(Box::from),
-        account: account.map(Box::from),
-        endpoint: endpoint.map(Box::from),
-        from_ms,
-        to_ms,
-        ..EventFilter::default()
-    };
-    Json(state.recorder.page(&filter))
+#[get("/timeline?<query..>")]
+fn timeline(state: &Shared, query: TimelineQuery) -> Json<EventPage> {
+    Json(state.recorder.page(&query.into()))
 }
 
 /// No route fits, or the body is not what the route expects.
--- a/wagtaildoor_keeper/src/view_builder.rs
+++ b/wagtaildoor_keeper/src/view_builder.rs
@@ -2,26 +2,35 @@
 
 use std::sync::Arc;
 
+use tokio::time::{
+    self,
+    Duration, //
+};
 use tokio_util::sync::CancellationToken;
 use wagtaildoor::schema::{
-    EndpointView,
     EventKind,
-    HostView,
-    KeeperView,
-    ListedEndpoint,
-    ListedHost, //
+    KeeperView, //
 };
 
 use crate::state::KeeperState;
 
+/// Longest wait of a starting keeper for its endpoints.
+const ENDPOINTS_WAIT: Duration = Duration::from_secs(3);
+
 /// Publishes changes until cancelled.
 ///
 /// Entries get nothing before the configuration was read once: a view without accounts would
-/// refuse every caller.
+/// refuse every caller. One without endpoints would too, so that those are waited for a while.
 pub async fn run(state: Arc<KeeperState>, token: CancellationToken) {
+    let mut listed = state.listed.subscribe();
+    tokio::select! {
+        () = token.cancelled() => return,
+        _ = listed.wait_for(|listed| *listed) => {}
+        () = time::sleep(ENDPOINTS_WAIT) => {}
+    }
     let mut config = state.config.watch();
-    let mut endpoints = state.endpoints.subscribe();
-    let mut hosts = state.hosts.subscribe();
+    let mut endpoints = state.endpoints.clone();
+    let mut hosts = state.hosts.clone();
     let mut shown = 0;
     loop {
         let sequence = config.borrow_and_update().head.sequence;
@@ -58,33 +67,3 @@
         platform_age_ms: state.platform_age_ms(),
     }
 }
-
-/// What is known of an endpoint that the list names.
-pub fn listed_endpoint(listed: &ListedEndpoint) -> EndpointView {
-    EndpointView {
-        address: listed.address,
-        boot_id: "".into(),
-        domain: listed.domain.clone(),
-        id: listed.id.clone(),
-        pool: listed.pool.clone(),
-        queued: 0,
-        report_age_ms: 0,
-        running: 0,
-        state: listed.state,
-        weights_version: 0,
-    }
-}
-
-/// What is known of a host that the list names.
-pub fn listed_host(listed: &ListedHost) -> HostView {
-    HostView {
-        alive: true,
-        domain: listed.domain.clone(),
-        entries: listed.entries,
-        head: wagtaildoor::config_chain::ConfigChain::default()
-            .head()
-            .clone(),
-        id: listed.id.clone(),
-        operators: listed.operators,
-    }
-}
--- a/wtd/tests/verbs.rs
+++ b/wtd/tests/verbs.rs
@@ -116,6 +116,11 @@
 
 /// A keeper that accepts publications.
 fn accepting() -> CannedServer {
+    accepting_with(status(vec![]))
+}
+
+/// A keeper with this status that accepts publications.
+fn accepting_with(status: KeeperStatus) -> CannedServer {
     let accepted = PublishAnswer {
         head: head(3),
         held: vec!["north-1".into(), "south-1".into()],
@@ -123,9 +128,30 @@
     };
     CannedServer::default()
         .answer("GET /configuration", 200, &configuration())
+        .answer("GET /status", 200, &status)
         .answer("POST /publish", 200, &accepted)
 }
 
+/// The status of a keeper that knows these endpoints.
+fn status(endpoints: Vec<EndpointView>) -> KeeperStatus {
+    KeeperStatus {
+        host: "north-1".into(),
+        domain: "north".into(),
+        head: head(2),
+        config_age_ms: 100,
+        platform_age_ms: 200,
+        endpoints,
+        hosts: vec![],
+    }
+}
+
+/// A keeper that holds this configuration.
+fn holding(in_force: &Configuration) -> CannedServer {
+    CannedServer::default()
+        .answer("GET /status", 200, &status(vec![]))
+        .answer("GET /configuration", 200, in_force)
+}
+
 /// An event of request `r`.
 fn event(host: &str, wall_ms: u64, kind: EventKind, detail: &str) -> TimelineEvent {
     TimelineEvent {
@@ -179,6 +205,7 @@
         (&body["operator"], &body["note"]),
         (&json!("Mei"), &json!("first"))
     );
+    assert_eq!(body["seen"]["sequence"], 2);
     assert_eq!(body["changes"].as_array().expect("changes").len(), 18);
 }
 
@@ -199,7 +226,7 @@
             other => panic!("a folder gives no {other:?}"),
         }
     }
-    let same = CannedServer::default().answer("GET /configuration", 200, &in_force);
+    let same = holding(&in_force);
     let text = printed(wtd(&[same.start().await], &[], &["publish", PUBLISHER]).await);
     assert!(text.contains("Nothing differs"), "{text}");
     let dry = accepting();
@@ -216,9 +243,7 @@
         head: head(7),
         reason: "Ravi published configuration 7 first".into(),
     };
-    let keeper = CannedServer::default()
-        .answer("GET /configuration", 200, &configuration())
-        .answer("POST /publish", 409, &refused);
+    let keeper = holding(&configuration()).answer("POST /publish", 409, &refused);
     let answer = wtd(&[keeper.start().await], &[], &["publish", PUBLISHER]).await;
     assert_eq!(exit(&answer), ExitKind::NotAccepted);
     let text = answer.expect_err("refused").to_string();
@@ -230,9 +255,7 @@
 
 #[tokio::test]
 async fn a_change_whose_answer_is_lost_is_sent_to_no_other_keeper() {
-    let cut = CannedServer::default()
-        .answer("GET /configuration", 200, &configuration())
-        .answer("POST /publish", 0, &());
+    let cut = holding(&configuration()).answer("POST /publish", 0, &());
     let other = accepting();
     let keepers = [cut.start().await, other.start().await];
     let answer = wtd(&keepers, &[], &["publish", PUBLISHER]).await;
@@ -310,13 +333,15 @@
         event("north-1", 2, EventKind::RequestReceived, "two\nlines"),
         event("south-1", 1, EventKind::RequestReceived, "first"),
     ];
-    let keeper = keeping(events).start().await;
+    let server = keeping(events);
+    let keeper = server.start().await;
     let text = printed(wtd(&[keeper], &[], &["timeline"]).await);
     let lines: Vec<&str> = text.lines().collect();
     assert_eq!(lines.len(), 2);
     assert!(lines[0].starts_with("1970-01-01 00:00:00.001 UTC +0 south-1/entry request_received"));
     let north = printed(wtd(&[keeper], &[], &["timeline", "--host", "north-1"]).await);
     assert_eq!(north.lines().count(), 1);
+    assert_eq!(server.seen("GET /timeline?newest=2000").len(), 2);
     let none = wtd(&[nobody()], &[], &["timeline"]).await;
     assert_eq!(exit(&none), ExitKind::NoAnswer);
 }
@@ -341,7 +366,7 @@
     .await;
     let answer = answer.expect("a page");
     assert_eq!(answer.exit, ExitKind::Partial);
-    assert!(answer.warnings[0].contains("1 lines are malformed"));
+    assert!(answer.warnings[0].contains("1 malformed line"));
     let page = fs::read_to_string(page).expect("a page");
     assert!(
         page.contains("&lt;script&gt;") && !page.contains("<script"),
@@ -434,19 +459,8 @@
         queued: 0,
         report_age_ms: 400,
     };
-    let status = KeeperStatus {
-        host: "north-1".into(),
-        domain: "north".into(),
-        head: head(3),
-        config_age_ms: 100,
-        platform_age_ms: 200,
-        endpoints: vec![endpoint(1, 2), endpoint(2, 1)],
-        hosts: vec![],
-    };
-    let keeper = accepting()
-        .answer("GET /status", 200, &status)
-        .start()
-        .await;
+    let status = status(vec![endpoint(1, 2), endpoint(2, 1)]);
+    let keeper = accepting_with(status).start().await;
     let answer = wtd(&[keeper, nobody()], &[], &["status"])
         .await
         .expect("a status");
@@ -469,3 +483,22 @@
         ExitKind::NoAnswer
     );
 }
+
+#[tokio::test]
+async fn status_warns_of_two_configurations_with_one_number() {
+    let mut other = status(vec![]);
+    other.host = "south-1".into();
+    let same = accepting_with(other.clone()).start().await;
+    other.head.hash = "another".into();
+    let forked = accepting_with(other).start().await;
+    let keeper = accepting().start().await;
+    let cases = [(vec![keeper, same], 0), (vec![keeper, same, forked], 1)];
+    for (keepers, expected) in cases {
+        let answer = wtd(&keepers, &[], &["status"]).await.expect("a status");
+        assert_eq!(answer.warnings.len(), expected, "{:?}", answer.warnings);
+        let named = answer.warnings.iter().all(|warning| {
+            warning.starts_with("north-1 and south-1 hold different configurations 2")
+        });
+        assert!(named, "{:?}", answer.warnings);
+    }
+}
