--- a/wagtaildoor/src/placement.rs
+++ b/wagtaildoor/src/placement.rs
@@ -60,6 +60,9 @@
     pub weights_version: WeightsVersion,
     /// Estimated tokens of the whole prompt.
     pub prompt_tokens: u64,
+    /// Endpoint to import shared levels from before the request goes, when that is cheaper than
+    /// prefill.
+    pub import_from: Option<SocketAddr>,
     /// What was believed of its cache.
     pub(crate) belief: TokenBelief,
     /// Levels of the request, for the tables.
@@ -178,8 +181,8 @@
             randoms: 2,
             compare_all: 24,
             cross_domain_cost: Duration::from_millis(3),
-            displacement: 0.5,
-            displacement_wait: Duration::from_millis(250),
+            displacement: 0.05,
+            displacement_wait: Duration::from_millis(100),
             doubtful_belief: 0.7,
             expected_belief: 0.99,
             home_belief: 0.8,
