Freeze a member under a paused clock instead of in real time

Cause: the test of a frozen host ran on sockets and in real time, with threads put to sleep for 1.5 s; on a busy machine a starved thread looks like a frozen host, so that its verdict hung on the machine's load. The same scenario now runs under the paused clock: the member's task is not polled while it is frozen, its timers and datagrams wait, as for a stopped process. The freeze lasts 15 periods as before, three rounds; new is the check that the others do miss the host meanwhile.

PeerMember can hand its task to its caller for this.

--- a/wagtaildoor/src/membership.rs
+++ b/wagtaildoor/src/membership.rs
@@ -6,6 +6,7 @@
 //! host spends does not depend on the number of hosts.
 
 use std::{
+    future::Future,
     net::SocketAddr,
     sync::Arc,
     time::Duration, //
@@ -101,6 +102,19 @@
         recorder: Option<EventRecorder>,
         token: CancellationToken,
     ) -> Result<Self> {
+        let (member, task) = Self::with_task(settings, secret, port, recorder, token)?;
+        tokio::spawn(task);
+        Ok(member)
+    }
+
+    /// A member, and its task for the caller to run.
+    pub fn with_task<P: DatagramPort>(
+        settings: MemberSettings,
+        secret: &[u8],
+        port: P,
+        recorder: Option<EventRecorder>,
+        token: CancellationToken,
+    ) -> Result<(Self, impl Future<Output = ()> + Send)> {
         let seal = DatagramSeal::new(secret)?;
         let (commands, inbox) = mpsc::channel(COMMAND_CAPACITY);
         let counts = Arc::new(MemberCounts::default());
@@ -113,14 +127,13 @@
             counts: Arc::clone(&counts),
         };
         let task = task::MemberTask::new(parts);
-        let hosts = task.hosts();
-        tokio::spawn(task.run(inbox, token));
-        Ok(Self {
+        let member = Self {
             commands,
-            hosts,
+            hosts: task.hosts(),
             counts,
             own,
-        })
+        };
+        Ok((member, task.run(inbox, token)))
     }
 
     /// All hosts as they are known, this one too, in the order of their names.
--- a/wagtaildoor/tests/membership_freeze.rs
+++ b/wagtaildoor/tests/membership_freeze.rs
@@ -1,78 +1,96 @@
-//! A host that is frozen and comes back, on sockets and in real time.
+//! A host that is frozen and comes back, under a paused clock.
 
 use std::{
+    future::{
+        self,
+        Future, //
+    },
     net::SocketAddr,
-    sync::mpsc,
-    thread,
-    time::{
-        Duration,
-        Instant, //
+    pin::pin,
+    sync::{
+        Arc,
+        Mutex, //
+    },
+    task::{
+        Poll,
+        Waker, //
     },
+    time::Duration,
 };
 
-use tokio::{
-    runtime,
-    sync::watch, //
-};
+use tokio::time;
 use tokio_util::sync::CancellationToken;
 use wagtaildoor::{
-    datagram_port::UdpPort,
     membership::{
         MemberSettings,
         PeerMember, //
     },
-    schema::{
-        EventKind,
-        HostView, //
-    },
+    schema::EventKind,
     timeline::{
         EventFilter,
         EventRecorder, //
     },
 };
+use wagtaildoor_fakes::fake_network::FakeNetwork;
 
 /// Time between two probes.
-const PERIOD: Duration = Duration::from_millis(100);
+const PERIOD: Duration = Duration::from_secs(1);
 /// How long the host is frozen: many times the longest suspicion among four.
-const FREEZE: Duration = Duration::from_millis(1_500);
-/// Longest wait for what must come to pass.
-const LIMIT: Duration = Duration::from_secs(30);
-/// Hosts.
+const FREEZE: Duration = Duration::from_secs(15);
+/// Time within which all must see all again.
+const RETURN: Duration = Duration::from_secs(30);
+/// Hosts; the last one is frozen.
 const HOSTS: usize = 4;
-/// Periods for which the others are watched after the return.
-const WATCHED_PERIODS: u32 = 15;
 
-/// A member in a thread of its own, which can be frozen.
+/// Keeps a task from running, as a stopped process is kept.
+#[derive(Clone, Default)]
+struct TaskFreezer {
+    state: Arc<Mutex<FreezeState>>,
+}
+
+/// Whether the task is frozen, and who is to be woken when it thaws.
+#[derive(Default)]
+struct FreezeState {
+    frozen: bool,
+    waker: Option<Waker>,
+}
+
+impl TaskFreezer {
+    /// Runs a task except while it is frozen: its timers and messages wait meanwhile.
+    async fn run(self, task: impl Future<Output = ()>) {
+        let mut task = pin!(task);
+        future::poll_fn(|context| {
+            let mut state = self.state.lock().expect("no panic elsewhere");
+            state.waker = Some(context.waker().clone());
+            if state.frozen {
+                return Poll::Pending;
+            }
+            drop(state);
+            task.as_mut().poll(context)
+        })
+        .await;
+    }
+
+    /// Freezes the task, or lets it go on.
+    fn set(&self, frozen: bool) {
+        let mut state = self.state.lock().expect("no panic elsewhere");
+        state.frozen = frozen;
+        if let Some(waker) = state.waker.take() {
+            waker.wake();
+        }
+    }
+}
+
+/// A member whose task can be frozen.
 struct FrozenMember {
-    address: SocketAddr,
-    hosts: watch::Receiver<Vec<HostView>>,
-    recorder: EventRecorder,
     member: PeerMember,
-    handle: runtime::Handle,
-    token: CancellationToken,
+    recorder: EventRecorder,
+    freezer: TaskFreezer,
 }
 
 impl FrozenMember {
-    fn start(index: usize) -> Self {
-        let (sender, started) = mpsc::channel();
-        thread::spawn(move || {
-            let runtime = runtime::Builder::new_current_thread().enable_all().build();
-            let runtime = runtime.expect("a runtime");
-            runtime.block_on(async {
-                let (member, token) = Self::join(index).await;
-                let handle = runtime::Handle::current();
-                let member = Self { handle, ..member };
-                sender.send(member).expect("a test");
-                token.cancelled().await;
-            });
-        });
-        started.recv().expect("a member")
-    }
-
-    async fn join(index: usize) -> (Self, CancellationToken) {
-        let any: SocketAddr = SocketAddr::from(([127, 0, 0, 1], 0));
-        let port = UdpPort::bind(any).await.expect("a port");
-        let address = port.address().expect("an address");
+    fn start(network: &FakeNetwork, index: usize) -> Self {
+        let address = address(index);
         let name = format!("host-{index}");
         let settings = MemberSettings {
             host: name.as_str().into(),
@@ -86,46 +104,26 @@
         };
         let log = slog::Logger::root(slog::Discard, slog::o!());
         let recorder = EventRecorder::new(&name, "test", 1_000, log);
-        let token = CancellationToken::new();
+        let port = network.open(address);
         let noted = Some(recorder.clone());
-        let member = PeerMember::new(settings, &[7; 32], port, noted, token.clone());
-        let member = member.expect("a good secret");
-        let started = Self {
-            address,
-            hosts: member.hosts(),
-            recorder,
+        let token = CancellationToken::new();
+        let (member, task) =
+            PeerMember::with_task(settings, &[7; 32], port, noted, token).expect("a good secret");
+        let freezer = TaskFreezer::default();
+        tokio::spawn(freezer.clone().run(task));
+        Self {
             member,
-            handle: runtime::Handle::current(),
-            token: token.clone(),
-        };
-        (started, token)
-    }
-
-    /// Stops everything in the member's thread for a time.
-    fn freeze(&self, time: Duration) {
-        let (sender, over) = mpsc::channel();
-        self.handle.spawn(async move {
-            thread::sleep(time);
-            sender.send(()).expect("a test");
-        });
-        over.recv().expect("a thawed member");
-    }
-
-    /// Waits until so many hosts are alive.
-    fn await_alive(&self, count: usize) {
-        let started = Instant::now();
-        while self.alive() != count {
-            assert!(
-                started.elapsed() < LIMIT,
-                "{} alive, not {count}",
-                self.alive()
-            );
-            thread::sleep(PERIOD);
+            recorder,
+            freezer,
         }
     }
 
-    fn alive(&self) -> usize {
-        self.hosts.borrow().iter().filter(|host| host.alive).count()
+    /// Waits until so many hosts are alive.
+    async fn await_alive(&self, count: usize) {
+        let mut hosts = self.member.hosts();
+        let all = hosts.wait_for(|hosts| hosts.iter().filter(|host| host.alive).count() == count);
+        let waited = time::timeout(RETURN, all).await;
+        waited.expect("in time").expect("a running member");
     }
 
     /// Details of the noted events of a kind.
@@ -136,40 +134,48 @@
     }
 }
 
-#[test]
-fn a_frozen_host_is_missed_and_its_return_loses_nobody_else() {
-    let members: Vec<FrozenMember> = (0..HOSTS).map(FrozenMember::start).collect();
-    let seeds: Vec<SocketAddr> = members.iter().map(|member| member.address).collect();
+/// Address of a host.
+fn address(index: usize) -> SocketAddr {
+    SocketAddr::from(([127, 0, 0, 1], 7_100 + index as u16))
+}
+
+#[tokio::test(start_paused = true)]
+async fn a_frozen_host_is_missed_and_its_return_loses_nobody_else() {
+    let network = FakeNetwork::default();
+    let members: Vec<FrozenMember> = (0..HOSTS)
+        .map(|index| FrozenMember::start(&network, index))
+        .collect();
     for member in &members {
-        let (inner, seeds) = (member.member.clone(), seeds.clone());
-        member.handle.spawn(async move { inner.seed(seeds).await });
+        let seeds = (0..HOSTS).map(address).collect();
+        member.member.seed(seeds).await;
     }
     for member in &members {
-        member.await_alive(HOSTS);
+        member.await_alive(HOSTS).await;
     }
     let (frozen, others) = members.split_last().expect("members");
     for round in 0..3 {
-        frozen.freeze(FREEZE);
+        frozen.freezer.set(true);
+        time::sleep(FREEZE).await;
+        for member in others {
+            member.await_alive(HOSTS - 1).await;
+        }
+        frozen.freezer.set(false);
         for member in &members {
-            member.await_alive(HOSTS);
+            member.await_alive(HOSTS).await;
         }
-        // Whatever the frozen host wrongly concluded would go round within these.
-        thread::sleep(PERIOD * WATCHED_PERIODS);
+        // Whatever the frozen host wrongly concluded would go round meanwhile.
+        time::sleep(FREEZE).await;
         assert_eq!(frozen.noted(EventKind::PeerGone), [], "round {round}");
         let suspected = frozen.noted(EventKind::PeerSuspected);
         assert_eq!(suspected, [], "round {round}");
     }
-    let name = "host host-3 ";
     for member in others {
         let gone = member.noted(EventKind::PeerGone);
-        assert!(
-            gone.iter().any(|detail| detail.starts_with(name)),
-            "{gone:?}"
-        );
-        assert!(
-            gone.iter().all(|detail| detail.starts_with(name)),
-            "{gone:?}"
-        );
+        let wrong: Vec<_> = gone
+            .iter()
+            .filter(|detail| !detail.starts_with("host host-3 "))
+            .collect();
+        assert!(!gone.is_empty(), "nobody was missed");
+        assert!(wrong.is_empty(), "{wrong:?}");
     }
-    members.iter().for_each(|member| member.token.cancel());
 }
