--- a/wagtaildoor_bench/src/latency.rs
+++ b/wagtaildoor_bench/src/latency.rs
@@ -290,6 +290,10 @@
     let [direct, entry] = times;
     print_rows("first piece", [&direct.first, &entry.first], times);
     print_rows("whole answer", [&direct.whole, &entry.whole], times);
+    for target in times.iter().filter(|target| target.failures > 0) {
+        println!();
+        println!("last failure, {}: {}", target.name, target.last_failure);
+    }
 }
 
 /// Prints one kind of time for both targets, and what the entry adds.
--- a/wagtaildoor_bench/src/load_call.rs
+++ b/wagtaildoor_bench/src/load_call.rs
@@ -23,8 +23,13 @@
     #[display("connection: {_0}")]
     Connection(#[error(not(source))] Box<str>),
     /// The answer is a refusal.
-    #[display("status {_0}")]
-    Status(#[error(not(source))] u16),
+    #[display("status {status}: {body}")]
+    Status {
+        /// HTTP status.
+        status: u16,
+        /// What it says.
+        body: Box<str>,
+    },
     /// The stream ended before its end.
     #[display("the stream is not whole")]
     NotWhole,
@@ -71,7 +76,11 @@
         let mut response = self.request(client).send().await.map_err(broken)?;
         let status = response.status();
         if !status.is_success() {
-            return Err(CallFailure::Status(status.as_u16()));
+            let body = response.text().await.map_err(broken)?;
+            return Err(CallFailure::Status {
+                status: status.as_u16(),
+                body: body.into(),
+            });
         }
         let mut first = None;
         let mut tail = Vec::new();
--- a/wagtaildoor_bench/tests/load_call.rs
+++ b/wagtaildoor_bench/tests/load_call.rs
@@ -78,7 +78,7 @@
     });
     let refused = target.call(&client).await;
     assert!(
-        matches!(refused, Err(CallFailure::Status(503))),
+        matches!(refused, Err(CallFailure::Status { status: 503, .. })),
         "{refused:?}"
     );
 }
