Show an operator's settlement in the explanation of its request

The keeper noted a settlement without its request, so `wtd explain` went on saying "not known" after an order was settled. The event now names request and account. The verdict is read from the keeper's own words before the operator's note, which may say anything.

The keeper's change itself has no test of its own yet.

--- a/wagtaildoor/src/explain.rs
+++ b/wagtaildoor/src/explain.rs
@@ -236,7 +236,7 @@
     /// Takes over a settlement.
     fn settle(&mut self, detail: &str) {
         self.uncertain = false;
-        match detail.contains(&RunOutcome::NotRun.to_string()) {
+        match says_not_run(detail) {
             true => self.released = true,
             false => self.recorded = true,
         }
@@ -299,6 +299,18 @@
     }
 }
 
+/// Whether a settlement says "not run": `NAME settled key KEY as not_run: NOTE`.
+///
+/// The note is an operator's own words and decides nothing.
+fn says_not_run(detail: &str) -> bool {
+    let rest = detail.split_once(" settled key ").map(|(_, rest)| rest);
+    let head = rest
+        .and_then(|rest| rest.split_once(':'))
+        .map(|(head, _)| head);
+    let ending = format!(" as {}", RunOutcome::NotRun);
+    head.is_some_and(|head| head.ends_with(&ending))
+}
+
 impl Refusal {
     /// The refusal that an event tells of: the kind's name, then its sentence.
     fn of(detail: &str) -> Self {
--- a/wagtaildoor/tests/explain.rs
+++ b/wagtaildoor/tests/explain.rs
@@ -62,6 +62,10 @@
         Kind::ClaimSettled,
         "Mei settled key k as not_run: asked the shop",
     );
+    let settled_noted = (
+        Kind::ClaimSettled,
+        "Mei settled key k as ran: first settled key k as not_run: wrong",
+    );
     let released = (Kind::ClaimReleased, "no endpoint");
     let gone = (Kind::CallerGone, "after 3 pieces");
     let full = (Kind::RequestRefused, "overloaded: no room");
@@ -148,6 +152,12 @@
             Verdict::Ran,
             "it ran",
         ),
+        (
+            "a note decides nothing",
+            vec![won, placed, unknown, settled_noted],
+            Verdict::Ran,
+            "ran",
+        ),
         (
             "found not to",
             vec![won, placed, unknown, open, settled_not],
--- a/wagtaildoor_keeper/src/operators.rs
+++ b/wagtaildoor_keeper/src/operators.rs
@@ -52,6 +52,7 @@
         UnresolvedOrder,
         UnresolvedPage, //
     },
+    timeline::EventDraft,
 };
 use wagtaildoor_daemon::timeline_query::TimelineQuery;
 
@@ -273,9 +274,15 @@
         "{} settled key {} as {}: {}",
         settlement.by, settlement.key, settlement.settled, settlement.note
     );
+    // Looked up before the record: afterwards the claim is no longer open.
+    let mut open = state.claims.unresolved().into_iter();
+    let open = open.find(|claim| claim.attempt == settlement.attempt);
+    let mut draft =
+        EventDraft::new(EventKind::ClaimSettled, detail).account(settlement.account.clone());
+    draft.request = open.map(|claim| claim.request);
     let record = ClaimRecord::Settlement(settlement);
     if state.claims.record(record, SETTLE_WAIT).await {
-        state.note(EventKind::ClaimSettled, detail);
+        state.recorder.record(draft);
         let reason = "the settlement is on record".into();
         return Ok(Json(SettleAnswer {
             reason,
