Read head and configuration in one answer

wtd asked a keeper for its status and then for its configuration, and relied on a refusal when a newer one came in between. Keepers now have a route with both for peers, so the tool uses that. The verb `templates` had only been tried by hand; it has a test now.

--- a/wtd/src/client.rs
+++ b/wtd/src/client.rs
@@ -16,9 +16,7 @@
     Serialize, //
 };
 use wagtaildoor::schema::{
-    ConfigHead,
-    Configuration,
-    KeeperStatus,
+    HeldConfiguration,
     OperatorSection, //
 };
 
@@ -52,15 +50,6 @@
     pub answer: std::result::Result<T, Box<str>>,
 }
 
-/// What one keeper holds in force.
-#[derive(Clone, Debug)]
-pub struct HeldConfiguration {
-    /// Head; the configuration is that of this head or of a newer one.
-    pub head: ConfigHead,
-    /// Configuration.
-    pub configuration: Configuration,
-}
-
 /// What came of a change.
 #[derive(Clone, Debug)]
 pub enum ChangeAnswer<T, R> {
@@ -137,32 +126,9 @@
         Err(no_keeper(&failures))
     }
 
-    /// The configuration in force, and a head that is not newer, of one and the same keeper.
+    /// The configuration in force with its head, as the first keeper that answers holds it.
     pub async fn in_force(&self) -> Result<HeldConfiguration> {
-        let mut failures = Vec::new();
-        for keeper in &self.keepers {
-            match self.held_by(keeper).await {
-                Ok(held) => return Ok(held),
-                Err(failure) => failures.push(format!("{}: {failure}", keeper.address)),
-            }
-        }
-        Err(no_keeper(&failures))
-    }
-
-    /// What one keeper holds in force.
-    ///
-    /// The head is read first. When a newer one comes in between, the keeper refuses changes that
-    /// name the older.
-    async fn held_by(
-        &self,
-        keeper: &ProcessTarget,
-    ) -> std::result::Result<HeldConfiguration, Box<str>> {
-        let status: KeeperStatus = self.get(keeper, "/status", &[]).await.answer?;
-        let configuration = self.get(keeper, "/configuration", &[]).await.answer?;
-        Ok(HeldConfiguration {
-            head: status.head,
-            configuration,
-        })
+        self.get_first("/held-configuration").await
     }
 
     /// Sends a change to the first keeper that can be reached.
--- a/wtd/src/verbs/templates.rs
+++ b/wtd/src/verbs/templates.rs
@@ -30,7 +30,7 @@
 
 /// Shows all templates, or one.
 pub async fn run(client: &OperatorClient, matches: &ArgMatches) -> Result<VerbAnswer> {
-    let in_force: Configuration = client.get_first("/configuration").await?;
+    let in_force = client.in_force().await?.configuration;
     let json = matches.get_flag("json");
     let Some(id) = verbs::text(matches, "template") else {
         return Ok(VerbAnswer::of(json, &in_force.templates, |all| table(all)));
--- a/wtd/tests/verbs.rs
+++ b/wtd/tests/verbs.rs
@@ -7,6 +7,7 @@
 
 use serde_json::json;
 use wagtaildoor::{
+    config_change,
     schema::{
         ClockStamp,
         ConfigHead,
@@ -15,6 +16,7 @@
         EndpointView,
         EventKind,
         EventPage,
+        HeldConfiguration,
         KeeperStatus,
         Pool,
         PoolKind,
@@ -126,8 +128,7 @@
         held: vec!["north-1".into(), "south-1".into()],
         behind: vec!["south-2".into()],
     };
-    CannedServer::default()
-        .answer("GET /configuration", 200, &configuration())
+    holding(&configuration())
         .answer("GET /status", 200, &status)
         .answer("POST /publish", 200, &accepted)
 }
@@ -147,9 +148,11 @@
 
 /// A keeper that holds this configuration.
 fn holding(in_force: &Configuration) -> CannedServer {
-    CannedServer::default()
-        .answer("GET /status", 200, &status(vec![]))
-        .answer("GET /configuration", 200, in_force)
+    let held = HeldConfiguration {
+        head: head(2),
+        configuration: in_force.clone(),
+    };
+    CannedServer::default().answer("GET /held-configuration", 200, &held)
 }
 
 /// An event of request `r`.
@@ -502,3 +505,19 @@
         assert!(named, "{:?}", answer.warnings);
     }
 }
+
+#[tokio::test]
+async fn templates_are_shown_with_their_texts() {
+    let changes = template_file::read_folder(PUBLISHER.as_ref()).expect("no faults");
+    let in_force = config_change::apply(&config_change::empty(), &changes).expect("they fit");
+    let keeper = holding(&in_force).start().await;
+    let all = printed(wtd(&[keeper], &[], &["templates"]).await);
+    assert!(
+        all.contains("glossary > dialect > job") && all.contains("at most once"),
+        "{all}"
+    );
+    let one = printed(wtd(&[keeper], &[], &["templates", "draft"]).await);
+    assert!(one.contains("  | DIALECT SHEET: {dialect}\n"), "{one}");
+    let none = wtd(&[keeper], &[], &["templates", "other"]).await;
+    assert_eq!(exit(&none), ExitKind::NotFound);
+}
