--- a/wagtaildoor_bench/src/cli.rs
+++ b/wagtaildoor_bench/src/cli.rs
@@ -6,6 +6,7 @@
 };
 
 use crate::{
+    capacity,
     latency,
     orders,
     policy, //
@@ -31,6 +32,7 @@
         .version(env!("CARGO_PKG_VERSION"))
         .about("Load tool and policy experiments of wagtaildoor")
         .subcommand_required(true)
+        .subcommand(capacity::command())
         .subcommand(latency::command())
         .subcommand(orders::command())
         .subcommand(policy::command())
@@ -40,6 +42,7 @@
 pub async fn run(matches: ArgMatches) -> Result<()> {
     let (name, matches) = matches.subcommand().expect("clap requires a command");
     match name {
+        capacity::NAME => capacity::run(matches).await,
         latency::NAME => latency::run(matches).await,
         orders::NAME => orders::run(matches).await,
         policy::NAME => policy::run(matches),
--- a/wagtaildoor_bench/src/lib.rs
+++ b/wagtaildoor_bench/src/lib.rs
@@ -1,5 +1,6 @@
 //! Load tool and policy experiments.
 
+pub mod capacity;
 pub mod cli;
 pub mod latency;
 pub mod load_call;
--- a/wagtaildoor_keeper/tests/hosts.rs
+++ b/wagtaildoor_keeper/tests/hosts.rs
@@ -334,3 +334,34 @@
     );
     run.end(tasks).await;
 }
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 4)]
+async fn without_any_peer_or_platform_an_entry_says_what_it_lacks() {
+    let mut deployment = Deployment::start().await;
+    deployment.set_outage(true);
+    for index in 0..DOMAINS.len() {
+        deployment::crash(deployment.hosts[index].entry.take());
+        deployment::crash(deployment.hosts[index].keeper.take());
+    }
+    for index in 0..DOMAINS.len() {
+        deployment.start_keeper(index);
+        deployment.start_entry(index);
+    }
+    for index in 0..DOMAINS.len() {
+        deployment.await_health(index).await;
+        let mut reply = deployment.draft(index).await;
+        while reply.status == 0 {
+            time::sleep(PAUSE).await;
+            reply = deployment.draft(index).await;
+        }
+        assert_eq!(reply.status, 503, "{reply:?}");
+        assert!(reply.body.contains("not_configured"), "{reply:?}");
+        assert!(reply.body.contains("not_run"), "{reply:?}");
+        assert!(!deployment.is_ready(index).await, "entry {index}");
+    }
+    deployment.set_outage(false);
+    for index in 0..DOMAINS.len() {
+        deployment.await_ready(index).await;
+        assert!(deployment.draft(index).await.is_good(), "entry {index}");
+    }
+}
