--- a/wagtaildoor/src/claim_policy.rs
+++ b/wagtaildoor/src/claim_policy.rs
@@ -12,6 +12,8 @@
 const KEY_SKEW: Duration = Duration::from_secs(300);
 /// Longest wait of a copy of a request for the outcome of the first.
 const BUSY_WAIT: Duration = Duration::from_secs(2);
+/// Records that one append carries at most.
+const BATCH_RECORDS: usize = 256;
 /// Shortest time between two appends to one stream.
 const APPEND_SPACING: Duration = Duration::from_millis(4);
 /// Longest wait for the answer to an append.
@@ -39,6 +41,8 @@
     pub margin: Duration,
     /// Longest wait of a copy of a request for the outcome of the first.
     pub busy_wait: Duration,
+    /// Records that one append carries at most.
+    pub batch_records: usize,
     /// Shortest time between two appends to one stream.
     pub append_spacing: Duration,
     /// Longest wait for the answer to an append.
@@ -58,6 +62,7 @@
             window: DISPATCH_WINDOW,
             margin: SETTLEMENT_MARGIN,
             busy_wait: BUSY_WAIT,
+            batch_records: BATCH_RECORDS,
             append_spacing: APPEND_SPACING,
             append_timeout: APPEND_TIMEOUT,
             settle_wait: SETTLE_WAIT,
--- a/wagtaildoor/src/claim_queue.rs
+++ b/wagtaildoor/src/claim_queue.rs
@@ -12,8 +12,6 @@
     },
 };
 
-/// Records that one append carries at most.
-const BATCH_RECORDS: usize = 256;
 /// Text of answers that one append carries at most, in bytes.
 const BATCH_ANSWER_BYTES: usize = 1024 * 1024;
 
@@ -124,12 +122,17 @@
         }
     }
 
-    /// Takes the records of the next append.
-    pub fn next_batch(&mut self, ledger: &ClaimLedger, now: Instant) -> Vec<ClaimRecord> {
+    /// Takes the records of the next append, up to a number.
+    pub fn next_batch(
+        &mut self,
+        ledger: &ClaimLedger,
+        now: Instant,
+        limit: usize,
+    ) -> Vec<ClaimRecord> {
         let mut batch = Vec::new();
         let mut bytes = 0;
         for queued in &mut self.records {
-            if batch.len() == BATCH_RECORDS || bytes > BATCH_ANSWER_BYTES {
+            if batch.len() == limit || bytes > BATCH_ANSWER_BYTES {
                 break;
             }
             let due = match queued.stage {
--- a/wagtaildoor/src/claim_shard.rs
+++ b/wagtaildoor/src/claim_shard.rs
@@ -148,7 +148,8 @@
         loop {
             let batch = {
                 let state = &mut *self.lock();
-                state.queue.next_batch(&state.ledger, Instant::now())
+                let limit = self.policy.batch_records;
+                state.queue.next_batch(&state.ledger, Instant::now(), limit)
             };
             if batch.is_empty() {
                 self.wait_for_work().await;
--- a/wagtaildoor/src/lib.rs
+++ b/wagtaildoor/src/lib.rs
@@ -50,6 +50,8 @@
 pub mod rendezvous;
 pub mod residency;
 pub mod retry_budget;
+pub mod rollout;
+pub mod rollout_driver;
 pub mod routing_table;
 pub mod rumour_queue;
 pub mod schema;
--- /dev/null
+++ b/wagtaildoor/src/rollout_driver.rs
@@ -0,0 +1,232 @@
+//! Drives a roll-out under a lease, with a load slot for each replica that loads.
+
+use std::{
+    future::Future,
+    time::Duration, //
+};
+
+use tokio::time;
+use tokio_util::sync::CancellationToken;
+
+use crate::{
+    ids::{
+        EndpointId,
+        LeaseId,
+        WeightsVersion, //
+    },
+    lease_holder::{
+        self,
+        HeldLease,
+        LeaseHolder, //
+    },
+    log_store::LogStore,
+    rollout::{
+        self,
+        RolloutStep,
+        RolloutView,
+        ORDER_LIMIT, //
+    },
+    schema::{
+        EngineOrder,
+        EngineState, //
+    },
+};
+
+/// How long the driver's lease and load slots hold from each record.
+const LEASE_DURATION: Duration = Duration::from_secs(20);
+/// Time between two looks.
+const LOOK_SPACING: Duration = Duration::from_secs(1);
+
+/// What a roll-out sees and does.
+pub trait RolloutScene: Send + Sync {
+    /// Whether the pool's endpoints refuse orders with old fencing numbers.
+    fn checks_fencing(&self) -> bool;
+
+    /// How the roll-out stands, read back from the replicas.
+    fn view(&self) -> impl Future<Output = RolloutView> + Send;
+
+    /// Gives an order and reads the engine's state back; `None` when it refused or did not answer.
+    fn order(
+        &self,
+        endpoint: &EndpointId,
+        order: EngineOrder,
+    ) -> impl Future<Output = Option<EngineState>> + Send;
+
+    /// Publishes the new weights; tells whether they are in force.
+    fn raise(&self, weights: WeightsVersion) -> impl Future<Output = bool> + Send;
+}
+
+/// How a driver ended.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub enum RolloutEnd {
+    /// All replicas have the new weights.
+    Done,
+    /// The roll-out must not go on, for this reason.
+    Stopped(Box<str>),
+    /// The lease was lost; whoever takes it goes on.
+    LeaseLost,
+    /// The driver was cancelled.
+    Cancelled,
+}
+
+/// A replica that loads under a slot.
+struct LoadingReplica {
+    /// Endpoint.
+    endpoint: EndpointId,
+    /// Slot.
+    slot: HeldLease,
+}
+
+/// Drives the roll-out of one pool.
+pub struct RolloutDriver<L, S> {
+    /// Asks for leases.
+    holder: LeaseHolder<L>,
+    /// What it sees and does.
+    scene: S,
+    /// Pool.
+    pool: Box<str>,
+    /// Replicas that load.
+    loading: Vec<LoadingReplica>,
+}
+
+impl<L: LogStore, S: RolloutScene> RolloutDriver<L, S> {
+    /// A driver for a pool.
+    pub fn new(holder: LeaseHolder<L>, scene: S, pool: &str) -> Self {
+        Self {
+            holder,
+            scene,
+            pool: pool.into(),
+            loading: Vec::new(),
+        }
+    }
+
+    /// Drives until the end.
+    pub async fn run(mut self, token: CancellationToken) -> RolloutEnd {
+        let drive = self.drive();
+        let end = token.run_until_cancelled(drive).await;
+        end.unwrap_or(RolloutEnd::Cancelled)
+    }
+
+    /// Takes the lease, and one step after the other under it.
+    async fn drive(&mut self) -> RolloutEnd {
+        let mut lease = self.take_lease().await;
+        // Orders of an earlier holder may still act where nobody checks their number.
+        let alone_from = lease.alone_from(ORDER_LIMIT);
+        loop {
+            if !self.keep(&mut lease).await {
+                return RolloutEnd::LeaseLost;
+            }
+            if self.scene.checks_fencing() || time::Instant::now() >= alone_from {
+                if let Some(end) = self.step(&lease).await {
+                    self.finish(lease).await;
+                    return end;
+                }
+            }
+            time::sleep(LOOK_SPACING).await;
+        }
+    }
+
+    /// Waits for the lease.
+    async fn take_lease(&mut self) -> HeldLease {
+        let name = format!("rollout/{}", self.pool);
+        loop {
+            if let Ok(Some(lease)) = self.holder.acquire(&name, LEASE_DURATION).await {
+                return lease;
+            }
+            time::sleep(LOOK_SPACING).await;
+        }
+    }
+
+    /// Renews the lease and the slots; tells whether the lease may still be used.
+    async fn keep(&mut self, lease: &mut HeldLease) -> bool {
+        if lease.wants_renewal() {
+            // A renewal that was not read back is tried again while the lease lasts.
+            let _ = self.holder.renew(lease).await;
+        }
+        for loading in &mut self.loading {
+            if loading.slot.wants_renewal() {
+                let _ = self.holder.renew(&mut loading.slot).await;
+            }
+        }
+        lease.is_valid()
+    }
+
+    /// Takes one step; tells how the roll-out ended, if it did.
+    async fn step(&mut self, lease: &HeldLease) -> Option<RolloutEnd> {
+        let view = self.scene.view().await;
+        self.free_slots(&view).await;
+        match rollout::next_step(&view) {
+            RolloutStep::Load(endpoint) => self.load(&view, endpoint, lease).await,
+            RolloutStep::Raise => {
+                if lease.is_valid() {
+                    self.scene.raise(view.target).await;
+                }
+            }
+            RolloutStep::Wait => {}
+            RolloutStep::Done => return Some(RolloutEnd::Done),
+            RolloutStep::Stop(reason) => return Some(RolloutEnd::Stopped(reason)),
+        }
+        None
+    }
+
+    /// Lets a replica load under a free slot.
+    async fn load(&mut self, view: &RolloutView, endpoint: EndpointId, lease: &HeldLease) {
+        let Some(slot) = self.take_slot(view.load_slots).await else {
+            return;
+        };
+        let order = rollout::load_order(lease.fencing, view.target);
+        // Looked at right before the order: taking the slot may have taken long.
+        if !lease.is_valid() || !slot.is_valid() {
+            return;
+        }
+        let state = self.scene.order(&endpoint, order.clone()).await;
+        if state.is_some_and(|state| rollout::follows(&state, &order)) {
+            self.loading.push(LoadingReplica { endpoint, slot });
+        } else if self.scene.checks_fencing() {
+            let _ = self.holder.release(slot).await;
+        }
+        // Where numbers are not checked, the order may yet act: the slot then ends by itself.
+    }
+
+    /// Takes a free slot, if there is one.
+    async fn take_slot(&mut self, slots: usize) -> Option<HeldLease> {
+        let names: Vec<LeaseId> = lease_holder::load_slots(&self.pool, slots as u32).collect();
+        for name in names {
+            let slot = self.holder.acquire(&name, LEASE_DURATION).await;
+            if let Ok(Some(slot)) = slot {
+                return Some(slot);
+            }
+        }
+        None
+    }
+
+    /// Gives back the slots of replicas that have loaded.
+    async fn free_slots(&mut self, view: &RolloutView) {
+        let loads = |loading: &LoadingReplica| {
+            let replica = view
+                .replicas
+                .iter()
+                .find(|r| r.endpoint == loading.endpoint);
+            replica.is_some_and(|r| r.loading != 0)
+        };
+        let (kept, freed) = std::mem::take(&mut self.loading)
+            .into_iter()
+            .partition(loads);
+        self.loading = kept;
+        self.release(freed).await;
+    }
+
+    /// Gives back everything at the end.
+    async fn finish(&mut self, lease: HeldLease) {
+        let loading = std::mem::take(&mut self.loading);
+        self.release(loading).await;
+        let _ = self.holder.release(lease).await;
+    }
+
+    /// Gives slots back; one that the log does not take ends by itself.
+    async fn release(&mut self, freed: Vec<LoadingReplica>) {
+        for loading in freed {
+            let _ = self.holder.release(loading.slot).await;
+        }
+    }
+}
--- /dev/null
+++ b/wagtaildoor/tests/rollout.rs
@@ -0,0 +1,315 @@
+//! Roll-outs: what comes next, and a driver against engines that check fencing or ignore it.
+
+use std::{
+    collections::BTreeMap,
+    sync::{
+        Arc,
+        Mutex, //
+    },
+    time::Duration, //
+};
+
+use tokio::time::{
+    self,
+    Instant, //
+};
+use tokio_util::sync::CancellationToken;
+use wagtaildoor::{
+    ids::EndpointId,
+    lease_holder::LeaseHolder,
+    rollout::{
+        self,
+        RolloutReplica,
+        RolloutStep,
+        RolloutView, //
+    },
+    rollout_driver::{
+        RolloutDriver,
+        RolloutEnd,
+        RolloutScene, //
+    },
+    schema::{
+        EngineOrder,
+        EngineState, //
+    },
+};
+use wagtaildoor_fakes::fake_log::{
+    FakeLog,
+    LogFaults, //
+};
+
+/// How long the log keeps records.
+const RETENTION: Duration = Duration::from_secs(24 * 3600);
+/// How long an engine loads weights.
+const LOAD_TIME: Duration = Duration::from_secs(40);
+/// Slots of the tests.
+const SLOTS: usize = 2;
+
+/// A view from rows of domain, weights and weights on their way in.
+fn view(in_force: u64, rows: &[(&str, u64, u64)]) -> RolloutView {
+    let replica = |(n, (domain, weights, loading)): (usize, &(&str, u64, u64))| RolloutReplica {
+        endpoint: format!("e{n}").into(),
+        domain: (*domain).into(),
+        weights: Some(*weights),
+        loading: *loading,
+    };
+    RolloutView {
+        in_force,
+        target: 2,
+        replicas: rows.iter().enumerate().map(replica).collect(),
+        load_slots: SLOTS,
+        errors_before: 0.01,
+        errors_now: 0.01,
+    }
+}
+
+#[test]
+fn steps_never_take_the_last_serving_replica() {
+    let load = |n: usize| RolloutStep::Load(format!("e{n}").into());
+    let cases = [
+        // One of two in each domain first.
+        (
+            view(1, &[("a", 1, 0), ("a", 1, 0), ("b", 1, 0), ("b", 1, 0)]),
+            load(0),
+        ),
+        (
+            view(1, &[("a", 1, 2), ("a", 1, 0), ("b", 1, 0), ("b", 1, 0)]),
+            load(2),
+        ),
+        // Both slots are taken.
+        (
+            view(1, &[("a", 1, 2), ("a", 1, 0), ("b", 1, 2), ("b", 1, 0)]),
+            RolloutStep::Wait,
+        ),
+        (
+            view(1, &[("a", 2, 0), ("a", 1, 0), ("b", 2, 0), ("b", 1, 0)]),
+            RolloutStep::Raise,
+        ),
+        // After the raise, the others.
+        (
+            view(2, &[("a", 2, 0), ("a", 1, 0), ("b", 2, 0), ("b", 1, 0)]),
+            load(1),
+        ),
+        (
+            view(2, &[("a", 2, 0), ("a", 2, 0), ("b", 2, 0), ("b", 1, 2)]),
+            RolloutStep::Wait,
+        ),
+        (
+            view(2, &[("a", 2, 0), ("a", 2, 0), ("b", 2, 0), ("b", 2, 0)]),
+            RolloutStep::Done,
+        ),
+    ];
+    for (view, step) in cases {
+        assert_eq!(rollout::next_step(&view), step, "{view:?}");
+    }
+    let single = view(1, &[("a", 1, 0), ("a", 1, 0), ("b", 1, 0)]);
+    let lone = view(1, &[("b", 1, 0)]);
+    let backwards = view(3, &[("a", 3, 0)]);
+    let mut failing = view(1, &[("a", 1, 0), ("a", 1, 0)]);
+    failing.errors_now = 0.2;
+    assert_eq!(rollout::next_step(&single), load(0));
+    for stopped in [lone, backwards, failing] {
+        let step = rollout::next_step(&stopped);
+        assert!(matches!(step, RolloutStep::Stop(_)), "{step:?}");
+    }
+}
+
+/// An engine.
+#[derive(Clone, Debug)]
+struct TestEngine {
+    /// Failure domain.
+    domain: &'static str,
+    /// Weights in service.
+    weights: u64,
+    /// Weights on their way in, and when they are there.
+    loading: Option<(u64, Instant)>,
+    /// Highest fencing number seen.
+    fencing: u64,
+}
+
+/// Engines, and what was seen of them.
+struct TestPool {
+    /// Engines by name.
+    engines: BTreeMap<EndpointId, TestEngine>,
+    /// Weights in force.
+    in_force: u64,
+    /// Most engines that loaded at once.
+    most_loading: usize,
+    /// Orders that arrived.
+    orders: usize,
+    /// A domain had no replica that served the weights in force.
+    outage: bool,
+    /// Share of failed requests.
+    errors: f64,
+}
+
+/// Engines as a driver sees them.
+#[derive(Clone)]
+struct TestScene {
+    /// Engines.
+    pool: Arc<Mutex<TestPool>>,
+    /// They refuse orders with old fencing numbers.
+    checks: bool,
+}
+
+impl TestScene {
+    /// Three domains with three engines each.
+    fn new(checks: bool) -> Self {
+        let engine = |n: usize| {
+            let engine = TestEngine {
+                domain: ["a", "b", "c"][n % 3],
+                weights: 1,
+                loading: None,
+                fencing: 0,
+            };
+            (format!("e{n}").into(), engine)
+        };
+        let pool = TestPool {
+            engines: (0..9).map(engine).collect(),
+            in_force: 1,
+            most_loading: 0,
+            orders: 0,
+            outage: false,
+            errors: 0.0,
+        };
+        Self {
+            pool: Arc::new(Mutex::new(pool)),
+            checks,
+        }
+    }
+
+    /// A driver on a link to the log.
+    fn driver(&self, link: FakeLog, name: &str) -> RolloutDriver<FakeLog, TestScene> {
+        RolloutDriver::new(LeaseHolder::new(link, name), self.clone(), "drafters")
+    }
+}
+
+impl TestPool {
+    /// Lets loads end, and looks at what serves.
+    fn settle(&mut self) {
+        for engine in self.engines.values_mut() {
+            if let Some((weights, at)) = engine.loading {
+                if Instant::now() >= at {
+                    engine.weights = weights;
+                    engine.loading = None;
+                }
+            }
+        }
+        let loading = self.engines.values().filter(|e| e.loading.is_some());
+        self.most_loading = self.most_loading.max(loading.count());
+        for domain in ["a", "b", "c"] {
+            let serves = |e: &&TestEngine| {
+                e.domain == domain && e.weights == self.in_force && e.loading.is_none()
+            };
+            self.outage |= !self.engines.values().any(|e| serves(&e));
+        }
+    }
+}
+
+impl RolloutScene for TestScene {
+    fn checks_fencing(&self) -> bool {
+        self.checks
+    }
+
+    async fn view(&self) -> RolloutView {
+        let mut pool = self.pool.lock().expect("no panic");
+        pool.settle();
+        let replica = |(id, engine): (&EndpointId, &TestEngine)| RolloutReplica {
+            endpoint: id.clone(),
+            domain: engine.domain.into(),
+            weights: Some(engine.weights),
+            loading: engine.loading.map_or(0, |(weights, _)| weights),
+        };
+        RolloutView {
+            in_force: pool.in_force,
+            target: 2,
+            replicas: pool.engines.iter().map(replica).collect(),
+            load_slots: SLOTS,
+            errors_before: 0.0,
+            errors_now: pool.errors,
+        }
+    }
+
+    async fn order(&self, endpoint: &EndpointId, order: EngineOrder) -> Option<EngineState> {
+        let mut pool = self.pool.lock().expect("no panic");
+        pool.orders += 1;
+        let engine = pool.engines.get_mut(endpoint)?;
+        if self.checks && order.fencing < engine.fencing {
+            return None;
+        }
+        engine.fencing = order.fencing;
+        if engine.weights != order.weights_version && engine.loading.is_none() {
+            engine.loading = Some((order.weights_version, Instant::now() + LOAD_TIME));
+        }
+        let state = EngineState {
+            adapters: Vec::new(),
+            boot_id: "b".into(),
+            fencing: engine.fencing,
+            loading: engine.loading.map_or(0, |(weights, _)| weights),
+            role: "".into(),
+            weights_version: engine.weights,
+        };
+        pool.settle();
+        Some(state)
+    }
+
+    async fn raise(&self, weights: u64) -> bool {
+        let mut pool = self.pool.lock().expect("no panic");
+        pool.in_force = weights;
+        pool.settle();
+        true
+    }
+}
+
+#[tokio::test(start_paused = true)]
+async fn a_rollout_ends_also_when_its_driver_dies() {
+    for checks in [true, false] {
+        let scene = TestScene::new(checks);
+        let log = FakeLog::new(RETENTION);
+        let token = CancellationToken::new();
+        let first = tokio::spawn(scene.driver(log.link(), "h1").run(token.clone()));
+        time::sleep(Duration::from_secs(60)).await;
+        first.abort();
+        let second = scene.driver(log.link(), "h2").run(token.clone());
+        let end = time::timeout(Duration::from_secs(3600), second).await;
+        assert_eq!(end, Ok(RolloutEnd::Done), "checks {checks}");
+        let pool = scene.pool.lock().expect("no panic");
+        assert!(pool.engines.values().all(|e| e.weights == 2));
+        assert!(!pool.outage, "checks {checks}");
+        assert_eq!(pool.most_loading, SLOTS, "checks {checks}");
+        assert_eq!(pool.orders, 9, "checks {checks}");
+    }
+}
+
+#[tokio::test(start_paused = true)]
+async fn without_the_log_nothing_new_is_loaded() {
+    let scene = TestScene::new(true);
+    let log = FakeLog::new(RETENTION);
+    let link = log.link();
+    let running = tokio::spawn(
+        scene
+            .driver(link.clone(), "h1")
+            .run(CancellationToken::new()),
+    );
+    time::sleep(Duration::from_secs(5)).await;
+    link.set_faults(LogFaults {
+        outage: true,
+        ..LogFaults::default()
+    });
+    let orders = scene.pool.lock().expect("no panic").orders;
+    let end = running.await.expect("no panic");
+    assert_eq!(end, RolloutEnd::LeaseLost);
+    assert_eq!(scene.pool.lock().expect("no panic").orders, orders);
+}
+
+#[tokio::test(start_paused = true)]
+async fn a_rollout_stops_when_errors_rise() {
+    let scene = TestScene::new(true);
+    let log = FakeLog::new(RETENTION);
+    let running = tokio::spawn(scene.driver(log, "h1").run(CancellationToken::new()));
+    time::sleep(Duration::from_secs(30)).await;
+    scene.pool.lock().expect("no panic").errors = 0.3;
+    let end = running.await.expect("no panic");
+    assert!(matches!(end, RolloutEnd::Stopped(_)), "{end:?}");
+    assert_eq!(scene.pool.lock().expect("no panic").in_force, 1);
+}
--- a/wagtaildoor_bench/src/cli.rs
+++ b/wagtaildoor_bench/src/cli.rs
@@ -7,6 +7,7 @@
 
 use crate::{
     latency,
+    once,
     policy, //
 };
 
@@ -31,6 +32,7 @@
         .about("Load tool and policy experiments of wagtaildoor")
         .subcommand_required(true)
         .subcommand(latency::command())
+        .subcommand(once::command())
         .subcommand(policy::command())
 }
 
@@ -39,6 +41,7 @@
     let (name, matches) = matches.subcommand().expect("clap requires a command");
     match name {
         latency::NAME => latency::run(matches).await,
+        once::NAME => once::run(matches),
         policy::NAME => policy::run(matches),
         other => unreachable!("clap knows no bench {other}"),
     }
--- a/wagtaildoor_bench/src/lib.rs
+++ b/wagtaildoor_bench/src/lib.rs
@@ -3,5 +3,6 @@
 pub mod cli;
 pub mod latency;
 pub mod load_call;
+pub mod once;
 pub mod policy;
 pub mod process_use;
--- a/wagtaildoor_fakes/src/effect_service.rs
+++ b/wagtaildoor_fakes/src/effect_service.rs
@@ -105,6 +105,12 @@
         self.lock().effects.get(key).cloned().unwrap_or_default()
     }
 
+    /// How often each key took effect.
+    pub fn all_effects(&self) -> Vec<u64> {
+        let ledger = self.lock();
+        ledger.effects.values().map(|e| e.len() as u64).collect()
+    }
+
     /// Writes that reached the service.
     pub fn writes(&self) -> u64 {
         self.lock().writes
