--- a/wagtaildoor/src/schema.rs
+++ b/wagtaildoor/src/schema.rs
@@ -2422,7 +2422,7 @@
 pub struct UnresolvedOrder {
     ///Client account.
     pub account: crate::ids::AccountId,
-    ///Time since the claim, by the log's clock, in milliseconds.
+    ///Time since the claim, from the log's time of it to the keeper's own clock, in milliseconds.
     pub age_ms: u64,
     ///Attempt that holds the claim.
     pub attempt: crate::ids::AttemptId,
--- a/wagtaildoor_bench/src/cli.rs
+++ b/wagtaildoor_bench/src/cli.rs
@@ -8,6 +8,7 @@
 use crate::{
     capacity,
     latency,
+    once,
     orders,
     policy, //
 };
@@ -35,6 +36,7 @@
         .subcommand(capacity::command())
         .subcommand(latency::command())
         .subcommand(orders::command())
+        .subcommand(once::command())
         .subcommand(policy::command())
 }
 
@@ -45,6 +47,7 @@
         capacity::NAME => capacity::run(matches).await,
         latency::NAME => latency::run(matches).await,
         orders::NAME => orders::run(matches).await,
+        once::NAME => once::run(matches),
         policy::NAME => policy::run(matches),
         other => unreachable!("clap knows no bench {other}"),
     }
--- a/wagtaildoor_bench/src/lib.rs
+++ b/wagtaildoor_bench/src/lib.rs
@@ -4,6 +4,7 @@
 pub mod cli;
 pub mod latency;
 pub mod load_call;
+pub mod once;
 pub mod orders;
 pub mod policy;
 pub mod process_use;
