--- a/wagtaildoor/src/logging.rs
+++ b/wagtaildoor/src/logging.rs
@@ -2,6 +2,7 @@
 
 use std::io::{
     self,
+    BufWriter,
     Write, //
 };
 
@@ -33,7 +34,8 @@
     host: &str,
     process: &'static str,
 ) -> Logger {
-    let json = Json::new(output)
+    // Each line goes out in one piece, where the format alone would write every field apart.
+    let json = Json::new(BufWriter::new(output))
         .set_newlines(true)
         .set_flush(true)
         .add_default_keys()
--- a/wagtaildoor_bench/src/lib.rs
+++ b/wagtaildoor_bench/src/lib.rs
@@ -1,8 +1,10 @@
 //! Load tool and policy experiments.
 
+pub mod capacity;
 pub mod cli;
 pub mod latency;
 pub mod load_call;
 pub mod once;
+pub mod orders;
 pub mod policy;
 pub mod process_use;
--- a/wtd/src/gather.rs
+++ b/wtd/src/gather.rs
@@ -40,10 +40,9 @@
 
 /// Asks all keepers and entries of the settings.
 pub async fn live(client: &OperatorClient, filter: &EventFilter) -> GatheredTimeline {
-    let settings = &client.settings;
-    let addresses = [settings.keepers.as_slice(), settings.entries.as_slice()].concat();
+    let processes = client.processes();
     let query = query(filter);
-    let answers = client.get_all(&addresses, "/timeline", &query).await;
+    let answers = client.get_all(&processes, "/timeline", &query).await;
     let mut pages: Vec<EventPage> = Vec::new();
     let mut missing = Vec::new();
     for answer in answers {
@@ -88,14 +87,19 @@
         ("account", &filter.account),
         ("endpoint", &filter.endpoint),
     ];
-    let times = [("from_ms", filter.from_ms), ("to_ms", filter.to_ms)];
+    let newest = filter.newest.map(|newest| newest as u64);
+    let numbers = [
+        ("from_ms", filter.from_ms),
+        ("to_ms", filter.to_ms),
+        ("newest", newest),
+    ];
     let texts = texts.into_iter().filter_map(|(name, value)| {
         let value = value.as_deref()?.to_string();
         Some(QueryPart { name, value })
     });
-    let times = times.into_iter().filter_map(|(name, value)| {
+    let numbers = numbers.into_iter().filter_map(|(name, value)| {
         let value = value?.to_string();
         Some(QueryPart { name, value })
     });
-    texts.chain(times).collect()
+    texts.chain(numbers).collect()
 }
--- a/wtd/src/verbs/timeline.rs
+++ b/wtd/src/verbs/timeline.rs
@@ -33,7 +33,7 @@
 /// A time line as JSON.
 #[derive(Debug, Serialize)]
 struct TimelineReport {
-    /// Older events that are no longer kept, in events.
+    /// Older events that are not here: no longer kept, or beyond the number asked for.
     dropped: u64,
     /// Processes that did not answer.
     missing: Vec<String>,
@@ -43,9 +43,12 @@
 
 /// Shows the time line of the live processes.
 pub async fn run(client: &OperatorClient, matches: &ArgMatches) -> Result<VerbAnswer> {
-    let gathered = gather::live(client, &filter(matches)).await;
-    let addresses = client.settings.keepers.len() + client.settings.entries.len();
-    if gathered.missing.len() == addresses {
+    let filter = EventFilter {
+        newest: matches.get_one("newest").copied(),
+        ..filter(matches)
+    };
+    let gathered = gather::live(client, &filter).await;
+    if gathered.missing.len() == client.processes().len() {
         let text = format!("no process answered: {}", gathered.missing.join("; "));
         return Err(ToolError::NoAnswer(text.into()));
     }
@@ -68,6 +71,7 @@
         host: text("host"),
         from_ms: matches.get_one("from").copied(),
         to_ms: matches.get_one("to").copied(),
+        newest: None,
     }
 }
 
@@ -85,7 +89,7 @@
     let answer = answer.missing(&report.missing);
     Ok(match report.dropped {
         0 => answer,
-        dropped => answer.warning(format!("{dropped} older events are no longer kept")),
+        dropped => answer.warning(format!("{dropped} older events are not shown")),
     })
 }
 
--- a/wtd/tests/verbs.rs
+++ b/wtd/tests/verbs.rs
@@ -333,13 +333,15 @@
         event("north-1", 2, EventKind::RequestReceived, "two\nlines"),
         event("south-1", 1, EventKind::RequestReceived, "first"),
     ];
-    let keeper = keeping(events).start().await;
+    let server = keeping(events);
+    let keeper = server.start().await;
     let text = printed(wtd(&[keeper], &[], &["timeline"]).await);
     let lines: Vec<&str> = text.lines().collect();
     assert_eq!(lines.len(), 2);
     assert!(lines[0].starts_with("1970-01-01 00:00:00.001 UTC +0 south-1/entry request_received"));
     let north = printed(wtd(&[keeper], &[], &["timeline", "--host", "north-1"]).await);
     assert_eq!(north.lines().count(), 1);
+    assert_eq!(server.seen("GET /timeline?newest=2000").len(), 2);
     let none = wtd(&[nobody()], &[], &["timeline"]).await;
     assert_eq!(exit(&none), ExitKind::NoAnswer);
 }
@@ -481,3 +483,22 @@
         ExitKind::NoAnswer
     );
 }
+
+#[tokio::test]
+async fn status_warns_of_two_configurations_with_one_number() {
+    let mut other = status(vec![]);
+    other.host = "south-1".into();
+    let same = accepting_with(other.clone()).start().await;
+    other.head.hash = "another".into();
+    let forked = accepting_with(other).start().await;
+    let keeper = accepting().start().await;
+    let cases = [(vec![keeper, same], 0), (vec![keeper, same, forked], 1)];
+    for (keepers, expected) in cases {
+        let answer = wtd(&keepers, &[], &["status"]).await.expect("a status");
+        assert_eq!(answer.warnings.len(), expected, "{:?}", answer.warnings);
+        let named = answer.warnings.iter().all(|warning| {
+            warning.starts_with("north-1 and south-1 hold different configurations 2")
+        });
+        assert!(named, "{:?}", answer.warnings);
+    }
+}
