--- a/wagtaildoor_bench/src/cli.rs
+++ b/wagtaildoor_bench/src/cli.rs
@@ -6,7 +6,9 @@
 };
 
 use crate::{
+    capacity,
     latency,
+    once,
     orders,
     policy, //
 };
@@ -31,8 +33,10 @@
         .version(env!("CARGO_PKG_VERSION"))
         .about("Load tool and policy experiments of wagtaildoor")
         .subcommand_required(true)
+        .subcommand(capacity::command())
         .subcommand(latency::command())
         .subcommand(orders::command())
+        .subcommand(once::command())
         .subcommand(policy::command())
 }
 
@@ -40,8 +44,10 @@
 pub async fn run(matches: ArgMatches) -> Result<()> {
     let (name, matches) = matches.subcommand().expect("clap requires a command");
     match name {
+        capacity::NAME => capacity::run(matches).await,
         latency::NAME => latency::run(matches).await,
         orders::NAME => orders::run(matches).await,
+        once::NAME => once::run(matches),
         policy::NAME => policy::run(matches),
         other => unreachable!("clap knows no bench {other}"),
     }
