Roll weights out when an operator asks a keeper

Cause: the roll-out driver of the library was connected to nothing, and wtd rollout raised the version in force at once: requests would have found no engine until somebody loaded it by hand. A keeper now drives a roll-out on request, over the engines' own state and orders, and raises in between. Where it stands is read back each time, so another keeper can go on.

Ruled out: the target as a part of the configuration. It would say that weights are wanted without anybody being asked to bring them in.

The share of silent replicas stands for errors; a keeper does not see failed requests.

--- a/extra/completions/wtd.fish
+++ b/extra/completions/wtd.fish
@@ -35,7 +35,7 @@
 complete -c wtd -n "__fish_wtd_needs_command" -f -a "explain" -d 'Says in sentences what happened to a request, why, and whether it ran'
 complete -c wtd -n "__fish_wtd_needs_command" -f -a "timeline" -d 'Shows the events of all processes, causes before effects'
 complete -c wtd -n "__fish_wtd_needs_command" -f -a "unresolved" -d 'Shows orders of which it is not known whether they ran, or settles one'
-complete -c wtd -n "__fish_wtd_needs_command" -f -a "rollout" -d 'Shows which weights the endpoints serve, or raises a pool\'s weights'
+complete -c wtd -n "__fish_wtd_needs_command" -f -a "rollout" -d 'Shows which weights the endpoints serve, or rolls newer ones out'
 complete -c wtd -n "__fish_wtd_needs_command" -f -a "completions" -d 'Prints a completion script for a shell'
 complete -c wtd -n "__fish_wtd_needs_command" -f -a "man" -d 'Prints the man page of the tool, or writes those of all verbs'
 complete -c wtd -n "__fish_wtd_needs_command" -f -a "help" -d 'Print this message or the help of the given subcommand(s)'
@@ -86,7 +86,7 @@
 complete -c wtd -n "__fish_wtd_using_subcommand unresolved" -l settings -d 'INI file with the settings of this tool' -r -F
 complete -c wtd -n "__fish_wtd_using_subcommand unresolved" -l json -d 'Print JSON instead of text'
 complete -c wtd -n "__fish_wtd_using_subcommand unresolved" -s h -l help -d 'Print help'
-complete -c wtd -n "__fish_wtd_using_subcommand rollout" -l to -d 'Raise the pool\'s weights to this version' -r
+complete -c wtd -n "__fish_wtd_using_subcommand rollout" -l to -d 'Bring this weights version into service, replica by replica' -r
 complete -c wtd -n "__fish_wtd_using_subcommand rollout" -l note -d 'Why, for the record' -r
 complete -c wtd -n "__fish_wtd_using_subcommand rollout" -l settings -d 'INI file with the settings of this tool' -r -F
 complete -c wtd -n "__fish_wtd_using_subcommand rollout" -l json -d 'Print JSON instead of text'
@@ -104,7 +104,7 @@
 complete -c wtd -n "__fish_wtd_using_subcommand help; and not __fish_seen_subcommand_from check publish amend templates status explain timeline unresolved rollout completions man help" -f -a "explain" -d 'Says in sentences what happened to a request, why, and whether it ran'
 complete -c wtd -n "__fish_wtd_using_subcommand help; and not __fish_seen_subcommand_from check publish amend templates status explain timeline unresolved rollout completions man help" -f -a "timeline" -d 'Shows the events of all processes, causes before effects'
 complete -c wtd -n "__fish_wtd_using_subcommand help; and not __fish_seen_subcommand_from check publish amend templates status explain timeline unresolved rollout completions man help" -f -a "unresolved" -d 'Shows orders of which it is not known whether they ran, or settles one'
-complete -c wtd -n "__fish_wtd_using_subcommand help; and not __fish_seen_subcommand_from check publish amend templates status explain timeline unresolved rollout completions man help" -f -a "rollout" -d 'Shows which weights the endpoints serve, or raises a pool\'s weights'
+complete -c wtd -n "__fish_wtd_using_subcommand help; and not __fish_seen_subcommand_from check publish amend templates status explain timeline unresolved rollout completions man help" -f -a "rollout" -d 'Shows which weights the endpoints serve, or rolls newer ones out'
 complete -c wtd -n "__fish_wtd_using_subcommand help; and not __fish_seen_subcommand_from check publish amend templates status explain timeline unresolved rollout completions man help" -f -a "completions" -d 'Prints a completion script for a shell'
 complete -c wtd -n "__fish_wtd_using_subcommand help; and not __fish_seen_subcommand_from check publish amend templates status explain timeline unresolved rollout completions man help" -f -a "man" -d 'Prints the man page of the tool, or writes those of all verbs'
 complete -c wtd -n "__fish_wtd_using_subcommand help; and not __fish_seen_subcommand_from check publish amend templates status explain timeline unresolved rollout completions man help" -f -a "help" -d 'Print this message or the help of the given subcommand(s)'
--- a/scripts/deployment.bash
+++ b/scripts/deployment.bash
@@ -62,6 +62,7 @@
             apps=(1 1 1)
             slots=2
             keys=
+            fencing=--checks-fencing
             token=demo-house-desk
             ;;
         permits)
@@ -74,6 +75,7 @@
             apps=(1 1 1 1)
             slots=3
             keys=--checks-keys
+            fencing=
             token=demo-front-counter
             ;;
         *) return 1 ;;
@@ -96,7 +98,8 @@
         count=$((replicas[index] * $1 / 100))
         [ "$count" -ge 1 ] || count=1
         for ((number = 1; number <= count; number++)); do
-            start "$model-$domain-$number" "$bin/wtd-fakes" engine \
+            # shellcheck disable=SC2086 # An empty option is no option.
+            start "$model-$domain-$number" "$bin/wtd-fakes" engine $fencing \
                 --address "$net.$((index + 1)).$((100 + number)):9000" \
                 --id "$model-$domain-$number" --pool "$model" --domain "$domain" \
                 --register "http://$platform" --weights "http://$platform"
--- a/wagtaildoor/src/schema.rs
+++ b/wagtaildoor/src/schema.rs
@@ -2223,6 +2223,68 @@
         value.clone()
     }
 }
+///Answer to POST /rollout: 200 when it is under way, else 409 or 422.
+#[derive(::serde::Deserialize, ::serde::Serialize, Clone, Debug, PartialEq)]
+#[serde(deny_unknown_fields)]
+pub struct RolloutAnswer {
+    ///What happened, as a sentence.
+    pub reason: ::std::boxed::Box<str>,
+    ///The keeper drives it, as soon as it has the pool's lease.
+    pub started: bool,
+}
+impl ::std::convert::From<&RolloutAnswer> for RolloutAnswer {
+    fn from(value: &RolloutAnswer) -> Self {
+        value.clone()
+    }
+}
+///Body of POST /rollout: bring newer weights into service, replica by replica.
+#[derive(::serde::Deserialize, ::serde::Serialize, Clone, Debug, PartialEq)]
+#[serde(deny_unknown_fields)]
+pub struct RolloutCall {
+    ///Why, in the operator's words.
+    pub note: ::std::boxed::Box<str>,
+    ///Who asks for it.
+    pub operator: ::std::boxed::Box<str>,
+    ///Pool.
+    pub pool: crate::ids::PoolId,
+    ///Weights version to go to.
+    pub version: u64,
+}
+impl ::std::convert::From<&RolloutCall> for RolloutCall {
+    fn from(value: &RolloutCall) -> Self {
+        value.clone()
+    }
+}
+///Answer to GET /rollouts.
+#[derive(::serde::Deserialize, ::serde::Serialize, Clone, Debug, PartialEq)]
+#[serde(deny_unknown_fields)]
+pub struct RolloutPage {
+    ///Roll-outs, in the order they were asked for.
+    pub rollouts: ::std::vec::Vec<RolloutStory>,
+}
+impl ::std::convert::From<&RolloutPage> for RolloutPage {
+    fn from(value: &RolloutPage) -> Self {
+        value.clone()
+    }
+}
+///A roll-out that a keeper was asked for since its start.
+#[derive(::serde::Deserialize, ::serde::Serialize, Clone, Debug, PartialEq)]
+#[serde(deny_unknown_fields)]
+pub struct RolloutStory {
+    ///How it ended, as a sentence; null while it is under way.
+    pub ended: ::std::option::Option<::std::boxed::Box<str>>,
+    ///Who asked for it.
+    pub operator: ::std::boxed::Box<str>,
+    ///Pool.
+    pub pool: crate::ids::PoolId,
+    ///Weights version to go to.
+    pub version: u64,
+}
+impl ::std::convert::From<&RolloutStory> for RolloutStory {
+    fn from(value: &RolloutStory) -> Self {
+        value.clone()
+    }
+}
 ///Where the keeper listens.
 #[derive(::serde::Deserialize, ::serde::Serialize, Clone, Debug, PartialEq)]
 #[serde(deny_unknown_fields)]
--- a/wagtaildoor_keeper/src/lib.rs
+++ b/wagtaildoor_keeper/src/lib.rs
@@ -6,6 +6,7 @@
 pub mod operators;
 pub mod peers;
 pub mod platform_list;
+pub mod rollouts;
 pub mod server;
 pub mod state;
 pub mod view_builder;
--- a/wagtaildoor_keeper/src/operators.rs
+++ b/wagtaildoor_keeper/src/operators.rs
@@ -48,6 +48,9 @@
         PublishAnswer,
         PublishCall,
         PublishRefusal,
+        RolloutAnswer,
+        RolloutCall,
+        RolloutPage,
         SettleAnswer,
         UnresolvedOrder,
         UnresolvedPage, //
@@ -58,6 +61,7 @@
 
 use crate::{
     metrics::MetricReadings,
+    rollouts::RolloutRefusal,
     state::KeeperState, //
 };
 
@@ -87,6 +91,8 @@
         unresolved,
         publish,
         settle,
+        rollout,
+        rollouts,
         metrics,
         timeline
     ];
@@ -298,6 +304,45 @@
     Err((Status::Conflict, Json(answer)))
 }
 
+/// Starts a roll-out of weights.
+#[post("/rollout", data = "<call>")]
+fn rollout(state: &Shared, call: Json<RolloutCall>) -> Answer<RolloutAnswer, RolloutAnswer> {
+    let call = call.into_inner();
+    let detail = format!(
+        "{} asked for weights {} of pool {}: {}",
+        call.operator, call.version, call.pool, call.note
+    );
+    match state.rollouts.start(state, call, state.token.child_token()) {
+        Ok(()) => {
+            state.note(EventKind::RolloutStep, detail);
+            Ok(Json(RolloutAnswer {
+                reason: "this keeper drives it once it has the pool's lease".into(),
+                started: true,
+            }))
+        }
+        Err(refusal) => {
+            let status = match refusal {
+                RolloutRefusal::UnderWay(_) => Status::Conflict,
+                RolloutRefusal::NoPool(_) | RolloutRefusal::Older { .. } => {
+                    Status::UnprocessableEntity
+                }
+            };
+            let answer = RolloutAnswer {
+                reason: refusal.to_string().into(),
+                started: false,
+            };
+            Err((status, Json(answer)))
+        }
+    }
+}
+
+/// Roll-outs that this keeper was asked for.
+#[get("/rollouts")]
+fn rollouts(state: &Shared) -> Json<RolloutPage> {
+    let rollouts = state.rollouts.stories();
+    Json(RolloutPage { rollouts })
+}
+
 /// Metrics, as text.
 #[get("/metrics")]
 fn metrics(state: &Shared) -> (ContentType, String) {
--- a/wagtaildoor_keeper/src/server.rs
+++ b/wagtaildoor_keeper/src/server.rs
@@ -60,6 +60,7 @@
     operators,
     peers,
     platform_list,
+    rollouts::RolloutDesk,
     state::KeeperState,
     view_builder, //
 };
@@ -199,6 +200,9 @@
         hosts: member.hosts(),
         member,
         gate: DrainGate::new(),
+        rollouts: RolloutDesk::default(),
+        engines: Client::builder().no_proxy().build()?,
+        token: token.child_token(),
         metrics: KeeperMetrics::new()?,
         started: Instant::now(),
         store,
--- a/wagtaildoor_keeper/src/state.rs
+++ b/wagtaildoor_keeper/src/state.rs
@@ -1,10 +1,12 @@
 //! What all tasks of one keeper share.
 
+use reqwest::Client;
 use slog::Logger;
 use tokio::{
     sync::watch,
     time::Instant, //
 };
+use tokio_util::sync::CancellationToken;
 use wagtaildoor::{
     claim_service::ClaimService,
     config_follower::ConfigFollower,
@@ -26,7 +28,10 @@
     view_board::ViewBoard,
 };
 
-use crate::metrics::KeeperMetrics;
+use crate::{
+    metrics::KeeperMetrics,
+    rollouts::RolloutDesk, //
+};
 
 /// State of one keeper.
 pub struct KeeperState {
@@ -56,6 +61,12 @@
     pub hosts: watch::Receiver<Vec<HostView>>,
     /// Work in hand, which a shutdown waits for.
     pub gate: DrainGate,
+    /// Roll-outs of weights that were asked for here.
+    pub rollouts: RolloutDesk,
+    /// Client towards engines, for orders.
+    pub engines: Client,
+    /// Ends the tasks of this keeper.
+    pub token: CancellationToken,
     /// Metrics.
     pub metrics: KeeperMetrics,
     /// When this process started.
--- a/wtd/src/cli.rs
+++ b/wtd/src/cli.rs
@@ -263,13 +263,17 @@
 /// Shows and starts roll-outs of weights.
 fn rollout() -> Command {
     Command::new("rollout")
-        .about("Shows which weights the endpoints serve, or raises a pool's weights")
+        .about("Shows which weights the endpoints serve, or rolls newer ones out")
         .arg(Arg::new("pool").value_name("POOL").help("Name of a pool"))
         .arg(
-            option("to", "VERSION", "Raise the pool's weights to this version")
-                .value_parser(value_parser!(u64))
-                .requires("pool")
-                .conflicts_with("json"),
+            option(
+                "to",
+                "VERSION",
+                "Bring this weights version into service, replica by replica",
+            )
+            .value_parser(value_parser!(u64))
+            .requires("pool")
+            .conflicts_with("json"),
         )
         .arg(note())
         .arg(json())
--- a/wtd/src/verbs/rollout.rs
+++ b/wtd/src/verbs/rollout.rs
@@ -15,23 +15,23 @@
         KeeperStatus,
         Pool,
         PoolKind,
-        WeightsChange, //
+        RolloutAnswer,
+        RolloutCall, //
     },
 };
 
 use crate::{
     answer::VerbAnswer,
-    client::OperatorClient,
+    client::{
+        ChangeAnswer,
+        OperatorClient, //
+    },
     exit::{
         Result,
         ToolError, //
     },
     table::TextTable,
-    verbs::{
-        self,
-        amend,
-        publish, //
-    },
+    verbs,
 };
 
 /// How far one pool is in one failure domain.
@@ -57,13 +57,8 @@
     let in_force = held.configuration;
     let wanted = verbs::text(matches, "pool");
     if let (Some(pool), Some(&version)) = (wanted, matches.get_one("to")) {
-        let raise = WeightsChange {
-            pool: pool.into(),
-            version,
-        };
-        let change = amend::checked_raise(&in_force, raise)?;
         let note = verbs::text(matches, "note").unwrap_or_default();
-        return publish::publish(client, held.head, note, vec![change]).await;
+        return start(client, pool, version, note).await;
     }
     let models = in_force
         .pools
@@ -85,6 +80,35 @@
     Ok(VerbAnswer::of(json, &reports, |reports| text(reports)))
 }
 
+/// Asks a keeper to drive a roll-out.
+async fn start(
+    client: &OperatorClient,
+    pool: &str,
+    version: WeightsVersion,
+    note: &str,
+) -> Result<VerbAnswer> {
+    let call = RolloutCall {
+        note: note.into(),
+        operator: client.settings.name.clone(),
+        pool: pool.into(),
+        version,
+    };
+    match client
+        .change::<_, RolloutAnswer, RolloutAnswer>("/rollout", &call)
+        .await?
+    {
+        ChangeAnswer::Accepted(answer) => {
+            let reason = answer.reason;
+            let text = format!(
+                "The roll-out of pool {pool} to weights {version} is under way: {reason}.\n\
+                 `wtd rollout {pool}` shows how far it is.\n"
+            );
+            Ok(VerbAnswer::text(text))
+        }
+        ChangeAnswer::Refused(answer) => Err(ToolError::NotAccepted(answer.reason)),
+    }
+}
+
 /// How far a pool is in each failure domain.
 fn reports(pool: &Pool, endpoints: &[EndpointView]) -> Vec<RolloutReport> {
     let mut domains: BTreeMap<DomainId, BTreeMap<WeightsVersion, usize>> = BTreeMap::new();
