--- a/wagtaildoor_bench/src/cli.rs
+++ b/wagtaildoor_bench/src/cli.rs
@@ -35,8 +35,8 @@
         .subcommand_required(true)
         .subcommand(capacity::command())
         .subcommand(latency::command())
-        .subcommand(once::command())
         .subcommand(orders::command())
+        .subcommand(once::command())
         .subcommand(policy::command())
 }
 
@@ -46,8 +46,8 @@
     match name {
         capacity::NAME => capacity::run(matches).await,
         latency::NAME => latency::run(matches).await,
-        once::NAME => once::run(matches),
         orders::NAME => orders::run(matches).await,
+        once::NAME => once::run(matches),
         policy::NAME => policy::run(matches),
         other => unreachable!("clap knows no bench {other}"),
     }
