--- a/wagtaildoor_keeper/src/peers.rs
+++ b/wagtaildoor_keeper/src/peers.rs
@@ -37,6 +37,11 @@
 /// Wait after a peer's configuration could not be read.
 const CATCH_UP_PAUSE: Duration = Duration::from_millis(200);
 
+/// Age of the log's last answer up to which it counts as answering.
+const LOG_FRESH: Duration = Duration::from_secs(2);
+/// How long a keeper waits for the log before it asks a peer.
+const LOG_FIRST: Duration = Duration::from_secs(1);
+
 /// Joins the peers.
 pub async fn join(
     settings: &KeeperSettings,
@@ -100,6 +105,9 @@
     loop {
         hosts.mark_unchanged();
         let round = async {
+            if state.member.newest_head().is_some() {
+                leave_to_log(&state).await;
+            }
             match state.member.newest_head() {
                 Some(peer) => take_over(&state, &client, &peer).await,
                 None => hosts.changed().await.is_ok(),
@@ -114,6 +122,15 @@
     }
 }
 
+/// Gives a log that answers the time to bring the newer configuration itself: it sends only
+/// the change, and a peer the whole.
+async fn leave_to_log(state: &KeeperState) {
+    let seen = state.config.watch().borrow().log_seen;
+    if seen.is_some_and(|seen| seen.elapsed() < LOG_FRESH) {
+        time::sleep(LOG_FIRST).await;
+    }
+}
+
 /// Takes over the configuration of one peer; false when it could not be had.
 async fn take_over(state: &KeeperState, client: &Client, peer: &HostView) -> bool {
     let held = match read(client, peer).await {
