Write checkpoints from keepers; stop scripts that meet a foreign process

Cause: the library's writer of checkpoints was connected to nothing, so that the chain's start would have left the log with its retention. One keeper, under a lease, writes them now.

Also: a stand-in of the platform left over from a demo that failed at 04:52 held its address, and later scripts talked to it instead of their own without a word: the publisher's proof of orders, its mutation and the roll-out among them. Scripts now end when a process they started has ended.

--- a/scripts/deployment.bash
+++ b/scripts/deployment.bash
@@ -48,6 +48,13 @@
     exit 1
 }
 
+# must_run NAME: fails when a process has ended, say because another holds its address.
+must_run() {
+    kill -0 "${pid[$1]}" 2>/dev/null && return
+    echo "${0##*/}: $1 has ended" >&2
+    exit 1
+}
+
 # choose_deployment publisher|permits: sets the shape of a deployment.
 choose_deployment() {
     deployment=$1
@@ -87,6 +94,7 @@
 start_platform() {
     start platform "$bin/wtd-fakes" platform --address "$platform" --load-slots "$slots"
     until_ready "http://$platform/list"
+    must_run platform
 }
 
 # start_endpoints PERCENT: starts that share of the model replicas, and all app replicas.
@@ -135,6 +143,9 @@
     for index in "${keepers[@]}"; do
         until_ready "http://$index/health"
     done
+    for index in "${!pid[@]}"; do
+        must_run "$index"
+    done
 }
 
 # start_keeper HOST and start_entry HOST: start a process of a host.
--- a/wagtaildoor_keeper/src/server.rs
+++ b/wagtaildoor_keeper/src/server.rs
@@ -25,9 +25,11 @@
     time::Instant,
 };
 use tokio_util::sync::CancellationToken;
+use uuid::Uuid;
 use wagtaildoor::{
     claim_policy::ClaimPolicy,
     claim_service::ClaimService,
+    config_checkpoint::ConfigCheckpointer,
     config_follower::ConfigFollower,
     drain_gate::{
         DrainGate,
@@ -217,6 +219,7 @@
     let shared = || Arc::clone(state);
     tokio::spawn(state.config.clone().run());
     tokio::spawn(state.claims.clone().run());
+    tokio::spawn(checkpointer(state).run(token.clone()));
     tokio::spawn(view_builder::run(shared(), token.clone()));
     tokio::spawn(peers::tell_heads(shared(), token.clone()));
     tokio::spawn(peers::tell_hosts(shared(), token.clone()));
@@ -225,6 +228,13 @@
     tokio::spawn(platform_list::run(shared(), client, token.clone()));
 }
 
+/// Writes checkpoints of the configuration, when no other host does.
+fn checkpointer(state: &KeeperState) -> ConfigCheckpointer<HttpLog> {
+    let name = format!("{}/{}", state.settings.host.name, Uuid::new_v4());
+    let retention = Duration::from_millis(state.settings.platform.retention_ms);
+    ConfigCheckpointer::new(state.store.clone(), state.config.clone(), &name, retention)
+}
+
 /// Passes cache news of the endpoints on to the entries, until cancelled.
 async fn pass_news_on(state: Arc<KeeperState>, token: CancellationToken) {
     let mut news = state.watch.news();
