Drop an error kind that nothing gives; note what an entry takes over

No entry refuses a request for leaving: it serves until the balancer has gone, so shutting_down was a promise of a refusal that never comes. The event view_taken was never recorded, so that the time line did not tell when an entry, rather than its keeper, had a configuration. The folder of a test's files stood twice, word for word.

--- a/wagtaildoor/src/error.rs
+++ b/wagtaildoor/src/error.rs
@@ -83,9 +83,6 @@
     /// This entry holds no configuration yet.
     #[display("not_configured")]
     NotConfigured,
-    /// This entry is shutting down.
-    #[display("shutting_down")]
-    ShuttingDown,
     /// The endpoint refused the request and said that it did not run.
     #[display("endpoint_refused")]
     EndpointRefused,
@@ -126,7 +123,7 @@
 
 impl ErrorKind {
     /// Every kind, in the order of the documentation.
-    pub const ALL: [ErrorKind; 27] = [
+    pub const ALL: [ErrorKind; 26] = [
         ErrorKind::BadRequest,
         ErrorKind::BodyTooLarge,
         ErrorKind::BodyTimeout,
@@ -147,7 +144,6 @@
         ErrorKind::NoEndpoint,
         ErrorKind::PlatformUnavailable,
         ErrorKind::NotConfigured,
-        ErrorKind::ShuttingDown,
         ErrorKind::EndpointRefused,
         ErrorKind::EndpointFailed,
         ErrorKind::StreamBroken,
@@ -180,7 +176,6 @@
             ErrorKind::NoEndpoint => (503, NotRun, RETRY_SOON),
             ErrorKind::PlatformUnavailable => (503, Unknown, RETRY_LATER),
             ErrorKind::NotConfigured => (503, NotRun, RETRY_SOON),
-            ErrorKind::ShuttingDown => (503, NotRun, RETRY_SOON),
             ErrorKind::EndpointRefused => (502, NotRun, RETRY_SOON),
             ErrorKind::EndpointFailed => (502, Unknown, RETRY_SOON),
             ErrorKind::StreamBroken => (502, Unknown, RETRY_SOON),
@@ -219,8 +214,7 @@
             | ErrorKind::Overloaded
             | ErrorKind::DeadlineUnreachable
             | ErrorKind::NoEndpoint
-            | ErrorKind::NotConfigured
-            | ErrorKind::ShuttingDown => ErrorKind::KeyUnchecked,
+            | ErrorKind::NotConfigured => ErrorKind::KeyUnchecked,
             kind => kind,
         }
     }
--- a/wagtaildoor/tests/error.rs
+++ b/wagtaildoor/tests/error.rs
@@ -49,7 +49,6 @@
         ErrorKind::DeadlineUnreachable,
         ErrorKind::NoEndpoint,
         ErrorKind::NotConfigured,
-        ErrorKind::ShuttingDown,
     ];
     for kind in shortages {
         assert_eq!(kind.before_claim(), ErrorKind::KeyUnchecked, "{kind}");
--- a/wagtaildoor_entry/src/server.rs
+++ b/wagtaildoor_entry/src/server.rs
@@ -149,6 +149,7 @@
 async fn feed_table(state: Arc<EntryState>, token: CancellationToken) {
     let mut view = state.view.clone();
     let mut news = state.link.news();
+    let mut shown = 0;
     loop {
         tokio::select! {
             () = token.cancelled() => return,
@@ -160,6 +161,7 @@
                 if let Some(held) = held {
                     state.table.take_view(&held.view);
                     state.admission.set_hosts(live_hosts(&held.view));
+                    note_view(&state, &mut shown, held.view.head.sequence);
                 }
             }
             item = news.recv() => match item {
@@ -173,6 +175,16 @@
     }
 }
 
+/// Notes each configuration that this entry takes over, once.
+fn note_view(state: &EntryState, shown: &mut u64, sequence: u64) {
+    if sequence <= *shown {
+        return;
+    }
+    *shown = sequence;
+    let detail = format!("configuration {sequence} is in force here");
+    note(state, EventKind::ViewTaken, detail);
+}
+
 /// Entry hosts that share the accounts' limits, this one included.
 fn live_hosts(view: &KeeperView) -> u32 {
     let live = view.hosts.iter().filter(|host| host.alive).count();
--- a/wtd/tests/tls.rs
+++ b/wtd/tests/tls.rs
@@ -27,7 +27,7 @@
     run,
 };
 
-#[path = "support/folder.rs"]
+#[path = "../../wagtaildoor/tests/support/folder.rs"]
 mod folder;
 
 use folder::TestFolder;
--- a/wtd/tests/verbs.rs
+++ b/wtd/tests/verbs.rs
@@ -42,7 +42,7 @@
 
 #[path = "support/canned_server.rs"]
 mod canned_server;
-#[path = "support/folder.rs"]
+#[path = "../../wagtaildoor/tests/support/folder.rs"]
 mod folder;
 
 use canned_server::CannedServer;
