--- a/wagtaildoor_bench/src/policy.rs
+++ b/wagtaildoor_bench/src/policy.rs
@@ -36,6 +36,7 @@
 pub mod engine_model;
 pub mod event_queue;
 pub mod report;
+pub mod run_event;
 pub mod run_figures;
 pub mod run_world;
 pub mod workload;
--- a/wagtaildoor_bench/src/policy/run_world.rs
+++ b/wagtaildoor_bench/src/policy/run_world.rs
@@ -28,6 +28,10 @@
         EngineModel, //
     },
     event_queue::EventQueue,
+    run_event::{
+        RequestProgress,
+        RunEvent, //
+    },
     run_figures::RunFigures,
     workload::{
         RunMicros,
@@ -61,105 +65,6 @@
 /// Retries for each hundred first attempts.
 const RETRY_PERCENT: u32 = 10;
 
-/// What happens.
-#[derive(Debug)]
-enum RunEvent {
-    /// A request comes to its host.
-    Arrive(usize),
-    /// A request comes to an engine.
-    Reach {
-        /// Engine.
-        engine: usize,
-        /// Work.
-        job: EngineJob,
-    },
-    /// A prefill ends.
-    Prefilled {
-        /// Engine.
-        engine: usize,
-        /// Start of the engine.
-        starts: u32,
-        /// Prompt tokens found in the cache.
-        cached_tokens: u64,
-        /// Work.
-        job: EngineJob,
-    },
-    /// An answer ends at its engine.
-    Ended {
-        /// Start of the engine.
-        starts: u32,
-        /// What the answer says.
-        head: AnswerHead,
-        /// Work.
-        job: EngineJob,
-    },
-    /// A host has the head of an answer.
-    Heard {
-        /// Request.
-        request: usize,
-        /// Attempt.
-        attempt: u32,
-        /// What the head says.
-        head: AnswerHead,
-    },
-    /// A host has the first token.
-    FirstToken {
-        /// Request.
-        request: usize,
-        /// Attempt.
-        attempt: u32,
-        /// What the answer says.
-        head: AnswerHead,
-    },
-    /// A host has the whole answer.
-    Answered {
-        /// Request.
-        request: usize,
-        /// Attempt.
-        attempt: u32,
-        /// What the answer says.
-        head: AnswerHead,
-    },
-    /// A host hears that an attempt failed.
-    Failed {
-        /// Request.
-        request: usize,
-        /// Attempt.
-        attempt: u32,
-        /// Engine.
-        engine: usize,
-    },
-    /// Engines give their reports.
-    Report,
-    /// Hosts have a report.
-    Reported(EngineReport),
-    /// Engines publish cache events.
-    Publish,
-    /// Hosts have a cache event.
-    News(PrefixNews),
-    /// An engine crashes.
-    Crash(usize),
-    /// An engine is back.
-    Start(usize),
-    /// All entries restart.
-    Restart,
-}
-
-/// How far a request is.
-#[derive(Clone, Debug, Default)]
-struct RequestProgress {
-    /// Attempts so far.
-    attempts: u32,
-    /// Engines that failed it.
-    failed: Vec<usize>,
-    /// Its first token was had.
-    started: bool,
-    /// It ended.
-    ended: bool,
-    /// Its entry restarted since, and knows nothing of it.
-    forgotten: bool,
-}
-
 /// One run of one policy.
 pub struct RunWorld<'a, D> {
     /// Deployment.
