Refuse a request with two different idempotency keys

Cause: the first of two headers was used and the other dropped without a word, so that a caller's proxy that adds its own key could make two orders of one, or one of two. Several keys that differ are no key now, and are refused as key_malformed, naming them; the same key twice is one key.

Seen to fail first: the new test got the service's answer instead of a refusal.

--- a/wagtaildoor_entry/src/caller_head.rs
+++ b/wagtaildoor_entry/src/caller_head.rs
@@ -18,7 +18,7 @@
 pub struct CallerHead {
     /// Bearer token.
     pub token: Option<Box<str>>,
-    /// Idempotency key.
+    /// Idempotency key; several that differ stand side by side, and are then no key.
     pub key: Option<Box<str>>,
 }
 
@@ -32,7 +32,9 @@
             .get_one("authorization")
             .and_then(|value| value.strip_prefix(BEARER))
             .map(Box::from);
-        let key = headers.get_one("idempotency-key").map(Box::from);
+        let mut keys: Vec<&str> = headers.get("idempotency-key").collect();
+        keys.dedup();
+        let key = (!keys.is_empty()).then(|| keys.join(", ").into());
         Outcome::Success(Self { token, key })
     }
 }
--- a/wagtaildoor_entry/tests/callers/refusals.rs
+++ b/wagtaildoor_entry/tests/callers/refusals.rs
@@ -338,6 +338,18 @@
     }
 }
 
+#[tokio::test(flavor = "multi_thread")]
+async fn two_keys_on_one_request_are_refused() {
+    let rig = EntryRig::start().await;
+    let mut call = rig.post(ORDER, DESK_TOKEN).json(&json!({}));
+    for _ in 0..2 {
+        call = call.header("idempotency-key", Uuid::now_v7().to_string());
+    }
+    let answer = call.send().await.expect("an answer");
+    check_refusal("two keys", answer, ErrorKind::KeyMalformed).await;
+    assert_eq!(rig.endpoint_calls(), 0);
+}
+
 #[tokio::test(flavor = "multi_thread")]
 async fn a_key_that_has_run_gets_its_recorded_answer() {
     let rig = EntryRig::start().await;
