Give model and service runs one context

Cause: seven fields, the deadline, admission and placement stood in both kinds of run. They stand once, in RunContext; a run adds only what it asks for. The words for a service without an endpoint are now those for a model, which name what is missing.

--- a/wagtaildoor_entry/src/engine_attempt.rs
+++ b/wagtaildoor_entry/src/engine_attempt.rs
@@ -88,7 +88,7 @@
     ///
     /// `received` counts the pieces that the caller has, those of earlier attempts too.
     pub async fn run(self, levels: &[LevelPrefix], received: &mut u64) -> AttemptEnd {
-        let table = &self.run.state.table;
+        let table = &self.run.context.state.table;
         let mut ticket = table.dispatched(self.choice, now());
         self.note_dispatched(*received);
         let end = match self.stream(&mut ticket, received).await {
@@ -116,14 +116,14 @@
         let (word, chunks) = self.open(&request, first).await?;
         self.hear(ticket, &word)?;
         let mut chunks = std::pin::pin!(chunks);
-        let request_id = self.run.request.clone();
+        let request_id = self.run.context.request.clone();
         let mut check = StreamCheck::new(request_id, self.attempt.clone(), *received);
         let mut limit = first;
         loop {
             let chunk = self.next(&mut chunks, &check, limit).await?;
             match check.accept(chunk) {
                 Ok(Accepted::Chunk(text)) => {
-                    self.run.state.table.first_token(ticket, now());
+                    self.run.context.state.table.first_token(ticket, now());
                     if *received == 0 {
                         self.begin().await?;
                     }
@@ -148,9 +148,9 @@
         EndpointWord,
         impl Stream<Item = engine_call::Result<EngineChunk>>,
     )> {
-        let client = &self.run.state.clients.repeatable;
+        let client = &self.run.context.state.clients.repeatable;
         let opened = engine_call::generate(client, self.choice.address, request);
-        let opened = tokio::time::timeout_at(limit.min(self.run.deadline()), opened);
+        let opened = tokio::time::timeout_at(limit.min(self.run.context.deadline()), opened);
         let opened = tokio::select! {
             opened = opened => opened,
             () = self.run.events.closed() => return Err(AttemptEnd::CallerGone),
@@ -170,8 +170,8 @@
             self.note_restart();
         }
         let news = word.news(&self.choice.endpoint);
-        self.run.state.table.heard(ticket, &news, now());
-        let asked = self.run.pool.weights_version;
+        self.run.context.state.table.heard(ticket, &news, now());
+        let asked = self.run.context.pool.weights_version;
         if word.weights_version != 0 && word.weights_version != asked {
             return Err(AttemptEnd::Failed(CallError::OtherWeights));
         }
@@ -188,7 +188,7 @@
     where
         S: Stream<Item = engine_call::Result<EngineChunk>> + Unpin,
     {
-        let limit = limit.min(self.run.deadline());
+        let limit = limit.min(self.run.context.deadline());
         let next = tokio::select! {
             next = tokio::time::timeout_at(limit, chunks.next()) => next,
             () = self.run.events.closed() => return Err(AttemptEnd::CallerGone),
@@ -206,24 +206,24 @@
         let run = self.run;
         let levels = &run.prompt.levels;
         EngineRequest {
-            adapter: run.template.adapter.clone(),
+            adapter: run.context.template.adapter.clone(),
             attempt_id: self.attempt.clone(),
-            cache_salt: prefix::cache_salt(&run.account.id),
+            cache_salt: prefix::cache_salt(&run.context.account.id),
             levels: levels.iter().map(|level| level.end_bytes as u64).collect(),
             max_tokens: run.max_tokens,
-            model: run.pool.id.clone(),
-            priority: priority(run.template.urgency),
+            model: run.context.pool.id.clone(),
+            priority: priority(run.context.template.urgency),
             prompt: run.prompt.text.clone(),
-            request_id: run.request.clone(),
+            request_id: run.context.request.clone(),
             resume_from,
-            weights_version: run.pool.weights_version,
+            weights_version: run.context.pool.weights_version,
         }
     }
 
     /// Tells the caller where its answer comes from.
     async fn begin(&self) -> Step<()> {
-        let time = self.run.received.elapsed();
-        self.run.state.metrics.first_token(time);
+        let time = self.run.context.received.elapsed();
+        self.run.context.state.metrics.first_token(time);
         let detail = format!("first token after {} ms", time.as_millis());
         self.note(EventKind::FirstToken, detail);
         let start = RunStart {
@@ -236,7 +236,7 @@
     /// Passes an event on to the caller, who has until the deadline to make room for it.
     async fn pass_on(&self, event: RunEvent) -> Step<()> {
         let sent = self.run.events.send(event);
-        match tokio::time::timeout_at(self.run.deadline(), sent).await {
+        match tokio::time::timeout_at(self.run.context.deadline(), sent).await {
             Ok(Ok(())) => Ok(()),
             Ok(Err(_)) => Err(AttemptEnd::CallerGone),
             Err(_) => Err(AttemptEnd::Late),
@@ -245,12 +245,12 @@
 
     /// How long the attempt may take to its first chunk.
     fn first_chunk_timeout(&self) -> Duration {
-        Duration::from_millis(self.run.template.first_token_ms) * FIRST_CHUNK_TARGETS
+        Duration::from_millis(self.run.context.template.first_token_ms) * FIRST_CHUNK_TARGETS
     }
 
     /// The end of an attempt that stayed silent.
     fn silent(&self, detail: &str) -> AttemptEnd {
-        if Instant::now() >= self.run.deadline() {
+        if Instant::now() >= self.run.context.deadline() {
             return AttemptEnd::Late;
         }
         broken(detail)
@@ -258,7 +258,7 @@
 
     /// Tells the keeper what the answer said of its endpoint.
     fn tell(&self, done: &EngineDone) {
-        self.run.state.link.tell(EndpointNews {
+        self.run.context.state.link.tell(EndpointNews {
             boot_id: done.boot_id.clone(),
             endpoint: self.choice.endpoint.clone(),
             queued: done.queued,
@@ -268,10 +268,10 @@
 
     /// Tells the engine, in a task of its own, that the attempt is over.
     fn cancel(&self) {
-        let client = self.run.state.clients.repeatable.clone();
+        let client = self.run.context.state.clients.repeatable.clone();
         let address = self.choice.address;
         let attempt = self.attempt.clone();
-        self.run.state.runs.spawn(async move {
+        self.run.context.state.runs.spawn(async move {
             // An engine that cannot be reached has nothing to cancel.
             let call = engine_call::cancel(&client, address, &attempt);
             let _ = tokio::time::timeout(CHUNK_TIMEOUT, call).await;
@@ -300,7 +300,7 @@
 
     /// Notes a chunk of another request or attempt.
     fn note_crossed(&self) {
-        self.run.state.metrics.crossed();
+        self.run.context.state.metrics.crossed();
         let engine = &self.choice.endpoint;
         let detail = format!("{engine} sent a piece of another answer; it was dropped");
         self.note(EventKind::AnswerCrossed, detail);
@@ -309,7 +309,7 @@
     /// Notes something of this attempt.
     fn note(&self, kind: EventKind, detail: String) {
         let engine = &self.choice.endpoint;
-        self.run.notes.note_at(kind, engine, detail);
+        self.run.context.notes.note_at(kind, engine, detail);
     }
 }
 
--- a/wagtaildoor_entry/src/lib.rs
+++ b/wagtaildoor_entry/src/lib.rs
@@ -14,6 +14,7 @@
 pub mod request_notes;
 pub mod request_scope;
 pub mod routes;
+pub mod run_context;
 pub mod server;
 pub mod service_call;
 pub mod service_run;
--- a/wagtaildoor_entry/src/model_run.rs
+++ b/wagtaildoor_entry/src/model_run.rs
@@ -1,14 +1,6 @@
 //! Runs one model request: placement, attempts, retry and resume, until its answer is whole.
 
-use std::{
-    sync::Arc,
-    time::Duration, //
-};
-
-use tokio::{
-    sync::mpsc,
-    time::Instant, //
-};
+use tokio::sync::mpsc;
 use wagtaildoor::{
     admission::AdmissionPermit,
     error::{
@@ -16,37 +8,26 @@
         RequestError,
         RunOutcome, //
     },
-    ids::{
-        EndpointId,
-        RequestId, //
-    },
-    placement::{
-        PlacementChoice,
-        PlacementQuery, //
-    },
+    ids::EndpointId,
+    placement::PlacementChoice,
     prefix::{
         self,
         LevelPrefix, //
     },
     prompt::RenderedPrompt,
     schema::{
-        Account,
         EngineDone,
-        EventKind,
-        Pool,
-        Template, //
+        EventKind, //
     },
 };
 
 use crate::{
-    admit,
     engine_attempt::{
         AttemptEnd,
         EngineAttempt, //
     },
     engine_call::CallError,
-    request_notes::RequestNotes,
-    state::EntryState,
+    run_context::RunContext,
 };
 
 /// Attempts a request gets at most, the first one too.
@@ -76,24 +57,12 @@
 
 /// One request for a model's answer.
 pub struct ModelRun {
-    /// State of the entry.
-    pub state: Arc<EntryState>,
-    /// Request.
-    pub request: RequestId,
-    /// Time line of the request.
-    pub notes: RequestNotes,
-    /// Account that asks.
-    pub account: Account,
-    /// Template in force when the request came.
-    pub template: Template,
-    /// Pool in force when the request came; its weights stay those of the request.
-    pub pool: Pool,
+    /// The request.
+    pub context: RunContext,
     /// Prompt.
     pub prompt: RenderedPrompt,
     /// Longest answer, in tokens.
     pub max_tokens: u32,
-    /// When the request came.
-    pub received: Instant,
     /// Where the answer goes; closed when the caller has gone.
     pub events: mpsc::Sender<RunEvent>,
 }
@@ -109,7 +78,7 @@
         let event = match end {
             Ok(Some(done)) => RunEvent::Done(done),
             Ok(None) => {
-                self.notes.note(
+                self.context.notes.note(
                     EventKind::CallerGone,
                     "the caller went before its answer was whole",
                 );
@@ -132,14 +101,14 @@
         let mut worst = None;
         for attempt in 0..ATTEMPT_LIMIT {
             if attempt == 0 {
-                self.state.retries.first_attempt();
-            } else if received == 0 && !self.state.retries.try_extra() {
+                self.context.state.retries.first_attempt();
+            } else if received == 0 && !self.context.state.retries.try_extra() {
                 // A stream that has begun goes on all the same: its caller holds a part of it.
                 break;
             } else {
-                self.state.metrics.retried();
+                self.context.state.metrics.retried();
             }
-            let choice = match self.place(&levels, &exclude) {
+            let choice = match self.context.place(&levels, self.prompt_tokens(), &exclude) {
                 Ok(choice) => choice,
                 Err(error) => return Err(worst.unwrap_or(error)),
             };
@@ -147,7 +116,7 @@
             match attempt.run(&levels, &mut received).await {
                 AttemptEnd::Whole(done) => return Ok(Some(done)),
                 AttemptEnd::CallerGone => return Ok(None),
-                AttemptEnd::Late => return Err(self.late()),
+                AttemptEnd::Late => return Err(self.context.late()),
                 AttemptEnd::Failed(error) => {
                     self.note_failure(&choice, &error, received);
                     worst = Some(worse(worst, self.failure(&error, received)));
@@ -160,21 +129,18 @@
 
     /// Waits for a place in work; `None` when the caller has gone.
     async fn admit(&self) -> Result<Option<AdmissionPermit>, RequestError> {
-        let cost = prefix::estimate_tokens(&self.prompt.text);
-        let admitted = admit::admit(
-            &self.state,
-            &self.notes,
-            &self.account,
-            &self.template,
-            self.deadline(),
-            cost,
-        );
+        let admitted = self.context.admit(self.prompt_tokens());
         tokio::select! {
             admitted = admitted => admitted.map(Some),
             () = self.events.closed() => Ok(None),
         }
     }
 
+    /// Estimated tokens of the prompt.
+    fn prompt_tokens(&self) -> u64 {
+        prefix::estimate_tokens(&self.prompt.text)
+    }
+
     /// Ids of the prompt's levels.
     fn level_prefixes(&self) -> Vec<LevelPrefix> {
         let texts: Vec<&str> = self
@@ -184,83 +150,33 @@
             .map(|level| &*level.text)
             .collect();
         prefix::level_prefixes(
-            &self.account.id,
-            &self.pool.id,
-            &self.template.adapter,
-            self.pool.weights_version,
+            &self.context.account.id,
+            &self.context.pool.id,
+            &self.context.template.adapter,
+            self.context.pool.weights_version,
             &texts,
         )
     }
 
-    /// Chooses an endpoint.
-    fn place(
-        &self,
-        levels: &[LevelPrefix],
-        exclude: &[EndpointId],
-    ) -> Result<PlacementChoice, RequestError> {
-        let query = PlacementQuery {
-            pool: &self.pool.id,
-            domain: &self.state.settings.host.domain,
-            weights_version: self.pool.weights_version,
-            levels,
-            prompt_tokens: prefix::estimate_tokens(&self.prompt.text),
-            deadline: self.deadline().into_std(),
-            exclude,
-        };
-        let choice = self
-            .state
-            .table
-            .place(&query, Instant::now().into_std())
-            .map_err(|kind| self.no_place(kind))?;
-        let detail = format!("sent to {}: {}", choice.endpoint, choice.reason);
-        let kind = EventKind::RequestPlaced;
-        self.notes.note_at(kind, &choice.endpoint, detail);
-        Ok(choice)
-    }
-
-    /// The error when no endpoint can be chosen.
-    fn no_place(&self, kind: ErrorKind) -> RequestError {
-        let pool = &self.pool.id;
-        let detail = match kind {
-            ErrorKind::NoEndpoint => format!("no endpoint of pool {pool} is in reach"),
-            ErrorKind::DeadlineUnreachable => {
-                format!(
-                    "pool {pool} could not answer within {} ms",
-                    self.template.deadline_ms
-                )
-            }
-            _ => format!("pool {pool} has no room"),
-        };
-        RequestError::new(kind, detail)
-    }
-
     /// Notes how an answer ended.
     fn note_end(&self, event: &RunEvent) {
         if let RunEvent::Done(done) = event {
             let computed = done.prompt_tokens.saturating_sub(done.cached_tokens);
-            self.state.metrics.prompt(done.cached_tokens, computed);
+            self.context
+                .state
+                .metrics
+                .prompt(done.cached_tokens, computed);
             let detail = format!(
                 "answered whole in {} pieces after {} ms; {} of {} prompt tokens were cached",
                 done.chunks,
-                self.received.elapsed().as_millis(),
+                self.context.received.elapsed().as_millis(),
                 done.cached_tokens,
                 done.prompt_tokens
             );
-            self.notes.note(EventKind::RequestAnswered, detail);
+            self.context.notes.note(EventKind::RequestAnswered, detail);
         }
     }
 
-    /// When the whole answer is due.
-    pub fn deadline(&self) -> Instant {
-        self.received + Duration::from_millis(self.template.deadline_ms)
-    }
-
-    /// The error once the deadline has passed.
-    fn late(&self) -> RequestError {
-        let detail = format!("no whole answer within {} ms", self.template.deadline_ms);
-        RequestError::new(ErrorKind::DeadlinePassed, detail)
-    }
-
     /// The error when no attempt is left.
     fn failure(&self, error: &CallError, received: u64) -> RequestError {
         let kind = match error {
@@ -281,7 +197,7 @@
         };
         let endpoint = &choice.endpoint;
         let detail = format!("{endpoint} failed after {received} pieces: {error}");
-        self.notes.note_at(kind, endpoint, detail);
+        self.context.notes.note_at(kind, endpoint, detail);
     }
 }
 
--- a/wagtaildoor_entry/src/once_run.rs
+++ b/wagtaildoor_entry/src/once_run.rs
@@ -61,7 +61,7 @@
     let sent = SentChoice::default();
     let once = OnceRun {
         claims: NotedClaims { run: run.clone() },
-        deadline: run.deadline(),
+        deadline: run.context.deadline(),
         dispatcher: ServiceDispatcher {
             run: run.clone(),
             sent: sent.clone(),
@@ -74,7 +74,7 @@
     })??;
     if reply.replayed {
         let detail = "answered from the record of an earlier copy of this request";
-        run.notes.note(EventKind::OutcomeReplayed, detail);
+        run.context.notes.note(EventKind::OutcomeReplayed, detail);
         return Ok(service_reply(reply.answer, None, detail.into()));
     }
     let choice = sent.get();
@@ -88,13 +88,13 @@
 /// The claim of a request's one attempt.
 fn claim_start(run: &ServiceRun, key: RequestKey) -> ClaimStart {
     ClaimStart {
-        account: run.account.id.clone(),
+        account: run.context.account.id.clone(),
         attempt: Uuid::now_v7().to_string().into(),
-        body_hash: body_hash(&run.template.id, &run.body),
-        host: run.state.settings.host.name.clone(),
+        body_hash: body_hash(&run.context.template.id, &run.body),
+        host: run.context.state.settings.host.name.clone(),
         key,
-        request: run.request.clone(),
-        template: run.template.id.clone(),
+        request: run.context.request.clone(),
+        template: run.context.template.id.clone(),
     }
 }
 
@@ -117,19 +117,22 @@
 impl ClaimAsker for NotedClaims {
     async fn claim(&self, start: ClaimStart, wait: Duration) -> ClaimVerdict {
         let detail = format!("asked the log to run key {}", start.key);
-        self.run.notes.note(EventKind::ClaimAsked, detail);
-        let verdict = self.run.state.link.claim(start, wait).await;
+        self.run.context.notes.note(EventKind::ClaimAsked, detail);
+        let verdict = self.run.context.state.link.claim(start, wait).await;
         let kind = match verdict {
             ClaimVerdict::Won(_) => EventKind::ClaimWon,
             _ => EventKind::ClaimLost,
         };
-        self.run.notes.note(kind, verdict_sentence(&verdict));
+        self.run
+            .context
+            .notes
+            .note(kind, verdict_sentence(&verdict));
         verdict
     }
 
     async fn record(&self, record: ClaimRecord, wait: Duration) -> bool {
         let released = matches!(record, ClaimRecord::Release(_));
-        let recorded = self.run.state.link.record(record, wait).await;
+        let recorded = self.run.context.state.link.record(record, wait).await;
         let (kind, detail) = match (released, recorded) {
             (true, true) => (EventKind::ClaimReleased, "not run, and that is on record"),
             (true, false) => (
@@ -142,7 +145,7 @@
                 "the answer could not be put on record yet",
             ),
         };
-        self.run.notes.note(kind, detail);
+        self.run.context.notes.note(kind, detail);
         recorded
     }
 }
@@ -178,7 +181,7 @@
 
 impl OnceDispatcher for ServiceDispatcher {
     fn checks_request_keys(&self) -> bool {
-        self.run.pool.checks_request_keys
+        self.run.context.pool.checks_request_keys
     }
 
     /// Goes on to another endpoint only when the one before certainly did not run it. Once it may
@@ -215,7 +218,7 @@
     }
 
     async fn look_up(&self, start: &ClaimStart) -> LookUp {
-        let template = &self.run.pool.lookup_path;
+        let template = &self.run.context.pool.lookup_path;
         if template.is_empty() {
             return LookUp::Silent;
         }
@@ -224,12 +227,13 @@
             return LookUp::Silent;
         };
         let path = template.replace(KEY_PLACE, &start.key);
-        let client = &self.run.state.clients.once;
+        let client = &self.run.context.state.clients.once;
         let looked = service_call::look_up(client, choice.address, &path);
-        match tokio::time::timeout_at(self.run.deadline(), looked).await {
+        match tokio::time::timeout_at(self.run.context.deadline(), looked).await {
             Ok(Ok(Some(answer))) => {
                 let detail = "the service's own record says that it ran";
                 self.run
+                    .context
                     .notes
                     .note_at(EventKind::ClaimSettled, &choice.endpoint, detail);
                 LookUp::Ran(once_answer(answer))
@@ -245,7 +249,7 @@
     async fn write(&self, choice: &PlacementChoice, start: &ClaimStart) -> DispatchEnd {
         let call = self.run.service_call(choice, start.attempt.clone());
         let sent = self.run.send(choice, &call);
-        let error = match tokio::time::timeout_at(self.run.deadline(), sent).await {
+        let error = match tokio::time::timeout_at(self.run.context.deadline(), sent).await {
             Ok(Ok(reply)) => return DispatchEnd::Answered(once_answer(reply.answer)),
             Ok(Err(error)) => error,
             Err(_) => CallError::Broken("no answer before the deadline".into()),
@@ -253,6 +257,7 @@
         if error.not_run() {
             let detail = format!("{} did not run it: {error}", choice.endpoint);
             self.run
+                .context
                 .notes
                 .note_at(EventKind::RequestRetried, &choice.endpoint, detail);
             let error = RequestError::new(ErrorKind::EndpointRefused, error.to_string());
@@ -260,6 +265,7 @@
         }
         let detail = format!("sent to {}, and no answer came: {error}", choice.endpoint);
         self.run
+            .context
             .notes
             .note_at(EventKind::ClaimUnknown, &choice.endpoint, detail);
         DispatchEnd::Unknown(error.to_string().into())
--- a/wagtaildoor_entry/src/request_scope.rs
+++ b/wagtaildoor_entry/src/request_scope.rs
@@ -16,6 +16,7 @@
 use crate::{
     access::AccessGrant,
     request_notes::RequestNotes,
+    run_context::RunContext,
     state::EntryState, //
 };
 
@@ -66,6 +67,19 @@
             .note(EventKind::RequestReceived, detail);
     }
 
+    /// What a run of this request is given.
+    pub fn context(&self, grant: AccessGrant<'_>) -> RunContext {
+        RunContext {
+            account: grant.account.clone(),
+            notes: self.notes(grant.account),
+            pool: grant.pool.clone(),
+            received: self.received,
+            request: self.request.clone(),
+            state: Arc::clone(&self.state),
+            template: grant.template.clone(),
+        }
+    }
+
     /// The time line of this request.
     pub fn notes(&self, account: &Account) -> RequestNotes {
         RequestNotes::new(&self.state.recorder, &self.request, &account.id)
--- a/wagtaildoor_entry/src/routes.rs
+++ b/wagtaildoor_entry/src/routes.rs
@@ -279,16 +279,10 @@
     let (events, receiver) = mpsc::channel(buffer + LAST_EVENT);
     let limit = grant.template.max_tokens;
     let run = ModelRun {
-        account: grant.account.clone(),
+        context: scope.context(grant),
         events,
-        notes: scope.notes(grant.account),
         max_tokens: wish.max_tokens.map_or(limit, |wanted| wanted.min(limit)),
-        pool: grant.pool.clone(),
         prompt,
-        received: scope.received,
-        request: scope.request.clone(),
-        state: Arc::clone(&state),
-        template: grant.template.clone(),
     };
     state.runs.spawn(async move {
         run.run().await;
@@ -338,15 +332,9 @@
     let key = checked_key(grant.template, head.key)?;
     scope.note_received(grant);
     Ok(ServiceRun {
-        account: grant.account.clone(),
         body: value.to_string().into(),
+        context: scope.context(grant),
         key,
-        notes: scope.notes(grant.account),
-        pool: grant.pool.clone(),
-        received: scope.received,
-        request: scope.request.clone(),
-        state,
-        template: grant.template.clone(),
     })
 }
 
--- a/wagtaildoor_entry/src/service_run.rs
+++ b/wagtaildoor_entry/src/service_run.rs
@@ -1,10 +1,5 @@
 //! Runs one request to a plain service: idempotent ones with retries, others at most once.
 
-use std::{
-    sync::Arc,
-    time::Duration, //
-};
-
 use tokio::time::Instant;
 use uuid::Uuid;
 use wagtaildoor::{
@@ -16,33 +11,22 @@
     },
     ids::{
         EndpointId,
-        RequestId,
         RequestKey, //
     },
-    placement::{
-        PlacementChoice,
-        PlacementQuery, //
-    },
+    placement::PlacementChoice,
     prefix,
-    schema::{
-        Account,
-        EventKind,
-        Pool,
-        Template, //
-    },
+    schema::EventKind,
 };
 
 use crate::{
-    admit,
     engine_call::CallError,
     model_run, once_run,
-    request_notes::RequestNotes,
+    run_context::RunContext,
     service_call::{
         self,
         ServiceAnswer,
         ServiceCall, //
     },
-    state::EntryState,
 };
 
 /// Attempts an idempotent request gets at most.
@@ -51,24 +35,12 @@
 /// One request to a plain service.
 #[derive(Clone)]
 pub struct ServiceRun {
-    /// State of the entry.
-    pub state: Arc<EntryState>,
-    /// Request.
-    pub request: RequestId,
-    /// Time line of the request.
-    pub notes: RequestNotes,
-    /// Account that asks.
-    pub account: Account,
-    /// Template in force when the request came.
-    pub template: Template,
-    /// Pool in force when the request came.
-    pub pool: Pool,
+    /// The request.
+    pub context: RunContext,
     /// Idempotency key.
     pub key: Option<RequestKey>,
     /// Body, in JSON.
     pub body: Box<str>,
-    /// When the request came.
-    pub received: Instant,
 }
 
 /// What a caller gets, and from where.
@@ -86,17 +58,17 @@
     /// Runs the request to its end.
     pub async fn run(self) -> Result<ServiceReply> {
         let _permit = self.admit().await?;
-        if !self.template.repeatable {
+        if !self.context.template.repeatable {
             let key = self.key.clone().ok_or_else(|| {
                 let detail = "this request may run only once, and has no key";
                 RequestError::new(ErrorKind::KeyMissing, detail)
             })?;
             return once_run::run(self, key).await;
         }
-        let limit = self.deadline();
+        let limit = self.context.deadline();
         let result = match tokio::time::timeout_at(limit, self.attempts()).await {
             Ok(result) => result,
-            Err(_) => Err(self.late()),
+            Err(_) => Err(self.context.late()),
         };
         if let Ok(reply) = &result {
             self.note_answered(reply);
@@ -107,16 +79,9 @@
     /// Waits for a place in work. The log was not asked about a key yet.
     async fn admit(&self) -> Result<AdmissionPermit> {
         let cost = prefix::estimate_tokens(&self.body);
-        let admitted = admit::admit(
-            &self.state,
-            &self.notes,
-            &self.account,
-            &self.template,
-            self.deadline(),
-            cost,
-        );
+        let admitted = self.context.admit(cost);
         admitted.await.map_err(|error| {
-            if self.template.repeatable {
+            if self.context.template.repeatable {
                 return error;
             }
             RequestError {
@@ -128,15 +93,15 @@
 
     /// Notes that the caller's answer is whole.
     pub fn note_answered(&self, reply: &ServiceReply) {
-        let time = self.received.elapsed().as_millis();
+        let time = self.context.received.elapsed().as_millis();
         let detail = format!(
             "answered with status {} after {time} ms",
             reply.answer.status
         );
         let kind = EventKind::RequestAnswered;
         match &reply.endpoint {
-            Some(endpoint) => self.notes.note_at(kind, endpoint, detail),
-            None => self.notes.note(kind, detail),
+            Some(endpoint) => self.context.notes.note_at(kind, endpoint, detail),
+            None => self.context.notes.note(kind, detail),
         }
     }
 
@@ -146,11 +111,11 @@
         let mut worst = None;
         for attempt in 0..ATTEMPT_LIMIT {
             if attempt == 0 {
-                self.state.retries.first_attempt();
-            } else if !self.state.retries.try_extra() {
+                self.context.state.retries.first_attempt();
+            } else if !self.context.state.retries.try_extra() {
                 break;
             } else {
-                self.state.metrics.retried();
+                self.context.state.metrics.retried();
             }
             let choice = match self.place(&exclude) {
                 Ok(choice) => choice,
@@ -162,7 +127,8 @@
                 Err(error) => error,
             };
             let detail = format!("{} failed: {error}", choice.endpoint);
-            self.notes
+            self.context
+                .notes
                 .note_at(EventKind::RequestRetried, &choice.endpoint, detail);
             worst = Some(model_run::worse(worst, failure(&error)));
             exclude.push(choice.endpoint);
@@ -177,26 +143,27 @@
         call: &ServiceCall,
     ) -> std::result::Result<ServiceReply, CallError> {
         let now = || Instant::now().into_std();
-        let ticket = self.state.table.dispatched(choice, now());
+        let ticket = self.context.state.table.dispatched(choice, now());
         let detail = format!("attempt {} goes to {}", call.attempt, choice.endpoint);
-        self.notes
+        self.context
+            .notes
             .note_at(EventKind::RequestDispatched, &choice.endpoint, detail);
-        let client = if self.template.repeatable {
-            &self.state.clients.repeatable
+        let client = if self.context.template.repeatable {
+            &self.context.state.clients.repeatable
         } else {
-            &self.state.clients.once
+            &self.context.state.clients.once
         };
         let answer = match service_call::call(client, call).await {
             Ok(answer) => answer,
             Err(error) => {
                 let kind = ErrorKind::EndpointFailed;
-                self.state.table.failed(ticket, kind, now());
+                self.context.state.table.failed(ticket, kind, now());
                 return Err(error);
             }
         };
         let news = answer.word.news(&choice.endpoint);
-        self.state.table.served(ticket, &news, now());
-        self.state.link.tell(news);
+        self.context.state.table.served(ticket, &news, now());
+        self.context.state.link.tell(news);
         Ok(ServiceReply {
             answer,
             endpoint: Some(choice.endpoint.clone()),
@@ -206,51 +173,20 @@
 
     /// Chooses an endpoint.
     pub fn place(&self, exclude: &[EndpointId]) -> Result<PlacementChoice> {
-        let query = PlacementQuery {
-            pool: &self.pool.id,
-            domain: &self.state.settings.host.domain,
-            weights_version: 0,
-            levels: &[],
-            prompt_tokens: 0,
-            deadline: self.deadline().into_std(),
-            exclude,
-        };
-        let choice = self
-            .state
-            .table
-            .place(&query, Instant::now().into_std())
-            .map_err(|kind| {
-                let detail = format!("no endpoint of pool {} can take the request", self.pool.id);
-                RequestError::new(kind, detail)
-            })?;
-        let detail = format!("sent to {}: {}", choice.endpoint, choice.reason);
-        self.notes
-            .note_at(EventKind::RequestPlaced, &choice.endpoint, detail);
-        Ok(choice)
+        self.context.place(&[], 0, exclude)
     }
 
     /// The call of one attempt.
     pub fn service_call(&self, choice: &PlacementChoice, attempt: Box<str>) -> ServiceCall {
         ServiceCall {
             address: choice.address,
-            path: self.template.path.clone(),
-            request: self.request.clone(),
+            path: self.context.template.path.clone(),
+            request: self.context.request.clone(),
             attempt,
             key: self.key.clone(),
             body: self.body.clone(),
         }
     }
-
-    /// When the whole answer is due.
-    pub fn deadline(&self) -> Instant {
-        self.received + Duration::from_millis(self.template.deadline_ms)
-    }
-
-    /// The error once the deadline has passed.
-    pub fn late(&self) -> RequestError {
-        let detail = format!("no answer within {} ms", self.template.deadline_ms);
-        RequestError::new(ErrorKind::DeadlinePassed, detail)
-    }
 }
 
 /// The error of a failed call.
