Prove roll-outs on real processes under load

Cause: the roll-out of a keeper had been tried once by hand. A test with five real hosts now asks for one while callers send drafts and orders: with one engine in a failure domain it must stop and raise nothing; with two it must end with all engines and all hosts on the new weights, and no request may fail.

--- a/wagtaildoor_keeper/tests/hosts.rs
+++ b/wagtaildoor_keeper/tests/hosts.rs
@@ -20,6 +20,7 @@
     task::JoinSet,
     time, //
 };
+use wagtaildoor::schema::KeeperStatus;
 use wagtaildoor_fakes::fake_engine::engine_faults::EngineFaults;
 
 use crate::deployment::{
@@ -335,6 +336,37 @@
     run.end(tasks).await;
 }
 
+#[tokio::test(flavor = "multi_thread", worker_threads = 4)]
+async fn a_rollout_fails_no_request_and_takes_no_last_engine() {
+    let mut deployment = Deployment::start().await;
+    let (run, tasks) = LoadRun::start(&deployment);
+    let ended = deployment.roll_out(0, 2).await;
+    assert!(ended.starts_with("stopped: "), "{ended}");
+    let status = deployment.status(0).await.expect("a status");
+    assert_eq!(status.head.sequence, 1, "it raised the weights");
+    for domain in 0..3 {
+        deployment.add_engine(domain).await;
+    }
+    let serving = |status: &KeeperStatus, weights| {
+        let engines = status
+            .endpoints
+            .iter()
+            .filter(|one| &*one.pool == "drafter");
+        engines.filter(|one| one.weights_version == weights).count()
+    };
+    deployment
+        .await_status(1, |status| serving(status, 1) == 6)
+        .await;
+    let ended = deployment.roll_out(1, 2).await;
+    assert_eq!(&*ended, "all replicas have the new weights");
+    for index in 0..DOMAINS.len() {
+        let done = |status: &KeeperStatus| status.head.sequence == 2 && serving(status, 2) == 6;
+        deployment.await_status(index, done).await;
+    }
+    let good = run.end(tasks).await;
+    println!("{good} requests over a roll-out, none failed");
+}
+
 #[tokio::test(flavor = "multi_thread", worker_threads = 4)]
 async fn without_any_peer_or_platform_an_entry_says_what_it_lacks() {
     let mut deployment = Deployment::start().await;
--- a/wagtaildoor_keeper/tests/support/deployment.rs
+++ b/wagtaildoor_keeper/tests/support/deployment.rs
@@ -39,6 +39,7 @@
     EndpointState,
     KeeperStatus,
     ListedEndpoint, //
+    RolloutPage,
 };
 use wagtaildoor_fakes::{
     fake_engine::{
@@ -317,6 +318,44 @@
         assert!(answer.status().is_success(), "{:?}", answer.text().await);
     }
 
+    /// Lets a host's keeper roll weights out, and waits until it says how that ended.
+    pub async fn roll_out(&self, index: usize, version: u64) -> Box<str> {
+        let keeper = format!("http://{}", self.address(index, 7103));
+        let call = json!({
+            "operator": "test", "pool": "drafter", "version": version, "note": "new weights",
+        });
+        let asked = self.client.post(format!("{keeper}/rollout")).json(&call);
+        let answer = asked.send().await.expect("an answer");
+        assert!(answer.status().is_success(), "{:?}", answer.text().await);
+        let ended = async {
+            loop {
+                let asked = self.client.get(format!("{keeper}/rollouts")).send().await;
+                let page: RolloutPage = asked.expect("an answer").json().await.expect("a page");
+                let last = page.rollouts.into_iter().next_back();
+                if let Some(ended) = last.and_then(|story| story.ended) {
+                    return ended;
+                }
+                time::sleep(PAUSE).await;
+            }
+        };
+        time::timeout(PATIENCE, ended).await.expect("an end")
+    }
+
+    /// Adds a second engine to a failure domain.
+    pub async fn add_engine(&mut self, domain: usize) {
+        let address = self.address(11 + domain, 9001);
+        let engine = fast_engine();
+        let server = http_server::build(address);
+        let weights = WeightSource::new(None, client());
+        let server = http_engine::mount(server, engine.clone(), weights);
+        let started = http_server::start(server, CancellationToken::new()).await;
+        self._servers.push(started.expect("a free address"));
+        self.engines.push(engine);
+        let id = format!("drafter-{domain}-2");
+        self.list
+            .put_endpoint(listed(&id, "drafter", domain, address));
+    }
+
     /// What a host's keeper sees; `None` when it does not answer.
     pub async fn status(&self, index: usize) -> Option<KeeperStatus> {
         let url = format!("http://{}/status", self.address(index, 7103));
@@ -491,6 +530,7 @@
         prefill_per_token: Duration::ZERO,
         decode_per_token: Duration::from_millis(1),
         decode_per_running: Duration::ZERO,
+        load_time: Duration::from_millis(300),
         ..EngineProfile::default()
     })
 }
