--- a/wagtaildoor_bench/src/policy.rs
+++ b/wagtaildoor_bench/src/policy.rs
@@ -212,36 +212,36 @@
     match policy {
         PolicyKind::RoundRobin => {
             let start = |host, _| RoundRobin::starting_at(host * 5);
-            run_with(shape, fault, &requests, &start, epoch)
+            run_with(shape, fault, &requests, start, epoch)
         }
         PolicyKind::LeastLoad => {
             let start = |host, _| LeastLoad::new(engines, host * 5);
-            run_with(shape, fault, &requests, &start, epoch)
+            run_with(shape, fault, &requests, start, epoch)
         }
-        PolicyKind::PrefixHash => run_with(shape, fault, &requests, &|_, _| PrefixHash, epoch),
+        PolicyKind::PrefixHash => run_with(shape, fault, &requests, |_, _| PrefixHash, epoch),
         PolicyKind::Wagtaildoor => {
             let start = |host, now| {
                 let seed = seed ^ (host as u64 + 1) ^ now;
                 TableDecider::new(shape, own, host, seed, epoch, now)
             };
-            run_with(shape, fault, &requests, &start, epoch)
+            run_with(shape, fault, &requests, start, epoch)
         }
         PolicyKind::Bound => {
             let start = |_, _| KnowingBound {
                 policy: own,
                 prefill_tokens_per_s: shape.prefill_tokens_per_s,
             };
-            run_with(shape, fault, &requests, &start, epoch)
+            run_with(shape, fault, &requests, start, epoch)
         }
     }
 }
 
 /// Runs the policy that `start` makes.
-fn run_with<D: deciders::Decider>(
+fn run_with<D: deciders::Decider, F: Fn(usize, RunMicros) -> D>(
     shape: &DeploymentShape,
     fault: &NamedFault,
     requests: &[RunRequest],
-    start: &dyn Fn(usize, RunMicros) -> D,
+    start: F,
     epoch: Instant,
 ) -> RunFigures {
     RunWorld::new(shape, fault.plan, requests, start, epoch).run()
--- a/wagtaildoor_bench/src/policy/run_world.rs
+++ b/wagtaildoor_bench/src/policy/run_world.rs
@@ -60,13 +60,15 @@
 const DOWN: RunMicros = 2 * SECOND;
 /// Time that is not counted in figures.
 const WARM_UP: RunMicros = 15 * SECOND;
+/// Seed of the draws of faults.
+const FAULT_SEED: u64 = 77;
 /// Attempts of a request.
 const ATTEMPTS: usize = 3;
 /// Retries for each hundred first attempts.
 const RETRY_PERCENT: u32 = 10;
 
 /// One run of one policy.
-pub struct RunWorld<'a, D> {
+pub struct RunWorld<'a, D, F> {
     /// Deployment.
     shape: &'a DeploymentShape,
     /// Faults.
@@ -78,7 +80,7 @@
     /// Policies, by host.
     deciders: Vec<D>,
     /// Makes the policy of a host that starts.
-    start: &'a dyn Fn(usize, RunMicros) -> D,
+    start: F,
     /// Retry budgets, by host.
     budgets: Vec<AttemptBudget>,
     /// Engines.
@@ -93,13 +95,13 @@
     figures: RunFigures,
 }
 
-impl<'a, D: Decider> RunWorld<'a, D> {
+impl<'a, D: Decider, F: Fn(usize, RunMicros) -> D> RunWorld<'a, D, F> {
     /// A run with the policy that `start` makes for each host.
     pub fn new(
         shape: &'a DeploymentShape,
         faults: FaultPlan,
         requests: &'a [RunRequest],
-        start: &'a dyn Fn(usize, RunMicros) -> D,
+        start: F,
         epoch: Instant,
     ) -> Self {
         let hosts = shape.host_domains.len();
@@ -119,7 +121,7 @@
                 .collect(),
             gaps: vec![false; engines],
             events: EventQueue::default(),
-            rng: StdRng::seed_from_u64(77),
+            rng: StdRng::seed_from_u64(FAULT_SEED),
             figures: RunFigures::new(shape.account_shares.len()),
         }
     }
