--- a/wagtaildoor/src/ids.rs
+++ b/wagtaildoor/src/ids.rs
@@ -18,6 +18,8 @@
 pub type HostId = Box<str>;
 /// Name of a lease.
 pub type LeaseId = Box<str>;
+/// Name of a model.
+pub type ModelId = Box<str>;
 /// Place of a record in a stream of the log.
 pub type LogOffset = u64;
 /// Name of a pool of endpoints.
@@ -30,6 +32,10 @@
 pub type RequestId = Box<str>;
 /// Idempotency key of a request, a UUIDv7.
 pub type RequestKey = Box<str>;
+/// Name of a route of the front.
+pub type RouteId = Box<str>;
+/// Name of a service, that is of endpoints that do the same work.
+pub type ServiceId = Box<str>;
 /// Name of a stream in the log.
 pub type StreamId = Box<str>;
 /// Name of a template.
--- a/wagtaildoor/src/lib.rs
+++ b/wagtaildoor/src/lib.rs
@@ -3,6 +3,7 @@
 pub mod account_limit;
 pub mod admission;
 pub mod belief;
+pub mod boot_clock;
 pub mod breaker;
 mod candidate_list;
 mod candidates;
--- a/wagtaildoor/src/schema.rs
+++ b/wagtaildoor/src/schema.rs
@@ -842,6 +842,24 @@
         value.clone()
     }
 }
+///Weights of an engine, as an order or an answer has shown them.
+#[derive(::serde::Deserialize, ::serde::Serialize, Clone, Debug, PartialEq)]
+#[serde(deny_unknown_fields)]
+pub struct EngineWeights {
+    ///Hash of the engine's name and start.
+    pub endpoint: u64,
+    ///It is loading them, and takes no requests until it has.
+    pub is_loading: bool,
+    ///Model.
+    pub model: ::std::boxed::Box<str>,
+    ///Version of the weights.
+    pub version: u64,
+}
+impl ::std::convert::From<&EngineWeights> for EngineWeights {
+    fn from(value: &EngineWeights) -> Self {
+        value.clone()
+    }
+}
 ///A frame from an entry to a keeper.
 #[derive(::serde::Deserialize, ::serde::Serialize, Clone, Debug, PartialEq)]
 pub enum EntryFrame {
@@ -1183,6 +1201,147 @@
         value.clone()
     }
 }
+///Asks another host of the front for records that it has read from the platform's store.
+#[derive(::serde::Deserialize, ::serde::Serialize, Clone, Debug, PartialEq)]
+#[serde(deny_unknown_fields)]
+pub struct FrontAsk {
+    ///Least offset wanted.
+    pub from: u64,
+    ///Stream.
+    pub stream: FrontStream,
+}
+impl ::std::convert::From<&FrontAsk> for FrontAsk {
+    fn from(value: &FrontAsk) -> Self {
+        value.clone()
+    }
+}
+///A datagram between hosts of the front. What it says makes placement better; no promise rests on it.
+#[derive(::serde::Deserialize, ::serde::Serialize, Clone, Debug, PartialEq)]
+#[serde(deny_unknown_fields)]
+pub struct FrontHint {
+    ///Host that sent it.
+    pub host: crate::ids::HostId,
+    ///Offset from which it reads the operator's stream on.
+    pub operator_next: u64,
+    ///Prefixes that went to engines.
+    pub placed: ::std::vec::Vec<PlacedPrefix>,
+    ///Weights of engines.
+    pub weights: ::std::vec::Vec<EngineWeights>,
+}
+impl ::std::convert::From<&FrontHint> for FrontHint {
+    fn from(value: &FrontHint) -> Self {
+        value.clone()
+    }
+}
+///A record of the platform's store, as it was read.
+#[derive(::serde::Deserialize, ::serde::Serialize, Clone, Debug, PartialEq)]
+#[serde(deny_unknown_fields)]
+pub struct FrontRecord {
+    ///What it is about.
+    pub key: ::std::boxed::Box<str>,
+    ///Offset.
+    pub offset: u64,
+    ///What it says; null takes the key away.
+    pub value: ::std::option::Option<::std::vec::Vec<u8>>,
+}
+impl ::std::convert::From<&FrontRecord> for FrontRecord {
+    fn from(value: &FrontRecord) -> Self {
+        value.clone()
+    }
+}
+///Answer to a FrontAsk: the newest record of each key.
+#[derive(::serde::Deserialize, ::serde::Serialize, Clone, Debug, PartialEq)]
+#[serde(deny_unknown_fields)]
+pub struct FrontRecords {
+    ///Offset from which the host reads on; 0 when it has read nothing.
+    pub next: u64,
+    ///Records, in the order of their offsets.
+    pub records: ::std::vec::Vec<FrontRecord>,
+}
+impl ::std::convert::From<&FrontRecords> for FrontRecords {
+    fn from(value: &FrontRecords) -> Self {
+        value.clone()
+    }
+}
+///Stream of the platform's store that hosts of the front follow.
+#[derive(
+    ::serde::Deserialize,
+    ::serde::Serialize,
+    Clone,
+    Copy,
+    Debug,
+    Eq,
+    Hash,
+    Ord,
+    PartialEq,
+    PartialOrd,
+)]
+pub enum FrontStream {
+    #[serde(rename = "operator")]
+    Operator,
+    #[serde(rename = "endpoints")]
+    Endpoints,
+}
+impl ::std::convert::From<&Self> for FrontStream {
+    fn from(value: &FrontStream) -> Self {
+        value.clone()
+    }
+}
+impl ::std::fmt::Display for FrontStream {
+    fn fmt(&self, f: &mut ::std::fmt::Formatter<'_>) -> ::std::fmt::Result {
+        match *self {
+            Self::Operator => f.write_str("operator"),
+            Self::Endpoints => f.write_str("endpoints"),
+        }
+    }
+}
+impl ::std::str::FromStr for FrontStream {
+    type Err = self::error::ConversionError;
+    fn from_str(value: &str) -> ::std::result::Result<Self, self::error::ConversionError> {
+        match value {
+            "operator" => Ok(Self::Operator),
+            "endpoints" => Ok(Self::Endpoints),
+            _ => Err("invalid value".into()),
+        }
+    }
+}
+impl ::std::convert::TryFrom<&str> for FrontStream {
+    type Error = self::error::ConversionError;
+    fn try_from(value: &str) -> ::std::result::Result<Self, self::error::ConversionError> {
+        value.parse()
+    }
+}
+impl ::std::convert::TryFrom<&::std::string::String> for FrontStream {
+    type Error = self::error::ConversionError;
+    fn try_from(
+        value: &::std::string::String,
+    ) -> ::std::result::Result<Self, self::error::ConversionError> {
+        value.parse()
+    }
+}
+impl ::std::convert::TryFrom<::std::string::String> for FrontStream {
+    type Error = self::error::ConversionError;
+    fn try_from(
+        value: ::std::string::String,
+    ) -> ::std::result::Result<Self, self::error::ConversionError> {
+        value.parse()
+    }
+}
+///Settings of wagtaildoor-front that the platform does not give.
+#[derive(::serde::Deserialize, ::serde::Serialize, Clone, Debug, PartialEq)]
+#[serde(deny_unknown_fields)]
+pub struct FrontTuning {
+    pub logging: LoggingSection,
+    pub metrics: MetricsSection,
+    pub placement: PlacementSection,
+    pub rollout: RolloutSection,
+    pub store: StoreSection,
+}
+impl ::std::convert::From<&FrontTuning> for FrontTuning {
+    fn from(value: &FrontTuning) -> Self {
+        value.clone()
+    }
+}
 ///Answer to GET /held-configuration: for peers that are behind.
 #[derive(::serde::Deserialize, ::serde::Serialize, Clone, Debug, PartialEq)]
 #[serde(deny_unknown_fields)]
@@ -1718,6 +1877,26 @@
         LoggingSectionLevel::Info
     }
 }
+///Where metrics are read.
+#[derive(::serde::Deserialize, ::serde::Serialize, Clone, Debug, PartialEq)]
+#[serde(deny_unknown_fields)]
+pub struct MetricsSection {
+    ///Port on the host's address.
+    #[serde(default = "defaults::default_u64::<u64, 9464>")]
+    pub port: u64,
+}
+impl ::std::convert::From<&MetricsSection> for MetricsSection {
+    fn from(value: &MetricsSection) -> Self {
+        value.clone()
+    }
+}
+impl ::std::default::Default for MetricsSection {
+    fn default() -> Self {
+        Self {
+            port: defaults::default_u64::<u64, 9464>(),
+        }
+    }
+}
 ///One named parameter.
 #[derive(::serde::Deserialize, ::serde::Serialize, Clone, Debug, PartialEq)]
 #[serde(deny_unknown_fields)]
@@ -1992,6 +2171,94 @@
         value.clone()
     }
 }
+///An engine that holds a prefix of prompts.
+#[derive(::serde::Deserialize, ::serde::Serialize, Clone, Debug, PartialEq)]
+#[serde(deny_unknown_fields)]
+pub struct PlacedPrefix {
+    ///Hash of the engine's name and start.
+    pub endpoint: u64,
+    ///It has read the prefix; otherwise a request is on its way that will make it.
+    pub is_read: bool,
+    ///Prefix.
+    pub prefix: u64,
+}
+impl ::std::convert::From<&PlacedPrefix> for PlacedPrefix {
+    fn from(value: &PlacedPrefix) -> Self {
+        value.clone()
+    }
+}
+///What the choice of an endpoint weighs.
+#[derive(::serde::Deserialize, ::serde::Serialize, Clone, Debug, PartialEq)]
+#[serde(deny_unknown_fields)]
+pub struct PlacementSection {
+    ///Cost of reading a prefix away from its home, in milliseconds.
+    #[serde(default = "defaults::default_u64::<u64, 40>")]
+    pub away_from_home_ms: u64,
+    ///Cost of an endpoint whose latest outcomes were all failures, in milliseconds.
+    #[serde(default = "defaults::default_u64::<u64, 600>")]
+    pub failure_ms: u64,
+    ///Time to fetch a thousand tokens from another engine, in microseconds; from the size of a token and the link.
+    #[serde(default = "defaults::default_u64::<u64, 2000>")]
+    pub fetch_us_per_1000: u64,
+    ///Cost of an endpoint that refused for lack of room a moment ago, in milliseconds.
+    #[serde(default = "defaults::default_u64::<u64, 500>")]
+    pub full_ms: u64,
+    ///Cost of one more copy of a prefix, in milliseconds of an engine's time.
+    #[serde(default = "defaults::default_u64::<u64, 10>")]
+    pub new_copy_ms: u64,
+    ///Time after new weights were named in which older ones cost nothing, in milliseconds.
+    #[serde(default = "defaults::default_u64::<u64, 1200>")]
+    pub old_weights_free_ms: u64,
+    ///Cost of older weights from then on, in milliseconds.
+    #[serde(default = "defaults::default_u64::<u64, 150>")]
+    pub old_weights_ms: u64,
+    ///Cost of an engine in another failure domain, in milliseconds.
+    #[serde(default = "defaults::default_u64::<u64, 15>")]
+    pub other_domain_ms: u64,
+    ///Cost of each request beyond an engine's slots, in milliseconds; about the time until one ends.
+    #[serde(default = "defaults::default_u64::<u64, 40>")]
+    pub over_slots_ms: u64,
+    ///Cost of a plain endpoint in another failure domain, in milliseconds; about the way there and back.
+    #[serde(default = "defaults::default_u64::<u64, 4>")]
+    pub plain_other_domain_ms: u64,
+    ///Time that a plain endpoint works on one request, in milliseconds; the service's sheet says it.
+    #[serde(default = "defaults::default_u64::<u64, 30>")]
+    pub plain_work_ms: u64,
+    ///Prompt tokens that an engine reads in a second; the engines' sheet says it.
+    #[serde(default = "defaults::default_u64::<u64, 90000>")]
+    pub prefill_tokens_per_s: u64,
+    ///Tokens counted for a waiting request of another host, about the mean of the short kind.
+    #[serde(default = "defaults::default_u64::<u64, 2000>")]
+    pub queued_request_tokens: u64,
+    ///Cost of each request that runs at an engine, in microseconds; about what it adds to a step.
+    #[serde(default = "defaults::default_u64::<u64, 700>")]
+    pub running_us: u64,
+}
+impl ::std::convert::From<&PlacementSection> for PlacementSection {
+    fn from(value: &PlacementSection) -> Self {
+        value.clone()
+    }
+}
+impl ::std::default::Default for PlacementSection {
+    fn default() -> Self {
+        Self {
+            away_from_home_ms: defaults::default_u64::<u64, 40>(),
+            failure_ms: defaults::default_u64::<u64, 600>(),
+            fetch_us_per_1000: defaults::default_u64::<u64, 2000>(),
+            full_ms: defaults::default_u64::<u64, 500>(),
+            new_copy_ms: defaults::default_u64::<u64, 10>(),
+            old_weights_free_ms: defaults::default_u64::<u64, 1200>(),
+            old_weights_ms: defaults::default_u64::<u64, 150>(),
+            other_domain_ms: defaults::default_u64::<u64, 15>(),
+            over_slots_ms: defaults::default_u64::<u64, 40>(),
+            plain_other_domain_ms: defaults::default_u64::<u64, 4>(),
+            plain_work_ms: defaults::default_u64::<u64, 30>(),
+            prefill_tokens_per_s: defaults::default_u64::<u64, 90000>(),
+            queued_request_tokens: defaults::default_u64::<u64, 2000>(),
+            running_us: defaults::default_u64::<u64, 700>(),
+        }
+    }
+}
 ///The platform's lagging list of hosts.
 #[derive(::serde::Deserialize, ::serde::Serialize, Clone, Debug, PartialEq)]
 #[serde(deny_unknown_fields)]
@@ -2267,6 +2534,34 @@
         value.clone()
     }
 }
+///How weights are rolled out.
+#[derive(::serde::Deserialize, ::serde::Serialize, Clone, Debug, PartialEq)]
+#[serde(deny_unknown_fields)]
+pub struct RolloutSection {
+    ///Engines of a service that load weights at a time, in percent.
+    #[serde(default = "defaults::default_u64::<u64, 17>")]
+    pub at_once_percent: u64,
+    ///Time after an order in which an engine must be seen with the weights, in milliseconds; two heartbeats.
+    #[serde(default = "defaults::default_u64::<u64, 2600>")]
+    pub confirm_ms: u64,
+    ///Time that an engine takes to load weights, in milliseconds; the engines' sheet says it.
+    #[serde(default = "defaults::default_u64::<u64, 300>")]
+    pub load_ms: u64,
+}
+impl ::std::convert::From<&RolloutSection> for RolloutSection {
+    fn from(value: &RolloutSection) -> Self {
+        value.clone()
+    }
+}
+impl ::std::default::Default for RolloutSection {
+    fn default() -> Self {
+        Self {
+            at_once_percent: defaults::default_u64::<u64, 17>(),
+            confirm_ms: defaults::default_u64::<u64, 2600>(),
+            load_ms: defaults::default_u64::<u64, 300>(),
+        }
+    }
+}
 ///A roll-out that a keeper was asked for since its start.
 #[derive(::serde::Deserialize, ::serde::Serialize, Clone, Debug, PartialEq)]
 #[serde(deny_unknown_fields)]
@@ -2403,6 +2698,38 @@
         }
     }
 }
+///How the platform's store is used.
+#[derive(::serde::Deserialize, ::serde::Serialize, Clone, Debug, PartialEq)]
+#[serde(deny_unknown_fields)]
+pub struct StoreSection {
+    ///Time for which a host keeps the lease without a word, in milliseconds.
+    #[serde(default = "defaults::default_u64::<u64, 1000>")]
+    pub lease_expiry_ms: u64,
+    ///Pause between two words to the group of hosts, in milliseconds.
+    #[serde(default = "defaults::default_u64::<u64, 350>")]
+    pub lease_pause_ms: u64,
+    ///Pause between two reads of the list of endpoints, in percent of the time in which a leaving one must get no more work.
+    #[serde(default = "defaults::default_u64::<u64, 42>")]
+    pub list_drain_percent: u64,
+    ///Longest wait of one read of the operator's stream, in milliseconds; a silent connection is noticed after it.
+    #[serde(default = "defaults::default_u64::<u64, 3000>")]
+    pub operator_wait_ms: u64,
+}
+impl ::std::convert::From<&StoreSection> for StoreSection {
+    fn from(value: &StoreSection) -> Self {
+        value.clone()
+    }
+}
+impl ::std::default::Default for StoreSection {
+    fn default() -> Self {
+        Self {
+            lease_expiry_ms: defaults::default_u64::<u64, 1000>(),
+            lease_pause_ms: defaults::default_u64::<u64, 350>(),
+            list_drain_percent: defaults::default_u64::<u64, 42>(),
+            operator_wait_ms: defaults::default_u64::<u64, 3000>(),
+        }
+    }
+}
 ///What one kind of request is and how it is treated.
 #[derive(::serde::Deserialize, ::serde::Serialize, Clone, Debug, PartialEq)]
 #[serde(deny_unknown_fields)]
--- a/wagtaildoor/src/settings.rs
+++ b/wagtaildoor/src/settings.rs
@@ -11,6 +11,7 @@
 use crate::{
     schema::{
         EntrySettings,
+        FrontTuning,
         KeeperSettings,
         OperatorSettings, //
     },
@@ -44,6 +45,11 @@
     read(path, "KeeperSettings")
 }
 
+/// Reads the settings of `wagtaildoor-front` that the platform does not give.
+pub fn read_front(path: &Path) -> Result<FrontTuning> {
+    read(path, "FrontTuning")
+}
+
 /// Reads the settings of `wtd`.
 pub fn read_operator(path: &Path) -> Result<OperatorSettings> {
     read(path, "OperatorSettings")
--- /dev/null
+++ b/wagtaildoor_front/src/caller_server.rs
@@ -0,0 +1,219 @@
+//! Listens for callers, the balancer and readers of metrics, and ends without cutting requests.
+
+use std::{
+    cell::Cell, convert::Infallible, future::Future, io, net::SocketAddr, rc::Rc, time::Duration,
+};
+
+use http::{
+    header,
+    HeaderValue,
+    Method,
+    Request,
+    Response,
+    StatusCode, //
+};
+use hyper::{
+    body::Incoming,
+    server::conn::http1,
+    service::service_fn, //
+};
+use hyper_util::rt::{
+    TokioIo,
+    TokioTimer, //
+};
+use tokio::{
+    net::{
+        TcpListener,
+        TcpSocket,
+        TcpStream, //
+    },
+    task,
+    time, //
+};
+use tokio_util::sync::CancellationToken;
+use wagtaildoor::boot_clock::BootInstant;
+
+use crate::{
+    caller_run,
+    endpoint_connection,
+    front::Front,
+    front_body::FrontBody,
+    wire_codec::WireCodec, //
+};
+
+/// Connections that wait to be accepted; bursts come with hundreds at once.
+const BACKLOG: u32 = 1_024;
+/// Part of the idle limit's double that a connection stays open; callers reuse a connection up to
+/// four fifths of the limit.
+const IDLE_TIMES: u32 = 2;
+/// Time after SIGTERM in which the balancer may still send new connections.
+const BALANCER_TIME: Duration = Duration::from_millis(3_200);
+/// Time before the end of the grace in which open connections are closed.
+const END_MARGIN: Duration = Duration::from_millis(500);
+/// Pause between looks at what is still open.
+const DRAIN_PAUSE: Duration = Duration::from_millis(50);
+/// Largest head that the HTTP library buffers, in bytes.
+const BUFFER_BYTES: usize = 64 << 10;
+/// Path of the metrics.
+const METRICS_PATH: &str = "/metrics";
+
+/// Listens on an address, at once after an earlier process has left it.
+pub fn listen(address: SocketAddr) -> io::Result<TcpListener> {
+    let socket = TcpSocket::new_v4()?;
+    socket.set_reuseaddr(true)?;
+    socket.bind(address)?;
+    socket.listen(BACKLOG)
+}
+
+/// Serves callers until the process ends.
+pub async fn serve_callers<C: WireCodec>(front: Rc<Front>, listener: TcpListener) {
+    let open = Rc::new(Cell::new(0_usize));
+    let closing = CancellationToken::new();
+    let accept = accept_loop(&front, &listener, |stream| {
+        let front = front.clone();
+        let open = open.clone();
+        let closing = closing.clone();
+        async move {
+            open.set(open.get() + 1);
+            caller_connection::<C>(front, stream, closing).await;
+            open.set(open.get() - 1);
+        }
+    });
+    tokio::select! {
+        () = accept => {}
+        () = drain(&front, &open, &closing) => {}
+    }
+}
+
+/// Waits for SIGTERM, and then until all requests have ended.
+async fn drain(front: &Front, open: &Cell<usize>, closing: &CancellationToken) {
+    front.stopping.cancelled().await;
+    let started = BootInstant::now();
+    let grace = front.settings.times.grace.saturating_sub(END_MARGIN);
+    while started.elapsed() < grace.min(BALANCER_TIME) {
+        time::sleep(DRAIN_PAUSE).await;
+    }
+    closing.cancel();
+    while started.elapsed() < grace && (open.get() > 0 || front.in_flight.get() > 0) {
+        time::sleep(DRAIN_PAUSE).await;
+    }
+    slog::info!(front.log, "drained";
+        "connections_left" => open.get(),
+        "requests_left" => front.in_flight.get(),
+        "took_ms" => started.elapsed().as_millis() as u64);
+}
+
+/// Accepts connections, with a task for each.
+async fn accept_loop<F: Future<Output = ()> + 'static>(
+    front: &Front,
+    listener: &TcpListener,
+    serve: impl Fn(TcpStream) -> F,
+) {
+    loop {
+        match listener.accept().await {
+            Ok((stream, _)) => {
+                task::spawn_local(serve(stream));
+            }
+            Err(error) => {
+                slog::warn!(front.log, "accept failed"; "error" => %error);
+                time::sleep(DRAIN_PAUSE).await;
+            }
+        }
+    }
+}
+
+/// Serves one connection of a caller.
+async fn caller_connection<C: WireCodec>(
+    front: Rc<Front>,
+    stream: TcpStream,
+    closing: CancellationToken,
+) {
+    if let Err(error) = endpoint_connection::watch_for_loss(&stream) {
+        slog::debug!(front.log, "caller's socket options"; "error" => %error);
+    }
+    let limits = front
+        .routes()
+        .map(|table| table.limits())
+        .unwrap_or_default();
+    let service = service_fn(|request: Request<Incoming>| {
+        let front = front.clone();
+        async move {
+            let mut response = caller_run::answer::<C>(front.clone(), request).await;
+            if front.stopping_since().is_some() {
+                let close = HeaderValue::from_static("close");
+                response.headers_mut().insert(header::CONNECTION, close);
+            }
+            Ok::<_, Infallible>(response)
+        }
+    });
+    let connection = http1::Builder::new()
+        .timer(TokioTimer::new())
+        .header_read_timeout(limits.idle_time * IDLE_TIMES)
+        .max_buf_size(BUFFER_BYTES.max(limits.head_bytes * 2))
+        .serve_connection(TokioIo::new(stream), service);
+    let mut connection = std::pin::pin!(connection);
+    let result = tokio::select! {
+        result = connection.as_mut() => result,
+        () = closing.cancelled() => {
+            connection.as_mut().graceful_shutdown();
+            connection.as_mut().await
+        }
+    };
+    if let Err(error) = result {
+        slog::debug!(front.log, "caller's connection ended"; "error" => %error);
+    }
+}
+
+/// Tells the balancer whether the host is ready.
+pub async fn serve_readiness<C: WireCodec>(front: Rc<Front>, listener: TcpListener) {
+    let ready = front.clone();
+    serve_page(front, listener, move |request| {
+        let asked = request.uri().path() == C::READY_PATH;
+        let status = match (asked, ready.is_ready()) {
+            (false, _) => StatusCode::NOT_FOUND,
+            (true, true) => StatusCode::OK,
+            (true, false) => StatusCode::SERVICE_UNAVAILABLE,
+        };
+        (status, String::new())
+    })
+    .await;
+}
+
+/// Shows the metrics.
+pub async fn serve_metrics(front: Rc<Front>, listener: TcpListener) {
+    let metrics = front.clone();
+    serve_page(front, listener, move |request| {
+        if request.method() == Method::GET && request.uri().path() == METRICS_PATH {
+            (StatusCode::OK, metrics.metrics.text())
+        } else {
+            (StatusCode::NOT_FOUND, String::new())
+        }
+    })
+    .await;
+}
+
+/// Serves short pages that need no waiting.
+async fn serve_page(
+    front: Rc<Front>,
+    listener: TcpListener,
+    page: impl Fn(Request<Incoming>) -> (StatusCode, String) + Clone + 'static,
+) {
+    let log = front.log.clone();
+    accept_loop(&front, &listener, |stream| {
+        let page = page.clone();
+        let log = log.clone();
+        async move {
+            let service = service_fn(|request| {
+                let (status, text) = page(request);
+                let mut response = Response::new(FrontBody::whole(text));
+                *response.status_mut() = status;
+                async move { Ok::<_, Infallible>(response) }
+            });
+            let connection = http1::Builder::new().serve_connection(TokioIo::new(stream), service);
+            if let Err(error) = connection.await {
+                slog::debug!(log, "page's connection ended"; "error" => %error);
+            }
+        }
+    })
+    .await;
+}
--- /dev/null
+++ b/wagtaildoor_front/src/control_follower.rs
@@ -0,0 +1,244 @@
+//! Follows the streams of the platform's store, and takes over what their records say.
+
+use std::{
+    rc::Rc,
+    time::Duration, //
+};
+
+use tokio::time;
+use wagtaildoor::boot_clock::BootInstant;
+
+use crate::{
+    control_store::{
+        ControlFact,
+        ControlPage,
+        ControlRecord,
+        ControlStore,
+        ControlStream,
+        StoreError, //
+    },
+    endpoint::EndpointRecord,
+    endpoint_directory::{
+        DirectoryChange,
+        RETURN_TIME, //
+    },
+    front::Front,
+    peer_link,
+    route_table::RouteTable,
+    service_config::ServiceConfig,
+    wire_codec::WireCodec,
+};
+
+/// First pause after a call that failed.
+const RETRY_PAUSE_MIN: Duration = Duration::from_millis(150);
+/// Longest pause after a call that failed.
+const RETRY_PAUSE_MAX: Duration = Duration::from_millis(900);
+/// Time without an answer of the store that counts as an outage, for the endpoints' sake.
+const OUTAGE_TIME: Duration = Duration::from_millis(2_500);
+
+/// Where a page came from.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum PageSource {
+    /// All keys of a stream, from the store.
+    Snapshot,
+    /// Records after an offset, from the store.
+    Changes,
+    /// What another host holds.
+    Peer,
+}
+
+/// Progress in one stream.
+struct FollowState {
+    /// Stream.
+    stream: ControlStream,
+    /// Offset from which to read on; `None` asks for a snapshot.
+    cursor: Option<u64>,
+    /// When the store last answered.
+    answered_at: Option<BootInstant>,
+    /// When the store answered again after an outage.
+    returned_at: Option<BootInstant>,
+    /// Whether the store is taken as lost.
+    is_lost: bool,
+    /// Next pause after a failure.
+    pause: Duration,
+}
+
+/// Follows one stream until the process ends.
+pub async fn follow<C: WireCodec, S: ControlStore>(
+    front: Rc<Front>,
+    store: S,
+    stream: ControlStream,
+) {
+    let mut state = FollowState {
+        stream,
+        cursor: None,
+        answered_at: None,
+        returned_at: None,
+        is_lost: false,
+        pause: RETRY_PAUSE_MIN,
+    };
+    loop {
+        let (result, source) = match state.cursor {
+            None => (store.snapshot(stream).await, PageSource::Snapshot),
+            Some(from) => {
+                let wait = match stream {
+                    ControlStream::Operator => front.settings.times.operator_wait,
+                    ControlStream::Endpoints => Duration::ZERO,
+                };
+                (store.changes(stream, from, wait).await, PageSource::Changes)
+            }
+        };
+        match result {
+            Ok(page) => {
+                state.answered(&front);
+                state.cursor = Some(page.next);
+                take_page::<C>(&front, stream, &page, source, state.is_after_outage());
+                if stream == ControlStream::Endpoints {
+                    time::sleep(front.settings.times.list_pause).await;
+                }
+            }
+            Err(StoreError::Expired) => {
+                slog::info!(front.log, "stream expired, reading a snapshot"; "stream" => ?stream);
+                state.cursor = None;
+            }
+            Err(error) => {
+                state.failed(&front, &error);
+                peer_link::fetch::<C>(&front, stream).await;
+                time::sleep(state.pause).await;
+                state.pause = (state.pause * 2).min(RETRY_PAUSE_MAX);
+            }
+        }
+    }
+}
+
+impl FollowState {
+    /// Notes an answer of the store.
+    fn answered(&mut self, front: &Front) {
+        let now = BootInstant::now();
+        let was_away = self
+            .answered_at
+            .is_some_and(|at| now.since(at) > OUTAGE_TIME);
+        if was_away || (self.is_lost && self.answered_at.is_none()) {
+            self.returned_at = Some(now);
+        }
+        if self.is_lost {
+            slog::info!(front.log, "store regained"; "stream" => ?self.stream,
+                "away_ms" => self.answered_at.map(|at| now.since(at).as_millis() as u64));
+        }
+        self.answered_at = Some(now);
+        self.is_lost = false;
+        self.pause = RETRY_PAUSE_MIN;
+    }
+
+    /// Notes a failure of the store.
+    fn failed(&mut self, front: &Front, error: &StoreError) {
+        if !self.is_lost {
+            slog::warn!(front.log, "store lost"; "stream" => ?self.stream, "error" => %error);
+        }
+        self.is_lost = true;
+    }
+
+    /// Whether endpoints may still be missing only because the store was away.
+    fn is_after_outage(&self) -> bool {
+        self.returned_at
+            .is_some_and(|at| at.elapsed() < RETURN_TIME)
+    }
+}
+
+/// Takes over the records of a page that are newer than those held.
+pub fn take_page<C: WireCodec>(
+    front: &Front,
+    stream: ControlStream,
+    page: &ControlPage,
+    source: PageSource,
+    after_outage: bool,
+) {
+    let now = BootInstant::now();
+    for record in &page.records {
+        if front.mirror.borrow_mut().take(stream, record) {
+            let fact = C::control_fact(stream, record);
+            take_fact(front, record, fact, after_outage, now);
+        }
+    }
+    let mut mirror = front.mirror.borrow_mut();
+    mirror.read_to(stream, page.next);
+    if stream != ControlStream::Endpoints {
+        return;
+    }
+    front.list_read.set(true);
+    front.list_at.set(Some(now));
+    if source == PageSource::Snapshot {
+        let is_named = |key: &str| {
+            let newer = mirror.offset(stream, key);
+            page.records.iter().any(|record| &*record.key == key)
+                || newer.is_some_and(|offset| offset >= page.next)
+        };
+        let mut endpoints = front.endpoints.borrow_mut();
+        let gone = endpoints.keep_only(is_named, after_outage, now);
+        for id in gone {
+            slog::info!(front.log, "endpoint gone"; "endpoint" => &*id, "by" => "snapshot");
+        }
+    }
+}
+
+/// Takes over one fact.
+fn take_fact(
+    front: &Front,
+    record: &ControlRecord,
+    fact: ControlFact,
+    after_outage: bool,
+    now: BootInstant,
+) {
+    match fact {
+        ControlFact::Config(config) => take_config(front, record, *config),
+        ControlFact::WantedWeights { model, version } => {
+            if front.take_wanted(&model, version, now) {
+                slog::info!(front.log, "weights wanted"; "model" => &*model,
+                    "version" => version, "offset" => record.offset);
+            }
+        }
+        ControlFact::Endpoint(described) => take_endpoint(front, record, described, now),
+        ControlFact::EndpointGone { id, fault } => {
+            if let Some(fault) = fault {
+                slog::warn!(front.log, "endpoint's description unreadable";
+                    "endpoint" => &*id, "fault" => &*fault, "offset" => record.offset);
+            }
+            if front.endpoints.borrow_mut().gone(&id, after_outage, now) {
+                slog::info!(front.log, "endpoint gone"; "endpoint" => &*id,
+                    "offset" => record.offset);
+            }
+        }
+        ControlFact::Unknown { reason } => {
+            slog::warn!(front.log, "record not used"; "key" => &*record.key,
+                "offset" => record.offset, "reason" => &*reason);
+        }
+    }
+}
+
+/// Takes a version of the configuration.
+fn take_config(front: &Front, record: &ControlRecord, config: ServiceConfig) {
+    let version = config.version;
+    let taken = front.take_routes(RouteTable::from(config));
+    slog::info!(front.log, "configuration"; "version" => version, "offset" => record.offset,
+        "in_force" => taken);
+}
+
+/// Takes a description of an endpoint.
+fn take_endpoint(
+    front: &Front,
+    record: &ControlRecord,
+    described: EndpointRecord,
+    now: BootInstant,
+) {
+    let id = described.id.clone();
+    let weights = described.weights.clone();
+    let change = front.endpoints.borrow_mut().describe(described, now);
+    let change = match change {
+        DirectoryChange::None => return,
+        DirectoryChange::Appeared => "appeared",
+        DirectoryChange::Leaving => "leaving",
+        DirectoryChange::Returned => "returned",
+    };
+    slog::info!(front.log, "endpoint"; "endpoint" => &*id, "change" => change,
+        "offset" => record.offset, "weights" => ?weights);
+}
--- /dev/null
+++ b/wagtaildoor_front/src/endpoint_call.rs
@@ -0,0 +1,80 @@
+//! Calls of the front's own to endpoints: orders and reports.
+
+use std::time::Duration;
+
+use bytes::Bytes;
+use http::{
+    header,
+    HeaderValue,
+    Request,
+    StatusCode,
+    Uri, //
+};
+use http_body_util::{
+    BodyExt,
+    Full,
+    Limited, //
+};
+use tokio::time;
+use wagtaildoor::boot_clock::BootInstant;
+
+use crate::{
+    endpoint::Endpoint,
+    wire_codec::EndpointCall, //
+};
+
+/// Largest answer to a call.
+const ANSWER_LIMIT: usize = 1 << 20;
+
+/// Result of a call.
+pub type Result<T> = std::result::Result<T, CallError>;
+
+/// A call that brought no answer.
+#[derive(Clone, Debug, Eq, PartialEq, derive_more::Display, derive_more::Error)]
+pub enum CallError {
+    /// It was not sent.
+    #[display("not sent: {_0}")]
+    NotSent(#[error(not(source))] Box<str>),
+    /// It may have been carried out, or may still be.
+    #[display("answer lost: {_0}")]
+    AnswerLost(#[error(not(source))] Box<str>),
+}
+
+/// Makes a call, on a connection of its own, and reads the whole answer.
+pub async fn call(
+    endpoint: &Endpoint,
+    call: EndpointCall,
+    limit: Duration,
+) -> Result<(StatusCode, Bytes)> {
+    let connected = endpoint.connections.connect().await;
+    let mut connection = connected.map_err(|error| CallError::NotSent(error.to_string().into()))?;
+    let exchange = async {
+        let response = connection.exchange(request(endpoint, call)).await;
+        let response = response.map_err(|error| error.to_string())?;
+        let status = response.status();
+        let body = Limited::new(response.into_body(), ANSWER_LIMIT)
+            .collect()
+            .await;
+        let body = body.map_err(|error| error.to_string())?;
+        Ok::<_, String>((status, body.to_bytes()))
+    };
+    let answer = match time::timeout(limit, exchange).await {
+        Ok(answer) => answer.map_err(|error| CallError::AnswerLost(error.into()))?,
+        Err(_) => return Err(CallError::AnswerLost("no answer in time".into())),
+    };
+    let now = BootInstant::now();
+    endpoint.connections.give_back(connection, None, now);
+    Ok(answer)
+}
+
+/// The call as a request.
+fn request(endpoint: &Endpoint, call: EndpointCall) -> Request<Full<Bytes>> {
+    let mut request = Request::new(Full::new(call.body));
+    *request.method_mut() = call.method;
+    *request.uri_mut() = call.path.parse::<Uri>().unwrap_or_default();
+    *request.headers_mut() = call.headers;
+    if let Ok(host) = HeaderValue::from_str(&endpoint.address.to_string()) {
+        request.headers_mut().insert(header::HOST, host);
+    }
+    request
+}
--- /dev/null
+++ b/wagtaildoor_front/src/front.rs
@@ -0,0 +1,173 @@
+//! State that all tasks of one host share.
+
+use std::{
+    cell::{
+        Cell,
+        RefCell, //
+    },
+    collections::HashMap,
+    rc::Rc,
+};
+
+use slog::Logger;
+use tokio_util::sync::CancellationToken;
+use wagtaildoor::{
+    boot_clock::BootInstant,
+    ids::{
+        ModelId,
+        WeightsVersion, //
+    },
+};
+
+use crate::{
+    control_store::GroupMember,
+    endpoint_directory::EndpointDirectory,
+    front_metrics::FrontMetrics,
+    front_settings::FrontSettings,
+    hint_queue::HintQueue,
+    prompt_homes::PromptHomes,
+    record_mirror::RecordMirror,
+    retry_allowance::RetryAllowance,
+    route_table::RouteTable, //
+};
+
+/// Weights that the operator wants a model served with.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct WantedWeights {
+    /// Version.
+    pub version: WeightsVersion,
+    /// When this host learnt of them.
+    pub since: BootInstant,
+}
+
+/// State of one host; all tasks run on one thread.
+#[derive(Debug)]
+pub struct Front {
+    /// Settings.
+    pub settings: FrontSettings,
+    /// Log.
+    pub log: Logger,
+    /// Counters and histograms.
+    pub metrics: FrontMetrics,
+    /// Configuration in force.
+    routes: RefCell<Option<Rc<RouteTable>>>,
+    /// Weights wanted, by model.
+    wanted: RefCell<HashMap<ModelId, WantedWeights>>,
+    /// Endpoints.
+    pub endpoints: RefCell<EndpointDirectory>,
+    /// Whether the list of endpoints was read.
+    pub list_read: Cell<bool>,
+    /// When the list of endpoints was last read from the store or a peer.
+    pub list_at: Cell<Option<BootInstant>>,
+    /// Records as they were read from the store or a peer.
+    pub mirror: RefCell<RecordMirror>,
+    /// What other hosts are to be told.
+    pub hints: RefCell<HintQueue>,
+    /// Engines that hold shared parts of prompts.
+    pub homes: RefCell<PromptHomes>,
+    /// Sends beyond the first of each request.
+    pub retries: RefCell<RetryAllowance>,
+    /// Other hosts and this one.
+    pub members: RefCell<Vec<GroupMember>>,
+    /// Requests in work.
+    pub in_flight: Cell<usize>,
+    /// When the host was told to end.
+    stopping_since: Cell<Option<BootInstant>>,
+    /// Cancelled when the host was told to end.
+    pub stopping: CancellationToken,
+    /// Cancelled when the process ends.
+    pub ended: CancellationToken,
+}
+
+impl Front {
+    /// A host that knows nothing yet.
+    pub fn new(settings: FrontSettings, log: Logger, metrics: FrontMetrics) -> Rc<Self> {
+        let retries = RetryAllowance::new(settings.retries);
+        Rc::new(Self {
+            settings,
+            log,
+            metrics,
+            routes: RefCell::new(None),
+            wanted: RefCell::new(HashMap::new()),
+            endpoints: RefCell::new(EndpointDirectory::default()),
+            list_read: Cell::new(false),
+            list_at: Cell::new(None),
+            mirror: RefCell::new(RecordMirror::default()),
+            hints: RefCell::new(HintQueue::default()),
+            homes: RefCell::new(PromptHomes::default()),
+            retries: RefCell::new(retries),
+            members: RefCell::new(Vec::new()),
+            in_flight: Cell::new(0),
+            stopping_since: Cell::new(None),
+            stopping: CancellationToken::new(),
+            ended: CancellationToken::new(),
+        })
+    }
+
+    /// Configuration in force.
+    pub fn routes(&self) -> Option<Rc<RouteTable>> {
+        self.routes.borrow().clone()
+    }
+
+    /// Takes a version of the configuration, unless a newer one is in force.
+    pub fn take_routes(&self, table: RouteTable) -> bool {
+        let mut routes = self.routes.borrow_mut();
+        let newer = routes
+            .as_ref()
+            .is_none_or(|now| table.version() > now.version());
+        if newer {
+            *routes = Some(Rc::new(table));
+        }
+        newer
+    }
+
+    /// Weights wanted for a model.
+    pub fn wanted(&self, model: &str) -> Option<WantedWeights> {
+        self.wanted.borrow().get(model).copied()
+    }
+
+    /// Weights wanted for all models.
+    pub fn all_wanted(&self) -> Vec<(ModelId, WantedWeights)> {
+        let wanted = self.wanted.borrow();
+        wanted
+            .iter()
+            .map(|(model, want)| (model.clone(), *want))
+            .collect()
+    }
+
+    /// Takes weights that the operator wants, unless newer ones are wanted.
+    pub fn take_wanted(&self, model: &ModelId, version: WeightsVersion, now: BootInstant) -> bool {
+        let mut wanted = self.wanted.borrow_mut();
+        let newer = wanted.get(model).is_none_or(|want| version > want.version);
+        if newer {
+            let since = now;
+            wanted.insert(model.clone(), WantedWeights { version, since });
+        }
+        newer
+    }
+
+    /// Hosts of the group, this one included.
+    pub fn hosts(&self) -> usize {
+        self.members.borrow().len().max(1)
+    }
+
+    /// Whether new connections should come here.
+    pub fn is_ready(&self) -> bool {
+        self.routes.borrow().is_some()
+            && self.list_read.get()
+            && self.stopping_since.get().is_none()
+    }
+
+    /// Begins the end of the process.
+    pub fn stop(&self, now: BootInstant) {
+        if self.stopping_since.get().is_none() {
+            self.stopping_since.set(Some(now));
+            self.stopping.cancel();
+        }
+    }
+
+    /// When the end of the process began.
+    pub fn stopping_since(&self) -> Option<BootInstant> {
+        self.stopping_since.get()
+    }
+}
--- /dev/null
+++ b/wagtaildoor_front/src/front_host.rs
@@ -0,0 +1,80 @@
+//! All tasks of one host.
+
+use std::{
+    io,
+    rc::Rc, //
+};
+
+use tokio::task;
+
+use crate::{
+    caller_server, control_follower,
+    control_store::{
+        ControlStore,
+        ControlStream,
+        GroupMember, //
+    },
+    endpoint_monitor,
+    front::Front,
+    peer_link,
+    weights_lease::{
+        self,
+        WeightsLease, //
+    },
+    weights_rollout,
+    wire_codec::WireCodec,
+};
+
+/// Serves until the host is told to end and has ended its work.
+pub async fn serve<C: WireCodec, S: ControlStore>(front: Rc<Front>, store: S) -> io::Result<()> {
+    let settings = &front.settings;
+    let callers = caller_server::listen(settings.callers)?;
+    let readiness = caller_server::listen(settings.readiness)?;
+    let metrics = caller_server::listen(settings.metrics)?;
+    let records = caller_server::listen(settings.peers)?;
+    let hints = Rc::new(peer_link::open(settings.peers).await?);
+    slog::info!(front.log, "started"; "domain" => &*settings.domain,
+        "callers" => %settings.callers, "peers" => %settings.peers,
+        "version" => env!("CARGO_PKG_VERSION"));
+    let lease = Rc::new(WeightsLease::default());
+    let tasks = [
+        task::spawn_local(control_follower::follow::<C, S>(
+            front.clone(),
+            store.clone(),
+            ControlStream::Operator,
+        )),
+        task::spawn_local(control_follower::follow::<C, S>(
+            front.clone(),
+            store.clone(),
+            ControlStream::Endpoints,
+        )),
+        task::spawn_local(caller_server::serve_readiness::<C>(
+            front.clone(),
+            readiness,
+        )),
+        task::spawn_local(caller_server::serve_metrics(front.clone(), metrics)),
+        task::spawn_local(peer_link::serve_records(front.clone(), records)),
+        task::spawn_local(peer_link::send_hints(front.clone(), hints.clone())),
+        task::spawn_local(peer_link::receive_hints::<C>(front.clone(), hints)),
+        task::spawn_local(endpoint_monitor::watch(front.clone())),
+        task::spawn_local(weights_lease::keep(
+            front.clone(),
+            store.clone(),
+            lease.clone(),
+        )),
+        task::spawn_local(weights_rollout::run::<C>(front.clone(), lease.clone())),
+    ];
+    caller_server::serve_callers::<C>(front.clone(), callers).await;
+    for task in tasks {
+        task.abort();
+    }
+    lease.drop_held();
+    let member = GroupMember {
+        host: settings.host.clone(),
+        address: settings.peers,
+    };
+    if let Err(error) = store.leave(&member).await {
+        slog::info!(front.log, "group not left"; "error" => %error);
+    }
+    Ok(())
+}
--- /dev/null
+++ b/wagtaildoor_front/src/front_metrics.rs
@@ -0,0 +1,80 @@
+//! Counters and latency histograms of the front.
+
+use std::time::Duration;
+
+use opentelemetry::{
+    metrics::{
+        Counter,
+        Histogram, //
+    },
+    KeyValue,
+};
+use wagtaildoor_daemon::metric_registry::{
+    self,
+    MetricRegistry, //
+};
+
+/// Instruments of one host.
+#[derive(Clone, Debug)]
+pub struct FrontMetrics {
+    /// Where they are read.
+    registry: MetricRegistry,
+    /// Requests by outcome.
+    requests: Counter<u64>,
+    /// Sends to endpoints by result.
+    sends: Counter<u64>,
+    /// Calls to the platform's store by result.
+    store_calls: Counter<u64>,
+    /// Orders to engines by verdict.
+    orders: Counter<u64>,
+    /// Time to the first part of an answer.
+    first_part: Histogram<f64>,
+    /// Time to the end of an answer.
+    whole: Histogram<f64>,
+}
+
+impl FrontMetrics {
+    /// Instruments of a program.
+    pub fn new(program: &'static str) -> metric_registry::Result<Self> {
+        let registry = MetricRegistry::new(program, "wagtaildoor_front")?;
+        Ok(Self {
+            requests: registry.counter("front_requests", "Requests by outcome"),
+            sends: registry.counter("front_sends", "Sends to endpoints by result"),
+            store_calls: registry.counter("front_store_calls", "Calls to the store by result"),
+            orders: registry.counter("front_orders", "Orders to engines by verdict"),
+            first_part: registry.times("front_first_part", "Time to the first part of an answer"),
+            whole: registry.times("front_whole", "Time to the end of an answer"),
+            registry,
+        })
+    }
+
+    /// All instruments as text.
+    pub fn text(&self) -> String {
+        self.registry.text()
+    }
+
+    /// Counts a request that has ended.
+    pub fn request(&self, outcome: &'static str, first: Option<Duration>, whole: Duration) {
+        let labels = [KeyValue::new("outcome", outcome)];
+        self.requests.add(1, &labels);
+        self.whole.record(whole.as_secs_f64(), &[]);
+        if let Some(first) = first {
+            self.first_part.record(first.as_secs_f64(), &[]);
+        }
+    }
+
+    /// Counts a send to an endpoint.
+    pub fn send(&self, result: &'static str) {
+        self.sends.add(1, &[KeyValue::new("result", result)]);
+    }
+
+    /// Counts a call to the store.
+    pub fn store_call(&self, result: &'static str) {
+        self.store_calls.add(1, &[KeyValue::new("result", result)]);
+    }
+
+    /// Counts an order to an engine.
+    pub fn order(&self, verdict: &'static str) {
+        self.orders.add(1, &[KeyValue::new("verdict", verdict)]);
+    }
+}
--- /dev/null
+++ b/wagtaildoor_front/src/hint_queue.rs
@@ -0,0 +1,78 @@
+//! News that a host is about to tell the others.
+
+use std::mem;
+
+use wagtaildoor::{
+    ids::{
+        ModelId,
+        PrefixId,
+        WeightsVersion, //
+    },
+    schema::{
+        EngineWeights,
+        PlacedPrefix, //
+    },
+};
+
+use crate::endpoint::EndpointKey;
+
+/// News kept until the next datagram; more is dropped, since hints are only hints.
+const QUEUE_LIMIT: usize = 2_048;
+
+/// News since the last datagram.
+#[derive(Debug, Default)]
+pub struct HintQueue {
+    /// Prefixes that went to engines.
+    placed: Vec<PlacedPrefix>,
+    /// Weights of engines.
+    weights: Vec<EngineWeights>,
+    /// The operator's stream has gone on.
+    has_new_head: bool,
+}
+
+impl HintQueue {
+    /// Adds a prefix that went to an engine.
+    pub fn placed(&mut self, prefix: PrefixId, endpoint: EndpointKey, is_read: bool) {
+        if self.placed.len() < QUEUE_LIMIT {
+            self.placed.push(PlacedPrefix {
+                prefix,
+                endpoint,
+                is_read,
+            });
+        }
+    }
+
+    /// Adds weights of an engine.
+    pub fn weights(
+        &mut self,
+        endpoint: EndpointKey,
+        model: &ModelId,
+        version: WeightsVersion,
+        is_loading: bool,
+    ) {
+        self.weights.push(EngineWeights {
+            endpoint,
+            model: model.clone(),
+            version,
+            is_loading,
+        });
+    }
+
+    /// Notes that the operator's stream has gone on.
+    pub fn new_head(&mut self) {
+        self.has_new_head = true;
+    }
+
+    /// Whether there is anything to tell.
+    pub fn is_empty(&self) -> bool {
+        self.placed.is_empty() && self.weights.is_empty() && !self.has_new_head
+    }
+
+    /// Takes so many prefixes at most, and all weights.
+    pub fn take(&mut self, prefixes: usize) -> (Vec<PlacedPrefix>, Vec<EngineWeights>) {
+        self.has_new_head = false;
+        let count = prefixes.min(self.placed.len());
+        let placed = self.placed.drain(..count).collect();
+        (placed, mem::take(&mut self.weights))
+    }
+}
--- /dev/null
+++ b/wagtaildoor_front/src/lib.rs
@@ -0,0 +1,35 @@
+//! Transparent front: forwards callers' requests to endpoints unchanged, and decides where to.
+
+pub mod caller_run;
+pub mod caller_server;
+pub mod control_follower;
+pub mod control_store;
+pub mod endpoint;
+pub mod endpoint_call;
+pub mod endpoint_connection;
+pub mod endpoint_directory;
+pub mod endpoint_health;
+pub mod endpoint_load;
+pub mod endpoint_monitor;
+pub mod engine_placement;
+pub mod event_splitter;
+pub mod front;
+pub mod front_body;
+pub mod front_host;
+pub mod front_metrics;
+pub mod front_settings;
+pub mod hint_queue;
+pub mod peer_link;
+pub mod plain_placement;
+pub mod prefix_hash;
+pub mod prompt_homes;
+pub mod record_mirror;
+pub mod request_log;
+pub mod request_place;
+pub mod retry_allowance;
+pub mod route_table;
+pub mod service_config;
+pub mod stream_relay;
+pub mod weights_lease;
+pub mod weights_rollout;
+pub mod wire_codec;
--- /dev/null
+++ b/wagtaildoor_front/src/peer_link.rs
@@ -0,0 +1,294 @@
+//! Exchange between hosts: hints by datagrams, and records of the store for hosts cut off from it.
+
+use std::{
+    io,
+    net::SocketAddr,
+    rc::Rc,
+    time::Duration, //
+};
+
+use bytes::Bytes;
+use tokio::{
+    net::{
+        TcpListener,
+        UdpSocket, //
+    },
+    task,
+    time, //
+};
+use wagtaildoor::{
+    boot_clock::BootInstant,
+    frame::{
+        self,
+        FrameReader,
+        FrameWriter, //
+    },
+    schema::{
+        FrontAsk,
+        FrontHint,
+        FrontRecord,
+        FrontRecords,
+        FrontStream, //
+    },
+};
+
+use crate::{
+    control_follower::{
+        self,
+        PageSource, //
+    },
+    control_store::{
+        ControlPage,
+        ControlRecord,
+        ControlStream,
+        GroupMember, //
+    },
+    endpoint_connection,
+    front::Front,
+    prefix_hash,
+    wire_codec::WireCodec, //
+};
+
+/// Pause in which hints are gathered into one datagram.
+const HINT_PAUSE: Duration = Duration::from_millis(25);
+/// Pauses without news after which a datagram goes out all the same.
+const QUIET_PAUSES: u32 = 40;
+/// Prefixes in one datagram, which keeps it below the size that networks cut.
+const PREFIXES_PER_HINT: usize = 60;
+/// Largest datagram that is read, in bytes.
+const DATAGRAM_BYTES: usize = 4_096;
+/// Time for one exchange of records with another host.
+const RECORDS_TIME: Duration = Duration::from_millis(600);
+/// Time that the own read of the store has before a peer is asked for what it has seen.
+const OWN_READ_TIME: Duration = Duration::from_millis(120);
+
+/// Opens the port for datagrams.
+pub async fn open(address: SocketAddr) -> io::Result<UdpSocket> {
+    UdpSocket::bind(address).await
+}
+
+/// Sends news to all other hosts as it comes.
+pub async fn send_hints(front: Rc<Front>, socket: Rc<UdpSocket>) {
+    let mut quiet = 0;
+    loop {
+        time::sleep(HINT_PAUSE).await;
+        quiet += 1;
+        if front.hints.borrow().is_empty() && quiet < QUIET_PAUSES {
+            continue;
+        }
+        quiet = 0;
+        let (placed, weights) = front.hints.borrow_mut().take(PREFIXES_PER_HINT);
+        let hint = FrontHint {
+            host: front.settings.host.clone(),
+            operator_next: front.mirror.borrow().next(ControlStream::Operator),
+            placed,
+            weights,
+        };
+        let datagram = match frame::encode(&hint) {
+            Ok(datagram) => datagram,
+            Err(error) => {
+                slog::error!(front.log, "hint not encoded"; "error" => %error);
+                continue;
+            }
+        };
+        for peer in peers(&front) {
+            if let Err(error) = socket.try_send_to(&datagram, peer) {
+                slog::debug!(front.log, "hint not sent"; "peer" => %peer, "error" => %error);
+            }
+        }
+    }
+}
+
+/// Takes news of other hosts.
+pub async fn receive_hints<C: WireCodec>(front: Rc<Front>, socket: Rc<UdpSocket>) {
+    let mut buffer = vec![0; DATAGRAM_BYTES];
+    loop {
+        let (length, from) = match socket.recv_from(&mut buffer).await {
+            Ok(received) => received,
+            Err(error) => {
+                slog::debug!(front.log, "datagram not received"; "error" => %error);
+                time::sleep(HINT_PAUSE).await;
+                continue;
+            }
+        };
+        match frame::decode::<FrontHint>(&buffer[..length]) {
+            Ok(hint) => take_hint::<C>(&front, hint, from),
+            Err(error) => {
+                slog::debug!(front.log, "datagram dropped"; "from" => %from, "error" => %error);
+            }
+        }
+    }
+}
+
+/// Takes one hint.
+fn take_hint<C: WireCodec>(front: &Rc<Front>, hint: FrontHint, from: SocketAddr) {
+    let now = BootInstant::now();
+    meet(front, &hint, from);
+    let mut homes = front.homes.borrow_mut();
+    for placed in &hint.placed {
+        homes.note(placed.prefix, placed.endpoint, placed.is_read, now);
+    }
+    let endpoints = front.endpoints.borrow();
+    for seen in &hint.weights {
+        if let Some(endpoint) = endpoints.by_key(seen.endpoint) {
+            if seen.is_loading {
+                endpoint.load.borrow_mut().refused(now);
+            } else {
+                endpoint.saw_weights(&seen.model, seen.version);
+            }
+        }
+    }
+    if hint.operator_next > front.mirror.borrow().next(ControlStream::Operator) {
+        task::spawn_local(catch_up::<C>(front.clone(), hint.operator_next, from));
+    }
+}
+
+/// Adds a host that was not known.
+fn meet(front: &Front, hint: &FrontHint, from: SocketAddr) {
+    let mut members = front.members.borrow_mut();
+    if members.iter().any(|member| member.address == from) {
+        return;
+    }
+    slog::info!(front.log, "host met"; "host" => &*hint.host, "address" => %from);
+    members.retain(|member| member.host != hint.host);
+    members.push(GroupMember {
+        host: hint.host.clone(),
+        address: from,
+    });
+}
+
+/// Asks a host for the operator's records, if the store does not give them in time.
+async fn catch_up<C: WireCodec>(front: Rc<Front>, head: u64, peer: SocketAddr) {
+    time::sleep(OWN_READ_TIME).await;
+    if front.mirror.borrow().next(ControlStream::Operator) < head {
+        fetch_from::<C>(&front, ControlStream::Operator, peer).await;
+    }
+}
+
+/// Asks another host for the records of a stream.
+pub async fn fetch<C: WireCodec>(front: &Front, stream: ControlStream) {
+    let peers = peers(front);
+    if peers.is_empty() {
+        return;
+    }
+    let drawn = BootInstant::now().since(BootInstant::ZERO).as_nanos() as u64;
+    let index = prefix_hash::join(drawn, peers.len() as u64) as usize % peers.len();
+    fetch_from::<C>(front, stream, peers[index]).await;
+}
+
+/// Asks one host for the records of a stream.
+async fn fetch_from<C: WireCodec>(front: &Front, stream: ControlStream, peer: SocketAddr) {
+    let ask = FrontAsk {
+        stream: frame_stream(stream),
+        from: front.mirror.borrow().next(stream),
+    };
+    match time::timeout(RECORDS_TIME, ask_records(peer, &ask)).await {
+        Ok(Ok(records)) => {
+            let page = page_of(records);
+            if page.next > ask.from {
+                slog::info!(front.log, "records from a peer"; "stream" => ?stream,
+                    "peer" => %peer, "from" => ask.from, "next" => page.next);
+                control_follower::take_page::<C>(front, stream, &page, PageSource::Peer, true);
+            }
+        }
+        Ok(Err(error)) => {
+            slog::debug!(front.log, "no records"; "peer" => %peer, "error" => %error);
+        }
+        Err(_) => slog::debug!(front.log, "no records in time"; "peer" => %peer),
+    }
+}
+
+/// One exchange of records.
+async fn ask_records(peer: SocketAddr, ask: &FrontAsk) -> io::Result<FrontRecords> {
+    let stream = endpoint_connection::connect(peer).await?;
+    let (reader, writer) = stream.into_split();
+    FrameWriter::new(writer)
+        .send(ask)
+        .await
+        .map_err(io::Error::other)?;
+    let answer = FrameReader::new(reader).next().await;
+    answer
+        .map_err(io::Error::other)?
+        .ok_or_else(|| io::ErrorKind::UnexpectedEof.into())
+}
+
+/// Gives other hosts the records that they ask for.
+pub async fn serve_records(front: Rc<Front>, listener: TcpListener) {
+    loop {
+        let stream = match listener.accept().await {
+            Ok((stream, _)) => stream,
+            Err(error) => {
+                slog::warn!(front.log, "accept failed"; "error" => %error);
+                time::sleep(HINT_PAUSE).await;
+                continue;
+            }
+        };
+        let front = front.clone();
+        task::spawn_local(async move {
+            let (reader, writer) = stream.into_split();
+            let answer = async {
+                let ask = FrameReader::new(reader).next::<FrontAsk>().await?;
+                if let Some(ask) = ask {
+                    let records = records_for(&front, &ask);
+                    FrameWriter::new(writer).send(&records).await?;
+                }
+                Ok::<_, frame::FrameError>(())
+            };
+            if let Ok(Err(error)) = time::timeout(RECORDS_TIME, answer).await {
+                slog::debug!(front.log, "records not given"; "error" => %error);
+            }
+        });
+    }
+}
+
+/// Records that another host asks for.
+fn records_for(front: &Front, ask: &FrontAsk) -> FrontRecords {
+    let stream = match ask.stream {
+        FrontStream::Operator => ControlStream::Operator,
+        FrontStream::Endpoints => ControlStream::Endpoints,
+    };
+    let page = front.mirror.borrow().page_from(stream, ask.from);
+    let records = page.records.into_iter().map(|record| FrontRecord {
+        offset: record.offset,
+        key: record.key,
+        value: record.value.map(|value| value.to_vec()),
+    });
+    FrontRecords {
+        next: page.next,
+        records: records.collect(),
+    }
+}
+
+/// Another host's records as a page.
+fn page_of(records: FrontRecords) -> ControlPage {
+    let page = records.records.into_iter().map(|record| ControlRecord {
+        offset: record.offset,
+        key: record.key,
+        value: record.value.map(Bytes::from),
+    });
+    ControlPage {
+        records: page.collect(),
+        next: records.next,
+    }
+}
+
+/// Name of a stream in frames.
+fn frame_stream(stream: ControlStream) -> FrontStream {
+    match stream {
+        ControlStream::Operator => FrontStream::Operator,
+        ControlStream::Endpoints => FrontStream::Endpoints,
+    }
+}
+
+/// Addresses of other hosts: those of the group, or the seeds until it is known.
+fn peers(front: &Front) -> Vec<SocketAddr> {
+    let own = front.settings.peers;
+    let members = front.members.borrow();
+    let known = members.iter().map(|member| member.address);
+    let mut peers: Vec<SocketAddr> = known.filter(|&address| address != own).collect();
+    if peers.is_empty() {
+        let seeds = front.settings.seeds.iter().copied();
+        peers = seeds.filter(|&address| address != own).collect();
+    }
+    peers
+}
--- /dev/null
+++ b/wagtaildoor_front/src/request_place.rs
@@ -0,0 +1,251 @@
+//! Chooses where a request goes, from what the host knows at this moment.
+
+use std::rc::Rc;
+
+use wagtaildoor::{
+    boot_clock::BootInstant,
+    ids::{
+        ModelId,
+        ServiceId,
+        WeightsVersion, //
+    },
+};
+
+use crate::{
+    endpoint::{
+        Endpoint,
+        EndpointKey, //
+    },
+    engine_placement::{
+        self,
+        EngineCandidate,
+        EngineDemand,
+        SharedPrefix, //
+    },
+    front::Front,
+    plain_placement::{
+        self,
+        PlainCandidate, //
+    },
+    prefix_hash,
+    service_config::ServiceKind,
+    wire_codec::PromptHead,
+};
+
+/// Most of the connections to an endpoint that this host takes of its equal share.
+const CONNECTION_SHARE_USE: f64 = 0.9;
+/// Connections that a host may have to an endpoint in any case.
+const CONNECTIONS_MIN: u32 = 4;
+/// Near ties between plain endpoints are settled by a draw of up to so many milliseconds.
+const TIE_MS: f64 = 0.2;
+
+/// What decides where a request goes.
+#[derive(Debug)]
+pub struct PlaceQuery<'a> {
+    /// Services that it may go to, in order.
+    pub services: &'a [&'a ServiceId],
+    /// Its prompt, if it has one.
+    pub prompt: Option<&'a PromptHead>,
+    /// Account whose cached blocks are kept apart.
+    pub isolated: Option<&'a str>,
+    /// Endpoints that must not get it again.
+    pub tried: &'a [EndpointKey],
+    /// A number that settles ties.
+    pub draw: u64,
+}
+
+/// Where a request goes.
+#[derive(Debug)]
+pub struct RequestPlace {
+    /// Endpoint.
+    pub endpoint: Rc<Endpoint>,
+    /// For requests to models.
+    pub engine: Option<EnginePlace>,
+    /// Expected cost of the choice, in milliseconds.
+    pub cost_ms: f64,
+    /// Tokens that the endpoint is expected to read.
+    pub prefill_tokens: u64,
+}
+
+/// What an engine is told about the prompt.
+#[derive(Debug)]
+pub struct EnginePlace {
+    /// Model.
+    pub model: ModelId,
+    /// Weights that the request must begin under.
+    pub weights: WeightsVersion,
+    /// Text that keeps cached blocks apart.
+    pub wall: Box<str>,
+    /// Engine to fetch cached blocks from.
+    pub source: Option<Rc<Endpoint>>,
+    /// Prefixes that the engine holds once it has read the prompt.
+    pub prefixes: Vec<SharedPrefix>,
+}
+
+/// Chooses an endpoint; `None` if there is none that could take the request.
+pub fn place(front: &Front, query: &PlaceQuery<'_>, now: BootInstant) -> Option<RequestPlace> {
+    let services = query.services.iter();
+    let mut places = services.filter_map(|service| match query.prompt {
+        Some(prompt) if is_engine(front, service) => {
+            place_prompt(front, service, prompt, query, now)
+        }
+        _ => place_plain(front, service, query, now),
+    });
+    places.next()
+}
+
+/// Whether a service's endpoints are engines.
+fn is_engine(front: &Front, service: &ServiceId) -> bool {
+    front.routes().is_some_and(|table| {
+        let rule = table.service(service);
+        rule.is_some_and(|rule| matches!(rule.kind, ServiceKind::Engine(_)))
+    })
+}
+
+/// Connections that this host may have to one endpoint of a service.
+fn connection_share(front: &Front, service: &ServiceId) -> u32 {
+    let limit = front
+        .routes()
+        .and_then(|table| table.service(service).map(|rule| rule.connection_limit));
+    let share = f64::from(limit.unwrap_or(u32::MAX)) * CONNECTION_SHARE_USE / front.hosts() as f64;
+    (share as u32).max(CONNECTIONS_MIN)
+}
+
+/// Whether an endpoint could take a request now.
+fn is_usable(endpoint: &Endpoint, share: u32, tried: &[EndpointKey]) -> bool {
+    endpoint.takes_work()
+        && !tried.contains(&endpoint.key)
+        && !endpoint.health.borrow().is_down()
+        && endpoint.load.borrow().own() < share
+}
+
+/// Chooses an engine.
+fn place_prompt(
+    front: &Front,
+    service: &ServiceId,
+    prompt: &PromptHead,
+    query: &PlaceQuery<'_>,
+    now: BootInstant,
+) -> Option<RequestPlace> {
+    let directory = front.endpoints.borrow();
+    let endpoints = directory.service(service);
+    let share = connection_share(front, service);
+    let candidates: Vec<EngineCandidate> = endpoints
+        .iter()
+        .map(|endpoint| {
+            let usable = is_usable(endpoint, share, query.tried);
+            engine_candidate(front, endpoint, &prompt.model, usable, now)
+        })
+        .collect();
+    let wanted = front.wanted(&prompt.model);
+    let prefixes = shared_prefixes(prompt, query.isolated, &candidates);
+    let demand = EngineDemand {
+        prefixes: &prefixes,
+        tokens: prompt.tokens as f64,
+        wanted: wanted.map_or(0, |wanted| wanted.version),
+        wanted_age: wanted.map_or(std::time::Duration::ZERO, |wanted| now.since(wanted.since)),
+    };
+    let homes = front.homes.borrow();
+    let policy = &front.settings.engines;
+    let choice = engine_placement::choose(&candidates, &demand, &homes, policy, now)?;
+    let chain = prefixes.into_iter().find(|(w, _)| *w == choice.weights);
+    Some(RequestPlace {
+        endpoint: endpoints[choice.index].clone(),
+        engine: Some(EnginePlace {
+            model: prompt.model.clone(),
+            weights: choice.weights,
+            wall: prefix_hash::cache_wall(&prompt.model, choice.weights, query.isolated),
+            source: choice.source.map(|index| endpoints[index].clone()),
+            prefixes: chain.map_or_else(Vec::new, |(_, chain)| chain),
+        }),
+        cost_ms: choice.cost_ms,
+        prefill_tokens: choice.prefill_tokens,
+    })
+}
+
+/// An engine as the choice sees it.
+fn engine_candidate(
+    front: &Front,
+    endpoint: &Endpoint,
+    model: &ModelId,
+    usable: bool,
+    now: BootInstant,
+) -> EngineCandidate {
+    let load = endpoint.load.borrow();
+    EngineCandidate {
+        key: endpoint.key,
+        is_near: endpoint.domain == front.settings.domain,
+        domain: prefix_hash::text_hash(&endpoint.domain),
+        weights: endpoint.weights(model),
+        prefill_tokens: load.own_prefill_tokens() as f64,
+        waiting: load.others_waiting(now),
+        requests: load.requests(now),
+        slots: f64::from(load.slots()),
+        failure_share: endpoint.health.borrow().failure_share(now),
+        is_full: load.is_full(now),
+        is_excluded: !usable,
+    }
+}
+
+/// Prefixes of a prompt under each version of weights that an engine has.
+fn shared_prefixes(
+    prompt: &PromptHead,
+    isolated: Option<&str>,
+    candidates: &[EngineCandidate],
+) -> Vec<(WeightsVersion, Vec<SharedPrefix>)> {
+    let mut versions: Vec<WeightsVersion> = candidates.iter().map(|c| c.weights).collect();
+    versions.sort_unstable();
+    versions.dedup();
+    let (_, shared) = prompt.parts.split_last().unwrap_or((&EMPTY_PART, &[]));
+    let chain_of = |weights| {
+        let wall = prefix_hash::cache_wall(&prompt.model, weights, isolated);
+        let ids = prefix_hash::prefixes(&wall, shared.iter().map(|part| part.id));
+        let mut tokens = 0.0;
+        let chain = ids.into_iter().zip(shared).map(|(id, part)| {
+            tokens += part.tokens as f64;
+            SharedPrefix { id, tokens }
+        });
+        (weights, chain.collect())
+    };
+    versions.into_iter().map(chain_of).collect()
+}
+
+/// Stands for the missing last part of an empty prompt.
+const EMPTY_PART: crate::wire_codec::PromptPart =
+    crate::wire_codec::PromptPart { id: 0, tokens: 0 };
+
+/// Chooses an endpoint of a plain service.
+fn place_plain(
+    front: &Front,
+    service: &ServiceId,
+    query: &PlaceQuery<'_>,
+    now: BootInstant,
+) -> Option<RequestPlace> {
+    let directory = front.endpoints.borrow();
+    let share = connection_share(front, service);
+    let endpoints = directory.service(service).iter();
+    let usable: Vec<&Rc<Endpoint>> = endpoints
+        .filter(|endpoint| is_usable(endpoint, share, query.tried))
+        .collect();
+    let candidates = usable.iter().map(|endpoint| {
+        let load = endpoint.load.borrow();
+        PlainCandidate {
+            is_near: endpoint.domain == front.settings.domain,
+            requests: load.requests(now),
+            slots: f64::from(load.slots()),
+            failure_share: endpoint.health.borrow().failure_share(now),
+            is_full: load.is_full(now),
+        }
+    });
+    let tie = |index: usize| {
+        let drawn = prefix_hash::join(query.draw, index as u64);
+        drawn as f64 / u64::MAX as f64 * TIE_MS
+    };
+    let index = plain_placement::choose(candidates, &front.settings.plain, tie)?;
+    Some(RequestPlace {
+        endpoint: usable[index].clone(),
+        engine: None,
+        cost_ms: 0.0,
+        prefill_tokens: 0,
+    })
+}
--- /dev/null
+++ b/wagtaildoor_front/src/weights_rollout.rs
@@ -0,0 +1,387 @@
+//! Brings engines to the weights that the operator wants, some at a time.
+
+use std::{
+    cell::RefCell,
+    collections::HashMap,
+    rc::Rc,
+    time::Duration, //
+};
+
+use tokio::{
+    task,
+    time, //
+};
+use wagtaildoor::{
+    boot_clock::BootInstant,
+    ids::{
+        ModelId,
+        WeightsVersion, //
+    },
+};
+
+use crate::{
+    endpoint::{
+        Endpoint,
+        EndpointKey, //
+    },
+    endpoint_call::{
+        self,
+        CallError, //
+    },
+    front::Front,
+    front_settings::RolloutPolicy,
+    weights_lease::WeightsLease,
+    wire_codec::{
+        EngineReport,
+        OrderVerdict,
+        WeightsOrder,
+        WireCodec, //
+    },
+};
+
+/// Pause between two looks at what is to be done.
+const LOOK_PAUSE: Duration = Duration::from_millis(40);
+/// Time for a report of an engine.
+const REPORT_TIME: Duration = Duration::from_millis(350);
+/// Time for an answer to an order.
+const ORDER_TIME: Duration = Duration::from_millis(450);
+/// Pause before an engine is asked again.
+const RETRY_PAUSE: Duration = Duration::from_millis(200);
+
+/// What was last done about one engine.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum OrderState {
+    /// A report or an order is on its way.
+    Calling,
+    /// It loads weights until then, and must be seen with them by a later time.
+    Loading {
+        /// Weights.
+        version: WeightsVersion,
+        /// When it should be done.
+        done: BootInstant,
+        /// When it must have been seen with them.
+        confirm_by: BootInstant,
+    },
+    /// It is asked again then.
+    Waiting(BootInstant),
+}
+
+/// Orders by engine.
+#[derive(Debug, Default)]
+pub struct OrderBook {
+    /// What was last done.
+    states: HashMap<EndpointKey, OrderState>,
+}
+
+/// An engine as the choice of the next order sees it.
+#[derive(Clone, Debug, PartialEq)]
+pub struct RolloutEngine {
+    /// Engine.
+    pub key: EndpointKey,
+    /// Weights that it is believed to have.
+    pub weights: WeightsVersion,
+    /// Weights as it describes itself.
+    pub described: WeightsVersion,
+    /// Requests there.
+    pub requests: f64,
+}
+
+impl OrderBook {
+    /// Engines that take part in a load at this moment.
+    pub fn busy(&self, now: BootInstant) -> usize {
+        let busy = self.states.values().filter(|state| match state {
+            OrderState::Calling => true,
+            OrderState::Loading { done, .. } => now < *done,
+            OrderState::Waiting(_) => false,
+        });
+        busy.count()
+    }
+
+    /// Notes what was done about an engine.
+    pub fn note(&mut self, key: EndpointKey, state: OrderState) {
+        self.states.insert(key, state);
+    }
+
+    /// Engines to be given an order now, those with the least work first.
+    pub fn next(
+        &mut self,
+        engines: &[RolloutEngine],
+        wanted: WeightsVersion,
+        at_once: usize,
+        now: BootInstant,
+    ) -> Vec<EndpointKey> {
+        self.states
+            .retain(|key, _| engines.iter().any(|engine| engine.key == *key));
+        let room = at_once.saturating_sub(self.busy(now));
+        let behind = engines.iter().filter(|engine| engine.weights < wanted);
+        let mut due: Vec<&RolloutEngine> = behind
+            .filter(|engine| self.is_due(engine.key, wanted, now))
+            .collect();
+        due.sort_by(|a, b| a.requests.total_cmp(&b.requests));
+        due.iter().take(room).map(|engine| engine.key).collect()
+    }
+
+    /// Engines that should have been seen with their weights by now, and were not.
+    pub fn unconfirmed(&mut self, engines: &[RolloutEngine], now: BootInstant) -> Vec<EndpointKey> {
+        let mut unconfirmed = Vec::new();
+        for engine in engines {
+            let Some(OrderState::Loading {
+                version,
+                confirm_by,
+                ..
+            }) = self.states.get(&engine.key)
+            else {
+                continue;
+            };
+            if now >= *confirm_by {
+                if engine.described < *version {
+                    unconfirmed.push(engine.key);
+                }
+                self.states.remove(&engine.key);
+            }
+        }
+        unconfirmed
+    }
+
+    /// Whether an engine may be given an order.
+    fn is_due(&self, key: EndpointKey, wanted: WeightsVersion, now: BootInstant) -> bool {
+        match self.states.get(&key) {
+            None => true,
+            Some(OrderState::Calling) => false,
+            Some(OrderState::Loading { version, done, .. }) => *version < wanted && now >= *done,
+            Some(OrderState::Waiting(until)) => now >= *until,
+        }
+    }
+}
+
+/// Engines of a service that load at a time.
+pub fn at_once(engines: usize, policy: &RolloutPolicy) -> usize {
+    let share = (engines as f64 * policy.at_once_share).floor() as usize;
+    share.max(1)
+}
+
+/// Rolls out weights whenever this host holds the lease.
+pub async fn run<C: WireCodec>(front: Rc<Front>, lease: Rc<WeightsLease>) {
+    let book = Rc::new(RefCell::new(OrderBook::default()));
+    loop {
+        time::sleep(LOOK_PAUSE).await;
+        let now = BootInstant::now();
+        if lease.usable(now).is_none() {
+            continue;
+        }
+        for (model, wanted) in front.all_wanted() {
+            step::<C>(&front, &lease, &book, &model, wanted.version, now);
+        }
+    }
+}
+
+/// Gives the next orders for one model.
+fn step<C: WireCodec>(
+    front: &Rc<Front>,
+    lease: &Rc<WeightsLease>,
+    book: &Rc<RefCell<OrderBook>>,
+    model: &ModelId,
+    wanted: WeightsVersion,
+    now: BootInstant,
+) {
+    let directory = front.endpoints.borrow();
+    let serving: Vec<&Rc<Endpoint>> = directory
+        .all()
+        .filter(|e| e.takes_work() && !e.health.borrow().is_down() && e.weights(model) > 0)
+        .collect();
+    let engines: Vec<RolloutEngine> = serving
+        .iter()
+        .map(|endpoint| RolloutEngine {
+            key: endpoint.key,
+            weights: endpoint.weights(model),
+            described: endpoint.described_weights(model),
+            requests: endpoint.load.borrow().requests(now),
+        })
+        .collect();
+    let mut orders = book.borrow_mut();
+    for key in orders.unconfirmed(&engines, now) {
+        if let Some(endpoint) = directory.by_key(key) {
+            let described = endpoint.described_weights(model);
+            slog::warn!(front.log, "weights not confirmed"; "endpoint" => &*endpoint.id,
+                "wanted" => wanted, "described" => described);
+            endpoint.reset_weights(model, described);
+        }
+    }
+    let limit = at_once(engines.len(), &front.settings.rollout);
+    for key in orders.next(&engines, wanted, limit, now) {
+        let Some(endpoint) = directory.by_key(key).cloned() else {
+            continue;
+        };
+        orders.note(key, OrderState::Calling);
+        let order = EngineOrder {
+            front: front.clone(),
+            lease: lease.clone(),
+            book: book.clone(),
+            endpoint,
+            model: model.clone(),
+            version: wanted,
+        };
+        task::spawn_local(order.give::<C>());
+    }
+}
+
+/// One engine that is brought to weights.
+struct EngineOrder {
+    /// Host.
+    front: Rc<Front>,
+    /// Lease.
+    lease: Rc<WeightsLease>,
+    /// Where to note what was done.
+    book: Rc<RefCell<OrderBook>>,
+    /// Engine.
+    endpoint: Rc<Endpoint>,
+    /// Model.
+    model: ModelId,
+    /// Weights.
+    version: WeightsVersion,
+}
+
+impl EngineOrder {
+    /// Asks the engine for its state, and gives it the order if it needs one.
+    async fn give<C: WireCodec>(self) {
+        let state = match self.report::<C>().await {
+            Some(report) if report.weights_of(&self.model) >= self.version => {
+                self.has_weights();
+                self.loading_until(BootInstant::now())
+            }
+            Some(report) if report.busy => self.waiting(),
+            Some(report) => self.order::<C>(&report).await,
+            None => self.waiting(),
+        };
+        self.book.borrow_mut().note(self.endpoint.key, state);
+    }
+
+    /// The engine's state.
+    async fn report<C: WireCodec>(&self) -> Option<EngineReport> {
+        let call = C::report_call(&self.endpoint.id);
+        match endpoint_call::call(&self.endpoint, call, REPORT_TIME).await {
+            Ok((status, body)) if status.is_success() => C::report(&body),
+            Ok((status, _)) => {
+                self.note("no report", &status.to_string());
+                None
+            }
+            Err(error) => {
+                self.note("no report", &error.to_string());
+                None
+            }
+        }
+    }
+
+    /// Gives the order, if the lease still holds.
+    async fn order<C: WireCodec>(&self, report: &EngineReport) -> OrderState {
+        let Some(held) = self.lease.usable(BootInstant::now()) else {
+            return self.waiting();
+        };
+        let order = WeightsOrder {
+            model: &self.model,
+            version: self.version,
+            holder: &self.front.settings.host,
+            fencing: held.fencing,
+            orders_before: report.orders,
+        };
+        let call = C::order_call(&self.endpoint.id, &order);
+        let key = self.endpoint.key;
+        self.endpoint.load.borrow_mut().refused(BootInstant::now());
+        self.front
+            .hints
+            .borrow_mut()
+            .weights(key, &self.model, self.version, true);
+        let answer = endpoint_call::call(&self.endpoint, call, ORDER_TIME).await;
+        let now = BootInstant::now();
+        match answer.map(|(status, _)| C::order_verdict(status)) {
+            Ok(OrderVerdict::Accepted) => {
+                self.note("accepted", "");
+                task::spawn_local(expect_weights(
+                    self.front.clone(),
+                    self.endpoint.clone(),
+                    self.model.clone(),
+                    self.version,
+                ));
+                self.loading_until(now + self.front.settings.rollout.load_time)
+            }
+            Ok(OrderVerdict::AlreadyHolds) => {
+                self.note("already_holds", "");
+                self.has_weights();
+                self.loading_until(now)
+            }
+            Ok(OrderVerdict::Busy) => {
+                self.note("busy", "");
+                self.waiting()
+            }
+            Ok(OrderVerdict::Fenced) => {
+                self.note("fenced", "");
+                self.waiting()
+            }
+            Ok(OrderVerdict::Refused) => {
+                self.note("refused", "");
+                self.waiting()
+            }
+            Err(CallError::NotSent(reason)) => {
+                self.note("not_sent", &reason);
+                self.waiting()
+            }
+            Err(CallError::AnswerLost(reason)) => {
+                self.note("answer_lost", &reason);
+                self.waiting()
+            }
+        }
+    }
+
+    /// Notes that the engine has the weights, and tells the other hosts.
+    fn has_weights(&self) {
+        saw_weights(&self.front, &self.endpoint, &self.model, self.version);
+    }
+
+    /// The engine loads until then.
+    fn loading_until(&self, done: BootInstant) -> OrderState {
+        OrderState::Loading {
+            version: self.version,
+            done,
+            confirm_by: done + self.front.settings.rollout.confirm_time,
+        }
+    }
+
+    /// The engine is asked again soon.
+    fn waiting(&self) -> OrderState {
+        OrderState::Waiting(BootInstant::now() + RETRY_PAUSE)
+    }
+
+    /// Logs and counts what came of the order.
+    fn note(&self, verdict: &'static str, detail: &str) {
+        self.front.metrics.order(verdict);
+        slog::info!(self.front.log, "order"; "endpoint" => &*self.endpoint.id,
+            "model" => &*self.model, "version" => self.version,
+            "verdict" => verdict, "detail" => detail);
+    }
+}
+
+/// Takes an engine as loaded once it had the time for it; its next description confirms that.
+async fn expect_weights(
+    front: Rc<Front>,
+    endpoint: Rc<Endpoint>,
+    model: ModelId,
+    version: WeightsVersion,
+) {
+    time::sleep(front.settings.rollout.load_time).await;
+    saw_weights(&front, &endpoint, &model, version);
+}
+
+/// Notes that an engine has weights, and tells the other hosts.
+fn saw_weights(front: &Front, endpoint: &Endpoint, model: &ModelId, version: WeightsVersion) {
+    endpoint.saw_weights(model, version);
+    let mut hints = front.hints.borrow_mut();
+    hints.weights(endpoint.key, model, version, false);
+}
+
+impl EngineReport {
+    /// Weights of a model; 0 when the engine does not serve it.
+    pub fn weights_of(&self, model: &str) -> WeightsVersion {
+        let found = self.weights.iter().find(|(name, _)| &**name == model);
+        found.map_or(0, |&(_, version)| version)
+    }
+}
