Deal orders out by shards, and treat weights found at the start as old

A new owner waits by what it knows of the one before. A process that starts took weights it found as just named, and used old ones for the whole limit.

--- a/wagtaildoor/src/schema.rs
+++ b/wagtaildoor/src/schema.rs
@@ -1221,6 +1221,8 @@
 pub struct FrontHint {
     ///Host that sent it.
     pub host: crate::ids::HostId,
+    ///Some hosts that it knows.
+    pub hosts: ::std::vec::Vec<FrontHost>,
     ///Offset from which it reads the operator's stream on.
     pub operator_next: u64,
     ///Prefixes that went to engines.
@@ -1233,6 +1235,20 @@
         value.clone()
     }
 }
+///A host of the front.
+#[derive(::serde::Deserialize, ::serde::Serialize, Clone, Debug, PartialEq)]
+#[serde(deny_unknown_fields)]
+pub struct FrontHost {
+    ///Address for other hosts.
+    pub address: ::std::boxed::Box<str>,
+    ///Name.
+    pub host: crate::ids::HostId,
+}
+impl ::std::convert::From<&FrontHost> for FrontHost {
+    fn from(value: &FrontHost) -> Self {
+        value.clone()
+    }
+}
 ///A record of the platform's store, as it was read.
 #[derive(::serde::Deserialize, ::serde::Serialize, Clone, Debug, PartialEq)]
 #[serde(deny_unknown_fields)]
@@ -2702,12 +2718,15 @@
 #[derive(::serde::Deserialize, ::serde::Serialize, Clone, Debug, PartialEq)]
 #[serde(deny_unknown_fields)]
 pub struct StoreSection {
-    ///Time for which a host keeps the lease without a word, in milliseconds.
-    #[serde(default = "defaults::default_u64::<u64, 1000>")]
+    ///Time for which a host keeps its shards without a word, in milliseconds; a restart takes less.
+    #[serde(default = "defaults::default_u64::<u64, 3000>")]
     pub lease_expiry_ms: u64,
     ///Pause between two words to the group of hosts, in milliseconds.
     #[serde(default = "defaults::default_u64::<u64, 350>")]
     pub lease_pause_ms: u64,
+    ///Time after its last word for which a host gives orders, in milliseconds.
+    #[serde(default = "defaults::default_u64::<u64, 800>")]
+    pub lease_validity_ms: u64,
     ///Pause between two reads of the list of endpoints, in percent of the time in which a leaving one must get no more work.
     #[serde(default = "defaults::default_u64::<u64, 42>")]
     pub list_drain_percent: u64,
@@ -2723,8 +2742,9 @@
 impl ::std::default::Default for StoreSection {
     fn default() -> Self {
         Self {
-            lease_expiry_ms: defaults::default_u64::<u64, 1000>(),
+            lease_expiry_ms: defaults::default_u64::<u64, 3000>(),
             lease_pause_ms: defaults::default_u64::<u64, 350>(),
+            lease_validity_ms: defaults::default_u64::<u64, 800>(),
             list_drain_percent: defaults::default_u64::<u64, 42>(),
             operator_wait_ms: defaults::default_u64::<u64, 3000>(),
         }
--- a/wagtaildoor_front/src/caller_run.rs
+++ b/wagtaildoor_front/src/caller_run.rs
@@ -95,6 +95,9 @@
 const WHOLE_ANSWER_LIMIT: usize = 8 << 20;
 /// Time a caller has to send a body.
 const BODY_TIME: Duration = Duration::from_secs(10);
+/// Time after SIGTERM in which requests are taken whose deadline lies beyond the grace: the
+/// balancer may have no other host for them yet.
+const LONG_REQUESTS_TIME: Duration = Duration::from_millis(2_500);
 /// Advice on when to come back, where no better estimate is known.
 const RETRY_SOON: Duration = Duration::from_millis(400);
 /// Sends that were answered after a later start, from which on an earlier one is taken as lost.
@@ -361,6 +364,11 @@
     /// Serves the request, or says why not.
     async fn execute(mut self) -> Response<FrontBody> {
         let now = BootInstant::now();
+        if !self.ends_in_grace(now) {
+            let detail = "this host is stopping, others are not";
+            let error = RequestError::new(ErrorKind::Overloaded, detail);
+            return refuse(&mut self.log, &error, Some(Duration::ZERO));
+        }
         if let Some(service) = self.services().first() {
             self.front.retries.borrow_mut().request(service, now);
         }
@@ -437,6 +445,16 @@
         self.runs += 1;
     }
 
+    /// Whether the request can end before the process does.
+    fn ends_in_grace(&self, now: BootInstant) -> bool {
+        let Some(since) = self.front.stopping_since() else {
+            return true;
+        };
+        let stopping = now.since(since);
+        let left = self.deadline.saturating_duration_since(Instant::now());
+        stopping < LONG_REQUESTS_TIME || stopping + left < self.front.settings.times.grace
+    }
+
     /// Services that the request may go to.
     fn services(&self) -> Vec<&ServiceId> {
         let attempt = self.head.attempt.as_deref().unwrap_or_default();
--- a/wagtaildoor_front/src/caller_server.rs
+++ b/wagtaildoor_front/src/caller_server.rs
@@ -74,6 +74,11 @@
         let open = open.clone();
         let closing = closing.clone();
         async move {
+            // Later ones are served too: the balancer may have no other host to send them to.
+            let closing = match closing.is_cancelled() {
+                true => CancellationToken::new(),
+                false => closing,
+            };
             open.set(open.get() + 1);
             caller_connection::<C>(front, stream, closing).await;
             open.set(open.get() - 1);
--- a/wagtaildoor_front/src/control_follower.rs
+++ b/wagtaildoor_front/src/control_follower.rs
@@ -157,7 +157,7 @@
     for record in &page.records {
         if front.mirror.borrow_mut().take(stream, record) {
             let fact = C::control_fact(stream, record);
-            take_fact(front, record, fact, after_outage, now);
+            take_fact(front, record, fact, source, after_outage, now);
         }
     }
     let mut mirror = front.mirror.borrow_mut();
@@ -186,13 +186,14 @@
     front: &Front,
     record: &ControlRecord,
     fact: ControlFact,
+    source: PageSource,
     after_outage: bool,
     now: BootInstant,
 ) {
     match fact {
         ControlFact::Config(config) => take_config(front, record, *config),
         ControlFact::WantedWeights { model, version } => {
-            if front.take_wanted(&model, version, now) {
+            if front.take_wanted(&model, version, wanted_since(front, source, now)) {
                 slog::info!(front.log, "weights wanted"; "model" => &*model,
                     "version" => version, "offset" => record.offset);
             }
@@ -215,6 +216,17 @@
     }
 }
 
+/// Since when weights found in a page are wanted.
+///
+/// Records bear no time. What a process finds when it starts may be old already, so old weights
+/// are only used for as long as the process counts as just started.
+fn wanted_since(front: &Front, source: PageSource, now: BootInstant) -> BootInstant {
+    match source {
+        PageSource::Snapshot => front.started - front.settings.times.age_at_start,
+        PageSource::Changes | PageSource::Peer => now,
+    }
+}
+
 /// Takes a version of the configuration.
 fn take_config(front: &Front, record: &ControlRecord, config: ServiceConfig) {
     let version = config.version;
--- a/wagtaildoor_front/src/control_store.rs
+++ b/wagtaildoor_front/src/control_store.rs
@@ -66,13 +66,40 @@
     pub next: LogOffset,
 }
 
-/// A host's place in the group of all hosts.
+/// Part of the engines that one host at a time gives orders to.
+pub type ShardId = u32;
+
+/// A host's share in the group of all hosts.
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub struct GroupShare {
     /// Number of the group's last change.
     pub generation: u64,
-    /// Whether this host holds the group's lease.
-    pub holds_lease: bool,
+    /// Shards of this host.
+    pub shards: Vec<ShardId>,
+}
+
+/// Owners of all shards.
+#[derive(Clone, Debug, Default, Eq, PartialEq)]
+pub struct GroupOwners {
+    /// Shards with the host that owns them.
+    pub owners: Vec<(ShardId, GroupMember)>,
+}
+
+impl GroupOwners {
+    /// Hosts that own a shard, each once.
+    pub fn members(&self) -> Vec<GroupMember> {
+        let members = self.owners.iter().map(|(_, member)| member.clone());
+        let mut members: Vec<GroupMember> = members.collect();
+        members.sort();
+        members.dedup();
+        members
+    }
+
+    /// Owner of a shard.
+    pub fn owner(&self, shard: ShardId) -> Option<&GroupMember> {
+        let found = self.owners.iter().find(|(id, _)| *id == shard);
+        found.map(|(_, member)| member)
+    }
 }
 
 /// A host of the group.
@@ -125,6 +152,9 @@
         wait: Duration,
     ) -> impl Future<Output = Result<ControlPage>>;
 
+    /// Shards that the group deals out; each host owns some, if there are no more hosts.
+    fn shards(&self) -> ShardId;
+
     /// Joins the group of all hosts, or stays in it, for `expiry` from now.
     fn join(
         &self,
@@ -133,9 +163,6 @@
         expiry: Duration,
     ) -> impl Future<Output = Result<GroupShare>>;
 
-    /// Leaves the group, so that another host takes over at once.
-    fn leave(&self, member: &GroupMember) -> impl Future<Output = Result<()>>;
-
-    /// All hosts of the group.
-    fn members(&self) -> impl Future<Output = Result<Vec<GroupMember>>>;
+    /// Owners of all shards.
+    fn owners(&self) -> impl Future<Output = Result<GroupOwners>>;
 }
--- a/wagtaildoor_front/src/engine_placement.rs
+++ b/wagtaildoor_front/src/engine_placement.rs
@@ -20,6 +20,9 @@
     prompt_homes::PromptHomes, //
 };
 
+/// Times the expected cost that a request is taken to wait before it begins.
+const BEGIN_TIMES: f64 = 2.0;
+
 /// Figures that the choice weighs.
 #[derive(Clone, Debug, PartialEq)]
 pub struct EnginePolicy {
@@ -47,7 +50,7 @@
     pub old_weights_free: Duration,
     /// Cost of older weights from then on, in milliseconds.
     pub old_weights_ms: f64,
-    /// Time after which older weights must not be used.
+    /// Time after which no request may begin under older weights.
     pub old_weights_limit: Duration,
 }
 
@@ -139,11 +142,14 @@
 ) -> Option<EngineChoice> {
     let mut best: Option<EngineChoice> = None;
     for (index, candidate) in candidates.iter().enumerate() {
-        if candidate.is_excluded || !may_use_weights(candidate, demand, policy) {
+        if candidate.is_excluded || candidate.weights == 0 {
             continue;
         }
         let work = prompt_work(index, candidates, demand, homes, now);
         let cost_ms = cost_ms(candidate, demand, &work, policy);
+        if !may_use_weights(candidate, demand, cost_ms, policy) {
+            continue;
+        }
         if best.as_ref().is_none_or(|best| cost_ms < best.cost_ms) {
             best = Some(EngineChoice {
                 index,
@@ -157,14 +163,15 @@
     best
 }
 
-/// Whether an engine's weights are new enough.
+/// Whether an engine's weights will be new enough when it begins the request.
 fn may_use_weights(
     candidate: &EngineCandidate,
     demand: &EngineDemand<'_>,
+    cost_ms: f64,
     policy: &EnginePolicy,
 ) -> bool {
-    candidate.weights > 0
-        && (candidate.weights >= demand.wanted || demand.wanted_age < policy.old_weights_limit)
+    let begin = Duration::from_secs_f64(cost_ms.max(0.0) * BEGIN_TIMES / 1000.0);
+    candidate.weights >= demand.wanted || demand.wanted_age + begin < policy.old_weights_limit
 }
 
 /// Cost of an engine for a prompt, in milliseconds.
--- a/wagtaildoor_front/src/front.rs
+++ b/wagtaildoor_front/src/front.rs
@@ -20,11 +20,12 @@
 };
 
 use crate::{
-    control_store::GroupMember,
+    endpoint::EndpointKey,
     endpoint_directory::EndpointDirectory,
     front_metrics::FrontMetrics,
     front_settings::FrontSettings,
     hint_queue::HintQueue,
+    peer_hosts::PeerHosts,
     prompt_homes::PromptHomes,
     record_mirror::RecordMirror,
     retry_allowance::RetryAllowance,
@@ -68,7 +69,11 @@
     /// Sends beyond the first of each request.
     pub retries: RefCell<RetryAllowance>,
     /// Other hosts and this one.
-    pub members: RefCell<Vec<GroupMember>>,
+    pub peers: RefCell<PeerHosts>,
+    /// Engines that load weights, by this host's orders or another's, and since when.
+    pub loading: RefCell<HashMap<EndpointKey, BootInstant>>,
+    /// When the process started.
+    pub started: BootInstant,
     /// Requests in work.
     pub in_flight: Cell<usize>,
     /// When the host was told to end.
@@ -96,7 +101,9 @@
             hints: RefCell::new(HintQueue::default()),
             homes: RefCell::new(PromptHomes::default()),
             retries: RefCell::new(retries),
-            members: RefCell::new(Vec::new()),
+            peers: RefCell::new(PeerHosts::default()),
+            loading: RefCell::new(HashMap::new()),
+            started: BootInstant::now(),
             in_flight: Cell::new(0),
             stopping_since: Cell::new(None),
             stopping: CancellationToken::new(),
@@ -135,12 +142,16 @@
             .collect()
     }
 
-    /// Takes weights that the operator wants, unless newer ones are wanted.
-    pub fn take_wanted(&self, model: &ModelId, version: WeightsVersion, now: BootInstant) -> bool {
+    /// Takes weights that the operator wants since then, unless newer ones are wanted.
+    pub fn take_wanted(
+        &self,
+        model: &ModelId,
+        version: WeightsVersion,
+        since: BootInstant,
+    ) -> bool {
         let mut wanted = self.wanted.borrow_mut();
         let newer = wanted.get(model).is_none_or(|want| version > want.version);
         if newer {
-            let since = now;
             wanted.insert(model.clone(), WantedWeights { version, since });
         }
         newer
@@ -148,7 +159,7 @@
 
     /// Hosts of the group, this one included.
     pub fn hosts(&self) -> usize {
-        self.members.borrow().len().max(1)
+        self.peers.borrow().len().max(1)
     }
 
     /// Whether new connections should come here.
--- a/wagtaildoor_front/src/front_host.rs
+++ b/wagtaildoor_front/src/front_host.rs
@@ -11,15 +11,14 @@
     caller_server, control_follower,
     control_store::{
         ControlStore,
-        ControlStream,
-        GroupMember, //
+        ControlStream, //
     },
     endpoint_monitor,
     front::Front,
     peer_link,
-    weights_lease::{
+    shard_leases::{
         self,
-        WeightsLease, //
+        ShardLeases, //
     },
     weights_rollout,
     wire_codec::WireCodec,
@@ -36,7 +35,7 @@
     slog::info!(front.log, "started"; "domain" => &*settings.domain,
         "callers" => %settings.callers, "peers" => %settings.peers,
         "version" => env!("CARGO_PKG_VERSION"));
-    let lease = Rc::new(WeightsLease::default());
+    let leases = Rc::new(ShardLeases::new(store.shards()));
     let tasks = [
         task::spawn_local(control_follower::follow::<C, S>(
             front.clone(),
@@ -57,24 +56,12 @@
         task::spawn_local(peer_link::send_hints(front.clone(), hints.clone())),
         task::spawn_local(peer_link::receive_hints::<C>(front.clone(), hints)),
         task::spawn_local(endpoint_monitor::watch(front.clone())),
-        task::spawn_local(weights_lease::keep(
-            front.clone(),
-            store.clone(),
-            lease.clone(),
-        )),
-        task::spawn_local(weights_rollout::run::<C>(front.clone(), lease.clone())),
+        task::spawn_local(shard_leases::keep(front.clone(), store, leases.clone())),
+        task::spawn_local(weights_rollout::run::<C>(front.clone(), leases)),
     ];
     caller_server::serve_callers::<C>(front.clone(), callers).await;
     for task in tasks {
         task.abort();
     }
-    lease.drop_held();
-    let member = GroupMember {
-        host: settings.host.clone(),
-        address: settings.peers,
-    };
-    if let Err(error) = store.leave(&member).await {
-        slog::info!(front.log, "group not left"; "error" => %error);
-    }
     Ok(())
 }
--- a/wagtaildoor_front/src/front_settings.rs
+++ b/wagtaildoor_front/src/front_settings.rs
@@ -54,6 +54,8 @@
     pub list_pause: Duration,
     /// Longest wait of one read of the operator's stream.
     pub operator_wait: Duration,
+    /// Age that wanted weights are taken to have when the process starts.
+    pub age_at_start: Duration,
     /// Deadline of requests that name none.
     pub default_deadline: Duration,
 }
@@ -67,8 +69,10 @@
     pub load_time: Duration,
     /// Time after an order in which an engine must be seen with the weights.
     pub confirm_time: Duration,
-    /// Time for which the host keeps its place in the group without a word.
+    /// Time for which the host keeps its shards without a word; a restart takes less.
     pub lease_expiry: Duration,
+    /// Time after its last word for which the host uses its shards.
+    pub lease_validity: Duration,
     /// Pause between two words to the group.
     pub lease_pause: Duration,
     /// Time that must lie between the orders of two hosts.
--- a/wagtaildoor_front/src/peer_link.rs
+++ b/wagtaildoor_front/src/peer_link.rs
@@ -26,6 +26,7 @@
     schema::{
         FrontAsk,
         FrontHint,
+        FrontHost,
         FrontRecord,
         FrontRecords,
         FrontStream, //
@@ -53,6 +54,8 @@
 const HINT_PAUSE: Duration = Duration::from_millis(25);
 /// Pauses without news after which a datagram goes out all the same.
 const QUIET_PAUSES: u32 = 40;
+/// Hosts that a datagram without news names.
+const GREETING_HOSTS: usize = 3;
 /// Prefixes in one datagram, which keeps it below the size that networks cut.
 const PREFIXES_PER_HINT: usize = 60;
 /// Largest datagram that is read, in bytes.
@@ -77,12 +80,18 @@
             continue;
         }
         quiet = 0;
+        let is_greeting = front.hints.borrow().is_empty();
         let (placed, weights) = front.hints.borrow_mut().take(PREFIXES_PER_HINT);
         let hint = FrontHint {
             host: front.settings.host.clone(),
             operator_next: front.mirror.borrow().next(ControlStream::Operator),
             placed,
             weights,
+            hosts: if is_greeting {
+                some_hosts(&front)
+            } else {
+                Vec::new()
+            },
         };
         let datagram = match frame::encode(&hint) {
             Ok(datagram) => datagram,
@@ -99,6 +108,19 @@
     }
 }
 
+/// Some hosts of the group, for others that may not know them.
+fn some_hosts(front: &Front) -> Vec<FrontHost> {
+    let peers = front.peers.borrow();
+    let drawn = BootInstant::now().since(BootInstant::ZERO).as_millis() as usize;
+    let known: Vec<&GroupMember> = peers.members().collect();
+    let some = (0..GREETING_HOSTS.min(known.len())).map(|i| known[(drawn + i) % known.len()]);
+    some.map(|member| FrontHost {
+        host: member.host.clone(),
+        address: member.address.to_string().into(),
+    })
+    .collect()
+}
+
 /// Takes news of other hosts.
 pub async fn receive_hints<C: WireCodec>(front: Rc<Front>, socket: Rc<UdpSocket>) {
     let mut buffer = vec![0; DATAGRAM_BYTES];
@@ -133,6 +155,7 @@
         if let Some(endpoint) = endpoints.by_key(seen.endpoint) {
             if seen.is_loading {
                 endpoint.load.borrow_mut().refused(now);
+                front.loading.borrow_mut().insert(seen.endpoint, now);
             } else {
                 endpoint.saw_weights(&seen.model, seen.version);
             }
@@ -145,16 +168,27 @@
 
 /// Adds a host that was not known.
 fn meet(front: &Front, hint: &FrontHint, from: SocketAddr) {
-    let mut members = front.members.borrow_mut();
-    if members.iter().any(|member| member.address == from) {
-        return;
-    }
-    slog::info!(front.log, "host met"; "host" => &*hint.host, "address" => %from);
-    members.retain(|member| member.host != hint.host);
-    members.push(GroupMember {
+    let now = BootInstant::now();
+    let member = GroupMember {
         host: hint.host.clone(),
         address: from,
-    });
+    };
+    let mut peers = front.peers.borrow_mut();
+    if peers.heard(member, now) {
+        slog::info!(front.log, "host met"; "host" => &*hint.host, "address" => %from);
+    }
+    for other in &hint.hosts {
+        let Ok(address) = other.address.parse() else {
+            continue;
+        };
+        let member = GroupMember {
+            host: other.host.clone(),
+            address,
+        };
+        if !peers.members().any(|known| *known == member) {
+            peers.heard(member, now);
+        }
+    }
 }
 
 /// Asks a host for the operator's records, if the store does not give them in time.
@@ -283,9 +317,11 @@
 /// Addresses of other hosts: those of the group, or the seeds until it is known.
 fn peers(front: &Front) -> Vec<SocketAddr> {
     let own = front.settings.peers;
-    let members = front.members.borrow();
-    let known = members.iter().map(|member| member.address);
-    let mut peers: Vec<SocketAddr> = known.filter(|&address| address != own).collect();
+    let known = front.peers.borrow();
+    let mut peers: Vec<SocketAddr> = known
+        .addresses()
+        .filter(|&address| address != own)
+        .collect();
     if peers.is_empty() {
         let seeds = front.settings.seeds.iter().copied();
         peers = seeds.filter(|&address| address != own).collect();
--- /dev/null
+++ b/wagtaildoor_front/src/shard_leases.rs
@@ -0,0 +1,234 @@
+//! Leases of shards: each engine belongs to one, and only the shard's owner gives it orders.
+
+use std::{
+    cell::{
+        Cell,
+        RefCell, //
+    },
+    collections::HashMap,
+    rc::Rc,
+    time::Duration,
+};
+
+use tokio::time;
+use wagtaildoor::boot_clock::BootInstant;
+
+use crate::{
+    control_store::{
+        ControlStore,
+        GroupMember,
+        GroupOwners,
+        GroupShare,
+        ShardId, //
+    },
+    endpoint::EndpointKey,
+    front::Front,
+};
+
+/// Wait of a process for a shard that its host owned before it started: an owner before that
+/// could have given its last order this shortly before.
+const RETURN_WAIT: Duration = Duration::from_millis(1_000);
+
+/// Times of the leases.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct LeaseTimes {
+    /// Time for which a host keeps its shards without a word.
+    pub expiry: Duration,
+    /// Time after its last word for which a host uses its shards.
+    pub validity: Duration,
+    /// Time that must lie between the orders of two hosts.
+    pub handover: Duration,
+}
+
+/// Who owned a shard before this host.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum ShardPast {
+    /// This host, before its process started.
+    OwnHost,
+    /// A host that has left the group, and so was silent for the whole expiry.
+    ExpiredHost,
+    /// A host that may not know yet that it lost the shard.
+    LiveHost,
+}
+
+/// Leases of this host's shards.
+#[derive(Debug)]
+pub struct ShardLeases {
+    /// Number of shards.
+    shards: ShardId,
+    /// When each shard of this host may be used.
+    usable_from: RefCell<HashMap<ShardId, BootInstant>>,
+    /// When the last word that was answered was sent.
+    last_word: Cell<Option<BootInstant>>,
+    /// Until when the shards may be used.
+    valid_until: Cell<BootInstant>,
+    /// Number that goes with orders; a later owner of the same shard has a higher one.
+    fencing: Cell<u64>,
+}
+
+impl ShardLeases {
+    /// No leases.
+    pub fn new(shards: ShardId) -> Self {
+        Self {
+            shards,
+            usable_from: RefCell::new(HashMap::new()),
+            last_word: Cell::new(None),
+            valid_until: Cell::new(BootInstant::ZERO),
+            fencing: Cell::new(0),
+        }
+    }
+
+    /// Shards that may be used now.
+    pub fn usable(&self, now: BootInstant) -> impl Iterator<Item = ShardId> {
+        let is_valid = now < self.valid_until.get();
+        let usable_from = self.usable_from.borrow();
+        let usable = usable_from
+            .iter()
+            .filter(|(_, &from)| is_valid && now >= from);
+        let usable: Vec<ShardId> = usable.map(|(&shard, _)| shard).collect();
+        usable.into_iter()
+    }
+
+    /// The fencing number, if this host may give an engine an order; asked right before each one.
+    pub fn may_order(&self, engine: EndpointKey, now: BootInstant) -> Option<u64> {
+        let shard = (engine % u64::from(self.shards)) as ShardId;
+        let from = self.usable_from.borrow().get(&shard).copied();
+        let may = now < self.valid_until.get() && from.is_some_and(|from| now >= from);
+        may.then(|| self.fencing.get())
+    }
+
+    /// Whether a shard of an answer is new to this host.
+    pub fn has_new_shard(&self, share: &GroupShare) -> bool {
+        let usable_from = self.usable_from.borrow();
+        share
+            .shards
+            .iter()
+            .any(|shard| !usable_from.contains_key(shard))
+    }
+
+    /// Takes the group's answer to a word that was sent at `asked`.
+    ///
+    /// The group may deal shards anew at any time without asking their owners. A new owner waits
+    /// until the one before can no longer think that it owns the shard, and for the handover.
+    pub fn answered(
+        &self,
+        share: &GroupShare,
+        past: impl Fn(ShardId) -> ShardPast,
+        asked: BootInstant,
+        now: BootInstant,
+        times: &LeaseTimes,
+    ) {
+        let mut usable_from = self.usable_from.borrow_mut();
+        let lapsed = self
+            .last_word
+            .get()
+            .is_none_or(|at| asked.since(at) >= times.expiry);
+        if lapsed {
+            usable_from.clear();
+        }
+        usable_from.retain(|shard, _| share.shards.contains(shard));
+        for &shard in &share.shards {
+            let wait = || now + wait_for(past(shard), times);
+            usable_from.entry(shard).or_insert_with(wait);
+        }
+        self.last_word.set(Some(asked));
+        self.valid_until.set(asked + times.validity);
+        self.fencing.set(self.fencing.get().max(share.generation));
+    }
+}
+
+/// How long a new owner of a shard waits.
+fn wait_for(past: ShardPast, times: &LeaseTimes) -> Duration {
+    match past {
+        ShardPast::OwnHost => RETURN_WAIT.min(times.handover),
+        ShardPast::ExpiredHost => {
+            let silent = times.expiry.saturating_sub(times.validity);
+            times.handover.saturating_sub(silent)
+        }
+        ShardPast::LiveHost => times.handover + times.validity,
+    }
+}
+
+/// Who owned a shard, from the owners before and after the group's change.
+pub fn shard_past(
+    shard: ShardId,
+    own: &GroupMember,
+    before: &GroupOwners,
+    after: &GroupOwners,
+) -> ShardPast {
+    let Some(owner) = before.owner(shard) else {
+        return ShardPast::LiveHost;
+    };
+    if owner == own {
+        return ShardPast::OwnHost;
+    }
+    // With as many hosts as shards, one that is still there may own none.
+    let all_show = after.members().len() < after.owners.len();
+    let is_gone = all_show && after.owners.iter().all(|(_, member)| member != owner);
+    if is_gone {
+        ShardPast::ExpiredHost
+    } else {
+        ShardPast::LiveHost
+    }
+}
+
+/// Keeps this host in the group until the process ends.
+pub async fn keep<S: ControlStore>(front: Rc<Front>, store: S, leases: Rc<ShardLeases>) {
+    let policy = &front.settings.rollout;
+    let times = LeaseTimes {
+        expiry: policy.lease_expiry,
+        validity: policy.lease_validity,
+        handover: policy.handover,
+    };
+    let own = GroupMember {
+        host: front.settings.host.clone(),
+        address: front.settings.peers,
+    };
+    let mut generation = 0;
+    let mut owners = read_owners(&front, &store).await.unwrap_or_default();
+    loop {
+        let asked = BootInstant::now();
+        match store.join(&own, generation, times.expiry).await {
+            Ok(share) => {
+                let changed = share.generation != generation;
+                let mut after = None;
+                if changed || leases.has_new_shard(&share) {
+                    after = read_owners(&front, &store).await;
+                }
+                let unread = GroupOwners::default();
+                let shown = after.as_ref().unwrap_or(&unread);
+                let past = |shard| shard_past(shard, &own, &owners, shown);
+                leases.answered(&share, past, asked, BootInstant::now(), &times);
+                if changed {
+                    slog::info!(front.log, "shards dealt"; "generation" => share.generation,
+                        "own" => share.shards.len(), "hosts" => shown.members().len());
+                }
+                generation = share.generation;
+                owners = after.unwrap_or(owners);
+            }
+            Err(error) => {
+                slog::debug!(front.log, "no word to the group"; "error" => %error);
+                // After an outage the group may have forgotten its generations.
+                generation = 0;
+            }
+        }
+        time::sleep(policy.lease_pause).await;
+    }
+}
+
+/// Reads the owners of all shards, and takes them over as the hosts of the group.
+async fn read_owners<S: ControlStore>(front: &Front, store: &S) -> Option<GroupOwners> {
+    match store.owners().await {
+        Ok(owners) => {
+            front
+                .peers
+                .borrow_mut()
+                .listed(owners.members(), BootInstant::now());
+            Some(owners)
+        }
+        Err(error) => {
+            slog::info!(front.log, "owners not read"; "error" => %error);
+            None
+        }
+    }
+}
--- a/wagtaildoor_front/src/weights_rollout.rs
+++ b/wagtaildoor_front/src/weights_rollout.rs
@@ -30,7 +30,7 @@
     },
     front::Front,
     front_settings::RolloutPolicy,
-    weights_lease::WeightsLease,
+    shard_leases::ShardLeases,
     wire_codec::{
         EngineReport,
         OrderVerdict,
@@ -87,14 +87,14 @@
 }
 
 impl OrderBook {
-    /// Engines that take part in a load at this moment.
-    pub fn busy(&self, now: BootInstant) -> usize {
-        let busy = self.states.values().filter(|state| match state {
+    /// Engines that this host is giving orders to, or that load by its orders.
+    pub fn busy(&self, now: BootInstant) -> impl Iterator<Item = EndpointKey> + '_ {
+        let busy = self.states.iter().filter(move |(_, state)| match state {
             OrderState::Calling => true,
             OrderState::Loading { done, .. } => now < *done,
             OrderState::Waiting(_) => false,
         });
-        busy.count()
+        busy.map(|(key, _)| *key)
     }
 
     /// Notes what was done about an engine.
@@ -107,12 +107,11 @@
         &mut self,
         engines: &[RolloutEngine],
         wanted: WeightsVersion,
-        at_once: usize,
+        room: usize,
         now: BootInstant,
     ) -> Vec<EndpointKey> {
         self.states
             .retain(|key, _| engines.iter().any(|engine| engine.key == *key));
-        let room = at_once.saturating_sub(self.busy(now));
         let behind = engines.iter().filter(|engine| engine.weights < wanted);
         let mut due: Vec<&RolloutEngine> = behind
             .filter(|engine| self.is_due(engine.key, wanted, now))
@@ -160,17 +159,21 @@
     share.max(1)
 }
 
-/// Rolls out weights whenever this host holds the lease.
-pub async fn run<C: WireCodec>(front: Rc<Front>, lease: Rc<WeightsLease>) {
+/// Rolls out weights to the engines of this host's shards.
+pub async fn run<C: WireCodec>(front: Rc<Front>, leases: Rc<ShardLeases>) {
     let book = Rc::new(RefCell::new(OrderBook::default()));
     loop {
         time::sleep(LOOK_PAUSE).await;
         let now = BootInstant::now();
-        if lease.usable(now).is_none() {
+        if leases.usable(now).next().is_none() {
             continue;
         }
+        let load_time = front.settings.rollout.load_time;
+        let mut loading = front.loading.borrow_mut();
+        loading.retain(|_, since| now.since(*since) < load_time);
+        drop(loading);
         for (model, wanted) in front.all_wanted() {
-            step::<C>(&front, &lease, &book, &model, wanted.version, now);
+            step::<C>(&front, &leases, &book, &model, wanted.version, now);
         }
     }
 }
@@ -178,7 +181,7 @@
 /// Gives the next orders for one model.
 fn step<C: WireCodec>(
     front: &Rc<Front>,
-    lease: &Rc<WeightsLease>,
+    leases: &Rc<ShardLeases>,
     book: &Rc<RefCell<OrderBook>>,
     model: &ModelId,
     wanted: WeightsVersion,
@@ -191,6 +194,7 @@
         .collect();
     let engines: Vec<RolloutEngine> = serving
         .iter()
+        .filter(|endpoint| leases.may_order(endpoint.key, now).is_some())
         .map(|endpoint| RolloutEngine {
             key: endpoint.key,
             weights: endpoint.weights(model),
@@ -207,15 +211,19 @@
             endpoint.reset_weights(model, described);
         }
     }
-    let limit = at_once(engines.len(), &front.settings.rollout);
-    for key in orders.next(&engines, wanted, limit, now) {
+    let limit = at_once(serving.len(), &front.settings.rollout);
+    let loading = front.loading.borrow();
+    let own = orders.busy(now).filter(|key| !loading.contains_key(key));
+    let room = limit.saturating_sub(loading.len() + own.count());
+    drop(loading);
+    for key in orders.next(&engines, wanted, room, now) {
         let Some(endpoint) = directory.by_key(key).cloned() else {
             continue;
         };
         orders.note(key, OrderState::Calling);
         let order = EngineOrder {
             front: front.clone(),
-            lease: lease.clone(),
+            leases: leases.clone(),
             book: book.clone(),
             endpoint,
             model: model.clone(),
@@ -229,8 +237,8 @@
 struct EngineOrder {
     /// Host.
     front: Rc<Front>,
-    /// Lease.
-    lease: Rc<WeightsLease>,
+    /// Leases of shards.
+    leases: Rc<ShardLeases>,
     /// Where to note what was done.
     book: Rc<RefCell<OrderBook>>,
     /// Engine.
@@ -274,18 +282,22 @@
 
     /// Gives the order, if the lease still holds.
     async fn order<C: WireCodec>(&self, report: &EngineReport) -> OrderState {
-        let Some(held) = self.lease.usable(BootInstant::now()) else {
+        let key = self.endpoint.key;
+        let Some(fencing) = self.leases.may_order(key, BootInstant::now()) else {
             return self.waiting();
         };
         let order = WeightsOrder {
             model: &self.model,
             version: self.version,
             holder: &self.front.settings.host,
-            fencing: held.fencing,
+            fencing,
             orders_before: report.orders,
         };
         let call = C::order_call(&self.endpoint.id, &order);
-        let key = self.endpoint.key;
+        self.front
+            .loading
+            .borrow_mut()
+            .insert(key, BootInstant::now());
         self.endpoint.load.borrow_mut().refused(BootInstant::now());
         self.front
             .hints
