--- a/wagtaildoor/src/schema.rs
+++ b/wagtaildoor/src/schema.rs
@@ -860,6 +860,20 @@
         value.clone()
     }
 }
+///Work of one host at an engine.
+#[derive(::serde::Deserialize, ::serde::Serialize, Clone, Debug, PartialEq)]
+#[serde(deny_unknown_fields)]
+pub struct EngineWork {
+    ///Hash of the engine's name and start.
+    pub endpoint: u64,
+    ///Prompt tokens that the host's requests still need read there.
+    pub tokens: u64,
+}
+impl ::std::convert::From<&EngineWork> for EngineWork {
+    fn from(value: &EngineWork) -> Self {
+        value.clone()
+    }
+}
 ///A frame from an entry to a keeper.
 #[derive(::serde::Deserialize, ::serde::Serialize, Clone, Debug, PartialEq)]
 pub enum EntryFrame {
@@ -1229,6 +1243,8 @@
     pub placed: ::std::vec::Vec<PlacedPrefix>,
     ///Weights of engines.
     pub weights: ::std::vec::Vec<EngineWeights>,
+    ///What the host still wants read at engines, where that has changed.
+    pub work: ::std::vec::Vec<EngineWork>,
 }
 impl ::std::convert::From<&FrontHint> for FrontHint {
     fn from(value: &FrontHint) -> Self {
@@ -2210,6 +2226,9 @@
     ///Cost of reading a prefix away from its home, in milliseconds.
     #[serde(default = "defaults::default_u64::<u64, 40>")]
     pub away_from_home_ms: u64,
+    ///Blocks go to a store when those of the request's own part are at most this share of those that others may use, in percent.
+    #[serde(default = "defaults::default_u64::<u64, 100>")]
+    pub copy_own_percent: u64,
     ///Cost of an endpoint whose latest outcomes were all failures, in milliseconds.
     #[serde(default = "defaults::default_u64::<u64, 600>")]
     pub failure_ms: u64,
@@ -2259,6 +2278,7 @@
     fn default() -> Self {
         Self {
             away_from_home_ms: defaults::default_u64::<u64, 40>(),
+            copy_own_percent: defaults::default_u64::<u64, 100>(),
             failure_ms: defaults::default_u64::<u64, 600>(),
             fetch_us_per_1000: defaults::default_u64::<u64, 2000>(),
             full_ms: defaults::default_u64::<u64, 500>(),
--- a/wagtaildoor_front/src/caller_run.rs
+++ b/wagtaildoor_front/src/caller_run.rs
@@ -500,11 +500,8 @@
     /// Notes a choice, and that its endpoint will hold the prompt.
     fn note_place(&mut self, place: &RequestPlace, now: BootInstant) {
         let load = place.endpoint.load.borrow().requests(now);
-        let source = place
-            .engine
-            .as_ref()
-            .and_then(|engine| engine.source.as_ref());
-        let source = source.map_or("-", |source| &*source.id);
+        let source = place.engine.as_ref().and_then(|engine| engine.source);
+        let source = source.map_or_else(|| "-".into(), |source| source.to_string());
         self.log.decided(format_args!(
             "to {} (cost {:.0} ms, load {load:.1}, to read {}, blocks from {source})",
             place.endpoint.id, place.cost_ms, place.prefill_tokens,
@@ -606,6 +603,9 @@
         self.sends += 1;
         let endpoint = &place.endpoint;
         let mut ticket = endpoint.begin(place.prefill_tokens, BootInstant::now());
+        if place.engine.is_some() {
+            self.front.hints.borrow_mut().work(endpoint.key);
+        }
         loop {
             let mut connection = self.connection(place).await?;
             let reused = connection.is_reused();
@@ -618,6 +618,9 @@
                 Ok(response) => {
                     let now = BootInstant::now();
                     ticket.started(now);
+                    if place.engine.is_some() {
+                        self.front.hints.borrow_mut().work(endpoint.key);
+                    }
                     return self.judge_head(place, ticket, connection, response, now);
                 }
                 Err(ExchangeError::NotSent(reason)) => {
@@ -721,6 +724,10 @@
                 if homes.note(prefix.id, endpoint.key, true, now) {
                     hints.placed(prefix.id, endpoint.key, true);
                 }
+                let copy = engine.copy_to.as_ref().map(|store| store.key);
+                if copy.is_some_and(|store| homes.note(prefix.id, store, true, now)) {
+                    hints.placed(prefix.id, copy.unwrap_or_default(), true);
+                }
             }
         }
         Ok(StartedAnswer {
@@ -742,8 +749,8 @@
         let engine = place.engine.as_ref().map(|engine| EngineHead {
             weights: engine.weights,
             cache_wall: &engine.wall,
-            cache_source: engine.source.as_ref().map(|source| source.address),
-            cache_copy: None,
+            cache_source: engine.source,
+            cache_copy: engine.copy_to.as_ref().map(|store| store.address),
         });
         let head = DispatchHead {
             endpoint: &place.endpoint.id,
--- a/wagtaildoor_front/src/endpoint_connection.rs
+++ b/wagtaildoor_front/src/endpoint_connection.rs
@@ -184,7 +184,7 @@
     }
 
     /// Whether a request can be sent on it.
-    fn is_usable(&self) -> bool {
+    pub fn is_usable(&self) -> bool {
         self.sender.is_ready()
     }
 
--- a/wagtaildoor_front/src/endpoint_load.rs
+++ b/wagtaildoor_front/src/endpoint_load.rs
@@ -1,6 +1,9 @@
 //! Load of one endpoint: what this host has there, and what others are believed to have.
 
-use std::time::Duration;
+use std::{
+    net::SocketAddr,
+    time::Duration, //
+};
 
 use wagtaildoor::boot_clock::BootInstant;
 
@@ -9,6 +12,8 @@
 /// Time in which the belief about other hosts' load halves without a new report; work at engines
 /// lasts about as long.
 const OTHERS_HALF_LIFE: Duration = Duration::from_millis(1_000);
+/// Time after which another host's word on its requests is out of date; they are read by then.
+const PEER_TIME: Duration = Duration::from_millis(1_500);
 /// Time that a refusal for lack of room is remembered.
 const FULL_TIME: Duration = Duration::from_millis(300);
 
@@ -27,6 +32,8 @@
     others: f64,
     /// Requests of all hosts that waited at the last report.
     reported_waiting: f64,
+    /// Prompt tokens that requests of other hosts still need read: host, tokens, and when it said.
+    peer_prefill: Vec<(SocketAddr, u64, BootInstant)>,
     /// Time of the last report.
     reported_at: Option<BootInstant>,
     /// Time of the last refusal for lack of room.
@@ -43,6 +50,7 @@
             own_prefill_tokens: 0,
             others: 0.0,
             reported_waiting: 0.0,
+            peer_prefill: Vec::new(),
             reported_at: None,
             full_at: None,
         }
@@ -117,6 +125,23 @@
         self.own_prefill_tokens
     }
 
+    /// Takes another host's word on the tokens that its requests still need read.
+    pub fn peer_prefill(&mut self, peer: SocketAddr, tokens: u64, now: BootInstant) {
+        self.peer_prefill
+            .retain(|(known, _, at)| *known != peer && now.since(*at) < PEER_TIME);
+        if tokens > 0 {
+            self.peer_prefill.push((peer, tokens, now));
+        }
+    }
+
+    /// Prompt tokens that requests of all hosts still need read, as far as they have said.
+    pub fn prefill_tokens(&self, now: BootInstant) -> f64 {
+        let peers = self.peer_prefill.iter();
+        let peers = peers.filter(|(_, _, at)| now.since(*at) < PEER_TIME);
+        let others: u64 = peers.map(|(_, tokens, _)| tokens).sum();
+        (self.own_prefill_tokens + others) as f64
+    }
+
     /// How far the last report still counts, from 0 to 1.
     fn trust(&self, now: BootInstant) -> f64 {
         let Some(at) = self.reported_at else {
--- a/wagtaildoor_front/src/engine_placement.rs
+++ b/wagtaildoor_front/src/engine_placement.rs
@@ -23,6 +23,10 @@
 /// Times the expected cost that a request is taken to wait before it begins.
 const BEGIN_TIMES: f64 = 2.0;
 
+/// Time since its last use in which an engine is trusted to hold a prefix; engines of the sheet
+/// turn their memory over in four to five seconds.
+const FRESH_TIME: Duration = Duration::from_millis(2_500);
+
 /// Figures that the choice weighs.
 #[derive(Clone, Debug, PartialEq)]
 pub struct EnginePolicy {
@@ -38,6 +42,9 @@
     pub fetch_ms_per_1000: f64,
     /// Cost of one more copy of a prefix, in milliseconds.
     pub new_copy_ms: f64,
+    /// Blocks go to a store when those of the request's own part are at most this share of those
+    /// that others may use.
+    pub copy_own_share: f64,
     /// Cost of reading a prefix away from its home, in milliseconds.
     pub away_from_home_ms: f64,
     /// Cost of another failure domain, in milliseconds.
@@ -81,6 +88,35 @@
     pub is_excluded: bool,
 }
 
+/// A store of cached blocks that engines can reach.
+#[derive(Clone, Debug, PartialEq)]
+pub struct StoreCandidate {
+    /// Store.
+    pub key: EndpointKey,
+}
+
+/// Where an engine fetches cached blocks from, by its place among the candidates.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum BlockSource {
+    /// Another engine.
+    Engine(usize),
+    /// A store.
+    Store(usize),
+}
+
+/// What there is to choose from.
+#[derive(Clone, Copy, Debug)]
+pub struct PlacementField<'a> {
+    /// Engines.
+    pub engines: &'a [EngineCandidate],
+    /// Stores of cached blocks.
+    pub stores: &'a [StoreCandidate],
+    /// Who is known to hold which prefix.
+    pub homes: &'a PromptHomes,
+    /// Time of the choice.
+    pub now: BootInstant,
+}
+
 /// The prompt that is to be placed.
 #[derive(Clone, Debug, PartialEq)]
 pub struct EngineDemand<'a> {
@@ -111,8 +147,10 @@
     pub index: usize,
     /// Weights that it is expected to have.
     pub weights: WeightsVersion,
-    /// Place of the engine to fetch cached blocks from.
-    pub source: Option<usize>,
+    /// Where it fetches cached blocks from.
+    pub source: Option<BlockSource>,
+    /// Store that it sends blocks to.
+    pub copy_to: Option<usize>,
     /// Tokens that it is expected to read.
     pub prefill_tokens: u64,
     /// Expected cost, in milliseconds.
@@ -127,25 +165,23 @@
     /// Tokens that it has to fetch.
     fetch_tokens: f64,
     /// Where from.
-    source: Option<usize>,
+    source: Option<BlockSource>,
     /// It is where all hosts would read the prefix first, or already has it.
     is_home: bool,
 }
 
 /// Chooses an engine; `None` if no candidate may be used.
 pub fn choose(
-    candidates: &[EngineCandidate],
+    field: &PlacementField<'_>,
     demand: &EngineDemand<'_>,
-    homes: &PromptHomes,
     policy: &EnginePolicy,
-    now: BootInstant,
 ) -> Option<EngineChoice> {
     let mut best: Option<EngineChoice> = None;
-    for (index, candidate) in candidates.iter().enumerate() {
+    for (index, candidate) in field.engines.iter().enumerate() {
         if candidate.is_excluded || candidate.weights == 0 {
             continue;
         }
-        let work = prompt_work(index, candidates, demand, homes, now);
+        let work = prompt_work(index, field, demand);
         let cost_ms = cost_ms(candidate, demand, &work, policy);
         if !may_use_weights(candidate, demand, cost_ms, policy) {
             continue;
@@ -155,12 +191,51 @@
                 index,
                 weights: candidate.weights,
                 source: work.source,
+                copy_to: None,
                 prefill_tokens: work.read_tokens as u64,
                 cost_ms,
             });
         }
     }
-    best
+    best.map(|mut best| {
+        best.copy_to = store_for_copy(field, demand, best.weights, policy);
+        best
+    })
+}
+
+/// A store that should get the prompt's blocks: it does not hold the shared part yet, and what is
+/// sent along beside it is not too much.
+fn store_for_copy(
+    field: &PlacementField<'_>,
+    demand: &EngineDemand<'_>,
+    weights: WeightsVersion,
+    policy: &EnginePolicy,
+) -> Option<usize> {
+    let innermost = prefixes(demand, weights).last()?;
+    let own = demand.tokens - innermost.tokens;
+    if own > innermost.tokens * policy.copy_own_share {
+        return None;
+    }
+    let store = store_of(innermost.id, field.stores)?;
+    let key = field.stores[store].key;
+    let held = field.homes.holder(innermost.id, key, field.now);
+    held.is_none().then_some(store)
+}
+
+/// The store that keeps a prefix.
+fn store_of(prefix: PrefixId, stores: &[StoreCandidate]) -> Option<usize> {
+    let members = stores.iter().enumerate().map(|(index, store)| HomeMember {
+        slot: index as SlotIndex,
+        hash: store.key,
+    });
+    rendezvous::first_home(prefix, members).map(|slot| slot as usize)
+}
+
+/// Shared prefixes of a prompt under weights.
+fn prefixes<'a>(demand: &EngineDemand<'a>, weights: WeightsVersion) -> &'a [SharedPrefix] {
+    let mut by_weights = demand.prefixes.iter();
+    let chain = by_weights.find(|(version, _)| *version == weights);
+    chain.map_or(&[], |(_, chain)| chain)
 }
 
 /// Whether an engine's weights will be new enough when it begins the request.
@@ -205,23 +280,10 @@
 }
 
 /// What an engine would have to do for a prompt.
-fn prompt_work(
-    index: usize,
-    candidates: &[EngineCandidate],
-    demand: &EngineDemand<'_>,
-    homes: &PromptHomes,
-    now: BootInstant,
-) -> PromptWork {
-    let candidate = &candidates[index];
-    let by_weights = demand.prefixes.iter();
-    let mut by_weights = by_weights.filter(|(weights, _)| *weights == candidate.weights);
-    let prefixes = by_weights.next().map_or(&[][..], |(_, chain)| chain);
-    let held = prefixes
-        .iter()
-        .rev()
-        .find(|prefix| homes.holder(prefix.id, candidate.key, now).is_some());
-    let held_tokens = held.map_or(0.0, |prefix| prefix.tokens);
-    let Some(innermost) = prefixes.last() else {
+fn prompt_work(index: usize, field: &PlacementField<'_>, demand: &EngineDemand<'_>) -> PromptWork {
+    let candidate = &field.engines[index];
+    let chain = prefixes(demand, candidate.weights);
+    let Some(innermost) = chain.last() else {
         return PromptWork {
             read_tokens: demand.tokens,
             fetch_tokens: 0.0,
@@ -229,20 +291,30 @@
             is_home: true,
         };
     };
+    let holds = |prefix: &&SharedPrefix| {
+        let holder = field.homes.holder(prefix.id, candidate.key, field.now);
+        holder.is_some()
+    };
+    let held_tokens = chain
+        .iter()
+        .rev()
+        .find(holds)
+        .map_or(0.0, |held| held.tokens);
     if held_tokens >= innermost.tokens {
+        // It may have evicted the prefix since: what is still there is not fetched again.
         return PromptWork {
             read_tokens: demand.tokens - held_tokens,
             fetch_tokens: 0.0,
-            source: None,
+            source: known_source(innermost.id, index, field),
             is_home: true,
         };
     }
-    let beyond = prefixes
+    let beyond = chain
         .iter()
         .rev()
         .filter(|prefix| prefix.tokens > held_tokens);
     for prefix in beyond {
-        if let Some(source) = known_source(prefix.id, index, candidates, homes, now) {
+        if let Some(source) = known_source(prefix.id, index, field) {
             return PromptWork {
                 read_tokens: demand.tokens - prefix.tokens,
                 fetch_tokens: prefix.tokens - held_tokens,
@@ -252,12 +324,12 @@
         }
     }
     // Nobody is known to hold more. Other hosts read it at its home first, if they have at all.
-    let home = home(innermost.id, candidates, candidate.weights, None);
+    let home = home(innermost.id, field.engines, candidate.weights);
     let is_home = home == Some(index);
     let source = if is_home {
-        self::home(innermost.id, candidates, candidate.weights, Some(index))
+        store_of(innermost.id, field.stores).map(BlockSource::Store)
     } else {
-        home
+        home.map(BlockSource::Engine)
     };
     PromptWork {
         read_tokens: demand.tokens - held_tokens,
@@ -267,44 +339,55 @@
     }
 }
 
-/// An engine with the same weights that is known to have read a prefix, a near one first.
-fn known_source(
-    prefix: PrefixId,
-    index: usize,
-    candidates: &[EngineCandidate],
-    homes: &PromptHomes,
-    now: BootInstant,
-) -> Option<usize> {
-    let target = &candidates[index];
+/// Where else a prefix is known to have been read: at an engine of late, in a store, or at an
+/// engine some time ago, when it may have been evicted since.
+fn known_source(prefix: PrefixId, index: usize, field: &PlacementField<'_>) -> Option<BlockSource> {
+    let target = &field.engines[index];
+    let mut late = None;
     let mut far = None;
-    for holder in homes.holders(prefix, now).filter(|holder| holder.is_read) {
-        let place = candidates.iter().position(|c| c.key == holder.endpoint);
+    for holder in field
+        .homes
+        .holders(prefix, field.now)
+        .filter(|holder| holder.is_read)
+    {
+        let place = field.engines.iter().position(|e| e.key == holder.endpoint);
         let Some(place) = place.filter(|&place| place != index) else {
             continue;
         };
-        if candidates[place].weights != target.weights {
+        let engine = &field.engines[place];
+        if engine.weights != target.weights || engine.is_excluded {
             continue;
         }
-        if candidates[place].domain == target.domain {
-            return Some(place);
+        if field.now.since(holder.used) > FRESH_TIME {
+            late = late.or(Some(BlockSource::Engine(place)));
+        } else if engine.domain == target.domain {
+            return Some(BlockSource::Engine(place));
+        } else {
+            far = far.or(Some(BlockSource::Engine(place)));
         }
-        far = far.or(Some(place));
     }
-    far
+    far.or_else(|| known_store(prefix, field)).or(late)
+}
+
+/// The store, if it is known to hold a prefix.
+fn known_store(prefix: PrefixId, field: &PlacementField<'_>) -> Option<BlockSource> {
+    let held = |&(_, store): &(usize, &StoreCandidate)| {
+        let holder = field.homes.holder(prefix, store.key, field.now);
+        holder.is_some_and(|holder| holder.is_read)
+    };
+    let mut stores = field.stores.iter().enumerate();
+    stores
+        .find(held)
+        .map(|(index, _)| BlockSource::Store(index))
 }
 
 /// The engine at which all hosts would read a prefix first.
-fn home(
-    prefix: PrefixId,
-    candidates: &[EngineCandidate],
-    weights: WeightsVersion,
-    except: Option<usize>,
-) -> Option<usize> {
-    let members = candidates.iter().enumerate();
-    let members = members.filter(|(index, c)| c.weights == weights && Some(*index) != except);
-    let members = members.map(|(index, c)| HomeMember {
+fn home(prefix: PrefixId, engines: &[EngineCandidate], weights: WeightsVersion) -> Option<usize> {
+    let members = engines.iter().enumerate();
+    let members = members.filter(|(_, engine)| engine.weights == weights);
+    let members = members.map(|(index, engine)| HomeMember {
         slot: index as SlotIndex,
-        hash: c.key,
+        hash: engine.key,
     });
     rendezvous::first_home(prefix, members).map(|slot| slot as usize)
 }
--- a/wagtaildoor_front/src/front.rs
+++ b/wagtaildoor_front/src/front.rs
@@ -20,6 +20,10 @@
 };
 
 use crate::{
+    block_store::{
+        self,
+        BlockStore, //
+    },
     endpoint::EndpointKey,
     endpoint_directory::EndpointDirectory,
     front_metrics::FrontMetrics,
@@ -64,6 +68,8 @@
     pub mirror: RefCell<RecordMirror>,
     /// What other hosts are to be told.
     pub hints: RefCell<HintQueue>,
+    /// Stores of cached blocks.
+    pub block_stores: RefCell<Vec<Rc<BlockStore>>>,
     /// Engines that hold shared parts of prompts.
     pub homes: RefCell<PromptHomes>,
     /// Sends beyond the first of each request.
@@ -99,6 +105,7 @@
             list_at: Cell::new(None),
             mirror: RefCell::new(RecordMirror::default()),
             hints: RefCell::new(HintQueue::default()),
+            block_stores: RefCell::new(Vec::new()),
             homes: RefCell::new(PromptHomes::default()),
             retries: RefCell::new(retries),
             peers: RefCell::new(PeerHosts::default()),
@@ -123,6 +130,8 @@
             .as_ref()
             .is_none_or(|now| table.version() > now.version());
         if newer {
+            let mut stores = self.block_stores.borrow_mut();
+            *stores = block_store::named_stores(&table, &stores);
             *routes = Some(Rc::new(table));
         }
         newer
--- a/wagtaildoor_front/src/front_host.rs
+++ b/wagtaildoor_front/src/front_host.rs
@@ -8,7 +8,7 @@
 use tokio::task;
 
 use crate::{
-    caller_server, control_follower,
+    block_store, caller_server, control_follower,
     control_store::{
         ControlStore,
         ControlStream, //
@@ -56,6 +56,7 @@
         task::spawn_local(peer_link::send_hints(front.clone(), hints.clone())),
         task::spawn_local(peer_link::receive_hints::<C>(front.clone(), hints)),
         task::spawn_local(endpoint_monitor::watch(front.clone())),
+        task::spawn_local(block_store::watch(front.clone())),
         task::spawn_local(shard_leases::keep(front.clone(), store, leases.clone())),
         task::spawn_local(weights_rollout::run::<C>(front.clone(), leases)),
     ];
--- a/wagtaildoor_front/src/hint_queue.rs
+++ b/wagtaildoor_front/src/hint_queue.rs
@@ -1,6 +1,9 @@
 //! News that a host is about to tell the others.
 
-use std::mem;
+use std::{
+    collections::HashSet,
+    mem, //
+};
 
 use wagtaildoor::{
     ids::{
@@ -26,6 +29,8 @@
     placed: Vec<PlacedPrefix>,
     /// Weights of engines.
     weights: Vec<EngineWeights>,
+    /// Engines whose work for this host has changed.
+    work: HashSet<EndpointKey>,
     /// The operator's stream has gone on.
     has_new_head: bool,
 }
@@ -58,6 +63,16 @@
         });
     }
 
+    /// Notes that an engine's work for this host has changed.
+    pub fn work(&mut self, endpoint: EndpointKey) {
+        self.work.insert(endpoint);
+    }
+
+    /// Takes engines whose work for this host has changed.
+    pub fn take_work(&mut self) -> HashSet<EndpointKey> {
+        mem::take(&mut self.work)
+    }
+
     /// Notes that the operator's stream has gone on.
     pub fn new_head(&mut self) {
         self.has_new_head = true;
@@ -65,7 +80,10 @@
 
     /// Whether there is anything to tell.
     pub fn is_empty(&self) -> bool {
-        self.placed.is_empty() && self.weights.is_empty() && !self.has_new_head
+        self.placed.is_empty()
+            && self.weights.is_empty()
+            && self.work.is_empty()
+            && !self.has_new_head
     }
 
     /// Takes so many prefixes at most, and all weights.
--- a/wagtaildoor_front/src/lib.rs
+++ b/wagtaildoor_front/src/lib.rs
@@ -1,5 +1,6 @@
 //! Transparent front: forwards callers' requests to endpoints unchanged, and decides where to.
 
+pub mod block_store;
 pub mod caller_run;
 pub mod caller_server;
 pub mod control_follower;
--- a/wagtaildoor_front/src/peer_link.rs
+++ b/wagtaildoor_front/src/peer_link.rs
@@ -1,6 +1,7 @@
 //! Exchange between hosts: hints by datagrams, and records of the store for hosts cut off from it.
 
 use std::{
+    collections::HashSet,
     io,
     net::SocketAddr,
     rc::Rc,
@@ -24,6 +25,7 @@
         FrameWriter, //
     },
     schema::{
+        EngineWork,
         FrontAsk,
         FrontHint,
         FrontHost,
@@ -44,6 +46,7 @@
         ControlStream,
         GroupMember, //
     },
+    endpoint::EndpointKey,
     endpoint_connection,
     front::Front,
     prefix_hash,
@@ -58,6 +61,8 @@
 const GREETING_HOSTS: usize = 3;
 /// Prefixes in one datagram, which keeps it below the size that networks cut.
 const PREFIXES_PER_HINT: usize = 60;
+/// Engines in one datagram.
+const WORK_PER_HINT: usize = 40;
 /// Largest datagram that is read, in bytes.
 const DATAGRAM_BYTES: usize = 4_096;
 /// Time for one exchange of records with another host.
@@ -81,12 +86,14 @@
         }
         quiet = 0;
         let is_greeting = front.hints.borrow().is_empty();
+        let work = front.hints.borrow_mut().take_work();
         let (placed, weights) = front.hints.borrow_mut().take(PREFIXES_PER_HINT);
         let hint = FrontHint {
             host: front.settings.host.clone(),
             operator_next: front.mirror.borrow().next(ControlStream::Operator),
             placed,
             weights,
+            work: engine_work(&front, work),
             hosts: if is_greeting {
                 some_hosts(&front)
             } else {
@@ -108,6 +115,20 @@
     }
 }
 
+/// What this host still wants read at engines.
+fn engine_work(front: &Front, engines: HashSet<EndpointKey>) -> Vec<EngineWork> {
+    let directory = front.endpoints.borrow();
+    let work = engines.into_iter().take(WORK_PER_HINT).filter_map(|key| {
+        let endpoint = directory.by_key(key)?;
+        let tokens = endpoint.load.borrow().own_prefill_tokens();
+        Some(EngineWork {
+            endpoint: key,
+            tokens,
+        })
+    });
+    work.collect()
+}
+
 /// Some hosts of the group, for others that may not know them.
 fn some_hosts(front: &Front) -> Vec<FrontHost> {
     let peers = front.peers.borrow();
@@ -151,6 +172,12 @@
         homes.note(placed.prefix, placed.endpoint, placed.is_read, now);
     }
     let endpoints = front.endpoints.borrow();
+    for work in &hint.work {
+        if let Some(endpoint) = endpoints.by_key(work.endpoint) {
+            let mut load = endpoint.load.borrow_mut();
+            load.peer_prefill(from, work.tokens, now);
+        }
+    }
     for seen in &hint.weights {
         if let Some(endpoint) = endpoints.by_key(seen.endpoint) {
             if seen.is_loading {
--- a/wagtaildoor_front/src/prompt_homes.rs
+++ b/wagtaildoor_front/src/prompt_homes.rs
@@ -1,6 +1,9 @@
 //! Which engines hold shared parts of prompts, as this host and its peers have sent them.
 
-use std::time::Duration;
+use std::{
+    collections::HashMap,
+    time::Duration, //
+};
 
 use wagtaildoor::{
     boot_clock::BootInstant,
@@ -33,12 +36,15 @@
 pub struct PromptHomes {
     /// Holders by prefix, the one used last at the end.
     holders: GenerationMap<PrefixId, Vec<PrefixHolder>>,
+    /// Holders that lost all they had, and when.
+    lost: HashMap<EndpointKey, BootInstant>,
 }
 
 impl Default for PromptHomes {
     fn default() -> Self {
         Self {
             holders: GenerationMap::new(REMEMBERED_LIMIT),
+            lost: HashMap::new(),
         }
     }
 }
@@ -75,6 +81,11 @@
         }
     }
 
+    /// Forgets all that an engine or a store held.
+    pub fn forget_all(&mut self, endpoint: EndpointKey) {
+        self.lost.insert(endpoint, BootInstant::now());
+    }
+
     /// Engines that hold a prefix, the one used last first.
     pub fn holders(
         &self,
@@ -82,8 +93,11 @@
         now: BootInstant,
     ) -> impl Iterator<Item = PrefixHolder> + '_ {
         let holders = self.holders.get(prefix).map_or(&[][..], Vec::as_slice);
-        let fresh = move |holder: &&PrefixHolder| now.since(holder.used) < KEEP_TIME;
-        holders.iter().rev().filter(fresh).copied()
+        let kept = move |holder: &&PrefixHolder| {
+            let lost = self.lost.get(&holder.endpoint);
+            now.since(holder.used) < KEEP_TIME && lost.is_none_or(|&at| holder.used > at)
+        };
+        holders.iter().rev().filter(kept).copied()
     }
 
     /// What is known of one engine and a prefix.
--- a/wagtaildoor_front/src/request_place.rs
+++ b/wagtaildoor_front/src/request_place.rs
@@ -1,6 +1,9 @@
 //! Chooses where a request goes, from what the host knows at this moment.
 
-use std::rc::Rc;
+use std::{
+    net::SocketAddr,
+    rc::Rc, //
+};
 
 use wagtaildoor::{
     boot_clock::BootInstant,
@@ -12,15 +15,19 @@
 };
 
 use crate::{
+    block_store::BlockStore,
     endpoint::{
         Endpoint,
         EndpointKey, //
     },
     engine_placement::{
         self,
+        BlockSource,
         EngineCandidate,
         EngineDemand,
-        SharedPrefix, //
+        PlacementField,
+        SharedPrefix,
+        StoreCandidate, //
     },
     front::Front,
     plain_placement::{
@@ -76,8 +83,10 @@
     pub weights: WeightsVersion,
     /// Text that keeps cached blocks apart.
     pub wall: Box<str>,
-    /// Engine to fetch cached blocks from.
-    pub source: Option<Rc<Endpoint>>,
+    /// Where to fetch cached blocks from.
+    pub source: Option<SocketAddr>,
+    /// Store to send blocks to.
+    pub copy_to: Option<Rc<BlockStore>>,
     /// Prefixes that the engine holds once it has read the prompt.
     pub prefixes: Vec<SharedPrefix>,
 }
@@ -145,9 +154,24 @@
         wanted: wanted.map_or(0, |wanted| wanted.version),
         wanted_age: wanted.map_or(std::time::Duration::ZERO, |wanted| now.since(wanted.since)),
     };
-    let homes = front.homes.borrow();
-    let policy = &front.settings.engines;
-    let choice = engine_placement::choose(&candidates, &demand, &homes, policy, now)?;
+    let stores = front.block_stores.borrow();
+    let stores: Vec<&Rc<BlockStore>> = stores.iter().filter(|store| store.is_up()).collect();
+    let store_candidates: Vec<StoreCandidate> = stores
+        .iter()
+        .map(|store| StoreCandidate { key: store.key })
+        .collect();
+    let field = PlacementField {
+        engines: &candidates,
+        stores: &store_candidates,
+        homes: &front.homes.borrow(),
+        now,
+    };
+    let choice = engine_placement::choose(&field, &demand, &front.settings.engines)?;
+    let source = choice.source.map(|source| match source {
+        BlockSource::Engine(index) => endpoints[index].address,
+        BlockSource::Store(index) => stores[index].address,
+    });
+    let copy_to = choice.copy_to.map(|index| stores[index].clone());
     let chain = prefixes.into_iter().find(|(w, _)| *w == choice.weights);
     Some(RequestPlace {
         endpoint: endpoints[choice.index].clone(),
@@ -155,7 +179,8 @@
             model: prompt.model.clone(),
             weights: choice.weights,
             wall: prefix_hash::cache_wall(&prompt.model, choice.weights, query.isolated),
-            source: choice.source.map(|index| endpoints[index].clone()),
+            source,
+            copy_to,
             prefixes: chain.map_or_else(Vec::new, |(_, chain)| chain),
         }),
         cost_ms: choice.cost_ms,
@@ -177,7 +202,7 @@
         is_near: endpoint.domain == front.settings.domain,
         domain: prefix_hash::text_hash(&endpoint.domain),
         weights: endpoint.weights(model),
-        prefill_tokens: load.own_prefill_tokens() as f64,
+        prefill_tokens: load.prefill_tokens(now),
         waiting: load.others_waiting(now),
         requests: load.requests(now),
         slots: f64::from(load.slots()),
--- a/wagtaildoor_front/src/shard_leases.rs
+++ b/wagtaildoor_front/src/shard_leases.rs
@@ -46,7 +46,10 @@
     /// This host, before its process started.
     OwnHost,
     /// A host that has left the group, and so was silent for the whole expiry.
-    ExpiredHost,
+    ExpiredHost {
+        /// Time for which it was seen as the owner.
+        owned_for: Duration,
+    },
     /// A host that may not know yet that it lost the shard.
     LiveHost,
 }
@@ -119,16 +122,20 @@
         times: &LeaseTimes,
     ) {
         let mut usable_from = self.usable_from.borrow_mut();
-        let lapsed = self
-            .last_word
-            .get()
-            .is_none_or(|at| asked.since(at) >= times.expiry);
+        let last_word = self.last_word.get();
+        let lapsed = last_word.is_some_and(|at| asked.since(at) >= times.expiry);
         if lapsed {
             usable_from.clear();
         }
         usable_from.retain(|shard, _| share.shards.contains(shard));
         for &shard in &share.shards {
-            let wait = || now + wait_for(past(shard), times);
+            let past = match past(shard) {
+                // Others may have owned it while this host did not.
+                _ if lapsed => ShardPast::LiveHost,
+                ShardPast::OwnHost if last_word.is_some() => ShardPast::LiveHost,
+                past => past,
+            };
+            let wait = || now + wait_for(past, times);
             usable_from.entry(shard).or_insert_with(wait);
         }
         self.last_word.set(Some(asked));
@@ -141,34 +148,71 @@
 fn wait_for(past: ShardPast, times: &LeaseTimes) -> Duration {
     match past {
         ShardPast::OwnHost => RETURN_WAIT.min(times.handover),
-        ShardPast::ExpiredHost => {
+        ShardPast::ExpiredHost { owned_for } => {
             let silent = times.expiry.saturating_sub(times.validity);
-            times.handover.saturating_sub(silent)
+            let after_it = times.handover.saturating_sub(silent);
+            let after_one_before = (times.handover + times.validity).saturating_sub(owned_for);
+            after_it.max(after_one_before)
         }
         ShardPast::LiveHost => times.handover + times.validity,
     }
 }
 
-/// Who owned a shard, from the owners before and after the group's change.
-pub fn shard_past(
-    shard: ShardId,
-    own: &GroupMember,
-    before: &GroupOwners,
-    after: &GroupOwners,
-) -> ShardPast {
-    let Some(owner) = before.owner(shard) else {
-        return ShardPast::LiveHost;
-    };
-    if owner == own {
-        return ShardPast::OwnHost;
+/// Owners of all shards as this host has read them, and since when.
+#[derive(Debug, Default)]
+pub struct OwnerHistory {
+    /// Owner of each shard, and when it was first read as such.
+    owners: HashMap<ShardId, (GroupMember, BootInstant)>,
+    /// Number of the group's last change before the read.
+    generation: u64,
+}
+
+impl OwnerHistory {
+    /// Takes the owners as they were read after a change of the group; what was read before a
+    /// change that was missed tells nothing.
+    pub fn read(&mut self, read: &GroupOwners, generation: u64, now: BootInstant) {
+        let mut before = std::mem::take(&mut self.owners);
+        if generation > self.generation + 1 || generation < self.generation {
+            before.clear();
+        }
+        self.generation = generation;
+        for (shard, member) in &read.owners {
+            let known = before.get(shard).filter(|(owner, _)| owner == member);
+            let since = known.map_or(now, |&(_, since)| since);
+            self.owners.insert(*shard, (member.clone(), since));
+        }
     }
-    // With as many hosts as shards, one that is still there may own none.
-    let all_show = after.members().len() < after.owners.len();
-    let is_gone = all_show && after.owners.iter().all(|(_, member)| member != owner);
-    if is_gone {
-        ShardPast::ExpiredHost
-    } else {
-        ShardPast::LiveHost
+
+    /// Drops what was read, unless it was read before the last change of the group.
+    pub fn drop_older(&mut self, generation: u64) {
+        if generation > self.generation + 1 || generation < self.generation {
+            self.owners.clear();
+        }
+    }
+
+    /// Who owned a shard until the group's change, after which these are the owners.
+    pub fn past(
+        &self,
+        shard: ShardId,
+        own: &GroupMember,
+        after: &GroupOwners,
+        now: BootInstant,
+    ) -> ShardPast {
+        let Some((owner, since)) = self.owners.get(&shard) else {
+            return ShardPast::LiveHost;
+        };
+        if owner == own {
+            return ShardPast::OwnHost;
+        }
+        // With as many hosts as shards, one that is still there may own none.
+        let all_show = after.members().len() < after.owners.len();
+        let is_gone = all_show && after.owners.iter().all(|(_, member)| member != owner);
+        if is_gone {
+            let owned_for = now.since(*since);
+            ShardPast::ExpiredHost { owned_for }
+        } else {
+            ShardPast::LiveHost
+        }
     }
 }
 
@@ -184,27 +228,38 @@
         host: front.settings.host.clone(),
         address: front.settings.peers,
     };
+    let mut known = None;
     let mut generation = 0;
-    let mut owners = read_owners(&front, &store).await.unwrap_or_default();
+    let mut history = OwnerHistory::default();
+    if let Some(owners) = read_owners(&front, &store).await {
+        history.read(&owners, 0, BootInstant::now());
+    }
     loop {
         let asked = BootInstant::now();
         match store.join(&own, generation, times.expiry).await {
             Ok(share) => {
-                let changed = share.generation != generation;
+                let changed = known != Some(share.generation);
                 let mut after = None;
                 if changed || leases.has_new_shard(&share) {
                     after = read_owners(&front, &store).await;
                 }
                 let unread = GroupOwners::default();
                 let shown = after.as_ref().unwrap_or(&unread);
-                let past = |shard| shard_past(shard, &own, &owners, shown);
-                leases.answered(&share, past, asked, BootInstant::now(), &times);
+                let now = BootInstant::now();
+                if known.is_some() {
+                    history.drop_older(share.generation);
+                }
+                let past = |shard| history.past(shard, &own, shown, now);
+                leases.answered(&share, past, asked, now, &times);
                 if changed {
                     slog::info!(front.log, "shards dealt"; "generation" => share.generation,
                         "own" => share.shards.len(), "hosts" => shown.members().len());
                 }
                 generation = share.generation;
-                owners = after.unwrap_or(owners);
+                known = Some(generation);
+                if let Some(after) = &after {
+                    history.read(after, share.generation, now);
+                }
             }
             Err(error) => {
                 slog::debug!(front.log, "no word to the group"; "error" => %error);
--- /dev/null
+++ b/wagtaildoor_front/tests/endpoint_directory.rs
@@ -0,0 +1,117 @@
+//! The list of endpoints: stale records, restarts under the same name, and outages of the store.
+
+use std::time::Duration;
+
+use wagtaildoor::boot_clock::BootInstant;
+use wagtaildoor_front::{
+    endpoint::{
+        EndpointRecord,
+        EndpointState, //
+    },
+    endpoint_directory::{
+        DirectoryChange,
+        EndpointDirectory,
+        RETURN_TIME, //
+    },
+};
+
+/// A description of an endpoint.
+fn record(id: &str, started_ms: u64, revision: u64, state: EndpointState) -> EndpointRecord {
+    EndpointRecord {
+        id: id.into(),
+        service: "drafters".into(),
+        address: "10.0.0.1:80".parse().expect("an address"),
+        domain: "kl-a".into(),
+        state,
+        slots: 32,
+        warm_up: Duration::ZERO,
+        weights: vec![("m".into(), 1)],
+        started_ms,
+        revision,
+    }
+}
+
+/// Time after the start.
+const NOW: BootInstant = BootInstant::ZERO;
+
+#[test]
+fn a_late_record_does_not_bring_a_leaving_endpoint_back() {
+    let mut directory = EndpointDirectory::default();
+    let first = directory.describe(record("a", 1, 1, EndpointState::Ready), NOW);
+    assert_eq!(first, DirectoryChange::Appeared);
+    let leaving = directory.describe(record("a", 1, 5, EndpointState::Draining), NOW);
+    assert_eq!(leaving, DirectoryChange::Leaving);
+    let late = directory.describe(record("a", 1, 4, EndpointState::Ready), NOW);
+    assert_eq!(late, DirectoryChange::None);
+    assert!(!directory.get("a").expect("known").takes_work());
+}
+
+#[test]
+fn a_restart_under_the_same_name_is_another_endpoint() {
+    let mut directory = EndpointDirectory::default();
+    directory.describe(record("a", 1, 9, EndpointState::Ready), NOW);
+    let before = directory.get("a").expect("known").clone();
+    before.saw_weights(&"m".into(), 7);
+    let again = directory.describe(record("a", 2, 1, EndpointState::Ready), NOW);
+    assert_eq!(again, DirectoryChange::Appeared);
+    let after = directory.get("a").expect("known").clone();
+    assert_ne!(before.key, after.key, "what it held before is gone");
+    assert!(!before.takes_work());
+    assert_eq!(after.weights("m"), 1);
+    let stale = directory.describe(record("a", 1, 10, EndpointState::Ready), NOW);
+    assert_eq!(stale, DirectoryChange::None);
+    assert_eq!(directory.get("a").expect("known").key, after.key);
+    assert_eq!(directory.service("drafters").len(), 1);
+}
+
+#[test]
+fn an_endpoint_that_is_taken_off_gets_no_more_work() {
+    let mut directory = EndpointDirectory::default();
+    directory.describe(record("a", 1, 1, EndpointState::Ready), NOW);
+    let held = directory.get("a").expect("known").clone();
+    assert!(directory.gone(&"a".into(), false, NOW));
+    assert!(!held.takes_work());
+    assert!(directory.service("drafters").is_empty());
+}
+
+#[test]
+fn after_an_outage_endpoints_have_time_to_return() {
+    let mut directory = EndpointDirectory::default();
+    for id in ["back", "gone"] {
+        directory.describe(record(id, 1, 1, EndpointState::Ready), NOW);
+        assert!(!directory.gone(&id.into(), true, NOW));
+    }
+    directory.describe(record("back", 1, 2, EndpointState::Ready), NOW);
+    let just_before = NOW + (RETURN_TIME - Duration::from_millis(1));
+    assert!(directory.expire_missing(just_before).is_empty());
+    assert_eq!(directory.service("drafters").len(), 2);
+    let expired = directory.expire_missing(NOW + RETURN_TIME);
+    assert_eq!(expired, [Box::from("gone")]);
+    assert_eq!(directory.service("drafters").len(), 1);
+}
+
+#[test]
+fn a_complete_list_takes_off_what_it_does_not_name() {
+    let mut directory = EndpointDirectory::default();
+    for id in ["a", "b", "c"] {
+        directory.describe(record(id, 1, 1, EndpointState::Ready), NOW);
+    }
+    let gone = directory.keep_only(|id| id == "b", false, NOW);
+    assert_eq!(gone.len(), 2);
+    assert_eq!(directory.len(), 1);
+}
+
+#[test]
+fn weights_never_go_back_within_one_start() {
+    let mut directory = EndpointDirectory::default();
+    directory.describe(record("a", 1, 1, EndpointState::Ready), NOW);
+    let endpoint = directory.get("a").expect("known").clone();
+    endpoint.saw_weights(&"m".into(), 3);
+    directory.describe(record("a", 1, 2, EndpointState::Ready), NOW);
+    assert_eq!(
+        endpoint.weights("m"),
+        3,
+        "the description lags behind the order"
+    );
+    assert_eq!(endpoint.described_weights("m"), 1);
+}
--- /dev/null
+++ b/wagtaildoor_front/tests/endpoint_load.rs
@@ -0,0 +1,58 @@
+//! Load of an endpoint, from what this host sent, what it reports and what other hosts say.
+
+use std::time::Duration;
+
+use wagtaildoor::boot_clock::BootInstant;
+use wagtaildoor_front::{
+    endpoint_load::EndpointLoad,
+    wire_codec::LoadReading, //
+};
+
+/// A time after the start.
+fn at(ms: u64) -> BootInstant {
+    BootInstant::ZERO + Duration::from_millis(ms)
+}
+
+#[test]
+fn own_work_counts_exactly_and_that_of_others_fades() {
+    let mut load = EndpointLoad::new(32);
+    load.sent(5_000);
+    load.sent(1_000);
+    load.started(1_000);
+    let reading = LoadReading {
+        running: 5,
+        waiting: 3,
+        slots: 32,
+    };
+    load.report(reading, at(0));
+    assert_eq!(load.requests(at(0)), 8.0);
+    assert_eq!(load.requests(at(1_000)), 5.0);
+    load.finished();
+    load.withdrawn(5_000);
+    assert_eq!(load.own(), 0);
+    assert_eq!(load.own_prefill_tokens(), 0);
+    assert_eq!(load.requests(at(0)), 6.0);
+}
+
+#[test]
+fn the_newest_word_of_each_host_counts_until_it_is_out_of_date() {
+    let mut load = EndpointLoad::new(32);
+    let first = "10.0.0.1:7000".parse().expect("an address");
+    let second = "10.0.0.2:7000".parse().expect("an address");
+    load.sent(1_000);
+    load.peer_prefill(first, 4_000, at(0));
+    load.peer_prefill(first, 2_000, at(100));
+    load.peer_prefill(second, 500, at(200));
+    assert_eq!(load.prefill_tokens(at(200)), 3_500.0);
+    load.peer_prefill(second, 0, at(300));
+    assert_eq!(load.prefill_tokens(at(300)), 3_000.0);
+    assert_eq!(load.prefill_tokens(at(1_700)), 1_000.0);
+}
+
+#[test]
+fn a_refusal_is_remembered_for_a_moment() {
+    let mut load = EndpointLoad::new(32);
+    load.refused(at(1_000));
+    assert!(load.is_full(at(1_299)));
+    assert!(!load.is_full(at(1_300)));
+}
--- /dev/null
+++ b/wagtaildoor_front/tests/engine_placement.rs
@@ -0,0 +1,297 @@
+//! Where prompts go: patterns of load and of failure, without a network.
+
+use std::time::Duration;
+
+use wagtaildoor::boot_clock::BootInstant;
+use wagtaildoor_front::{
+    engine_placement::{
+        self,
+        BlockSource,
+        EngineCandidate,
+        EngineChoice,
+        EngineDemand,
+        EnginePolicy,
+        PlacementField,
+        SharedPrefix,
+        StoreCandidate, //
+    },
+    prompt_homes::PromptHomes,
+};
+
+/// Key of the store of cached blocks.
+const STORE: u64 = 900;
+/// Tokens of the shared part of a long prompt.
+const SHARED: f64 = 5_400.0;
+
+/// The figures of the deployments.
+fn policy() -> EnginePolicy {
+    EnginePolicy {
+        prefill_tokens_per_ms: 90.0,
+        queued_request_tokens: 2_000.0,
+        running_ms: 0.7,
+        over_slots_ms: 40.0,
+        fetch_ms_per_1000: 2.0,
+        new_copy_ms: 10.0,
+        copy_own_share: 1.0,
+        away_from_home_ms: 40.0,
+        other_domain_ms: 15.0,
+        failure_ms: 600.0,
+        full_ms: 500.0,
+        old_weights_free: Duration::from_millis(1_200),
+        old_weights_ms: 150.0,
+        old_weights_limit: Duration::from_millis(5_100),
+    }
+}
+
+/// Idle engines, two in the host's failure domain and two in another, all on weights 1.
+fn engines() -> Vec<EngineCandidate> {
+    let engine = |key: u64| EngineCandidate {
+        key,
+        is_near: key <= 2,
+        domain: u64::from(key > 2),
+        weights: 1,
+        prefill_tokens: 0.0,
+        waiting: 0.0,
+        requests: 0.0,
+        slots: 32.0,
+        failure_share: 0.0,
+        is_full: false,
+        is_excluded: false,
+    };
+    (1..=4).map(engine).collect()
+}
+
+/// A prompt with a shared part, under weights 1 and 2, and 2,000 tokens of its own.
+struct Prompt {
+    /// Its prefixes by weights.
+    prefixes: Vec<(u64, Vec<SharedPrefix>)>,
+    /// Newest weights.
+    wanted: u64,
+    /// Time since they were named.
+    wanted_age: Duration,
+}
+
+impl Prompt {
+    /// A prompt whose shared part has an id.
+    fn new(id: u64) -> Self {
+        let chain = |weights: u64| {
+            let outer = SharedPrefix {
+                id: weights * 1_000_000 + 7,
+                tokens: 500.0,
+            };
+            let inner = SharedPrefix {
+                id: weights * 1_000_000 + id * 100,
+                tokens: SHARED,
+            };
+            (weights, vec![outer, inner])
+        };
+        Self {
+            prefixes: vec![chain(1), chain(2)],
+            wanted: 1,
+            wanted_age: Duration::from_secs(60),
+        }
+    }
+
+    /// Id of its shared part under weights.
+    fn shared(&self, weights: u64) -> u64 {
+        self.prefixes[weights as usize - 1].1[1].id
+    }
+
+    /// Its choice among engines.
+    fn choose(&self, engines: &[EngineCandidate], homes: &PromptHomes) -> Option<EngineChoice> {
+        let demand = EngineDemand {
+            prefixes: &self.prefixes,
+            tokens: SHARED + 2_000.0,
+            wanted: self.wanted,
+            wanted_age: self.wanted_age,
+        };
+        let field = PlacementField {
+            engines,
+            stores: &[StoreCandidate { key: STORE }],
+            homes,
+            now: NOW,
+        };
+        engine_placement::choose(&field, &demand, &policy())
+    }
+}
+
+/// Time of the choices.
+const NOW: BootInstant = BootInstant::ZERO;
+
+#[test]
+fn all_hosts_read_a_new_part_at_the_same_engine() {
+    let engines = engines();
+    for id in 0..50 {
+        let prompt = Prompt::new(id);
+        let here = prompt.choose(&engines, &PromptHomes::default());
+        let mut there = engines.clone();
+        for engine in &mut there {
+            engine.is_near = !engine.is_near;
+        }
+        let there = prompt.choose(&there, &PromptHomes::default());
+        assert_eq!(here.map(|c| c.index), there.map(|c| c.index), "part {id}");
+    }
+}
+
+#[test]
+fn a_part_that_is_held_is_not_read_again() {
+    let engines = engines();
+    let prompt = Prompt::new(1);
+    for holder in [1, 2, 3, 4] {
+        let mut homes = PromptHomes::default();
+        homes.note(prompt.shared(1), holder, true, NOW);
+        let choice = prompt.choose(&engines, &homes).expect("a choice");
+        assert_eq!(choice.prefill_tokens, 2_000, "holder {holder}");
+        let is_holder = engines[choice.index].key == holder;
+        let fetched = choice.source == Some(BlockSource::Engine(holder as usize - 1));
+        assert!(is_holder || fetched, "holder {holder}: {choice:?}");
+    }
+}
+
+#[test]
+fn a_hot_part_spreads_when_its_holder_is_busy() {
+    let mut engines = engines();
+    let prompt = Prompt::new(1);
+    let mut homes = PromptHomes::default();
+    homes.note(prompt.shared(1), 1, true, NOW);
+    engines[0].prefill_tokens = 20_000.0;
+    engines[0].requests = 9.0;
+    let choice = prompt.choose(&engines, &homes).expect("a choice");
+    assert_ne!(choice.index, 0);
+    assert_eq!(choice.source, Some(BlockSource::Engine(0)));
+    assert_eq!(choice.prefill_tokens, 2_000);
+}
+
+#[test]
+fn a_part_that_is_being_read_is_waited_for_where_it_is_read() {
+    let engines = engines();
+    let prompt = Prompt::new(1);
+    let mut homes = PromptHomes::default();
+    homes.note(prompt.shared(1), 3, false, NOW);
+    let choice = prompt.choose(&engines, &homes).expect("a choice");
+    assert_eq!(engines[choice.index].key, 3);
+}
+
+#[test]
+fn an_engine_that_may_have_evicted_a_part_is_told_where_else_it_is() {
+    let engines = engines();
+    let prompt = Prompt::new(1);
+    let mut homes = PromptHomes::default();
+    homes.note(prompt.shared(1), 1, true, NOW);
+    homes.note(prompt.shared(1), STORE, true, NOW);
+    let choice = prompt.choose(&engines, &homes).expect("a choice");
+    assert_eq!(choice.index, 0);
+    assert_eq!(choice.source, Some(BlockSource::Store(0)));
+    assert_eq!(choice.copy_to, None, "the store has it");
+}
+
+#[test]
+fn the_first_read_of_a_part_leaves_a_copy_in_the_store() {
+    let choice = Prompt::new(1).choose(&engines(), &PromptHomes::default());
+    assert_eq!(choice.expect("a choice").copy_to, Some(0));
+}
+
+#[test]
+fn engines_that_fail_or_refuse_get_less() {
+    let prompt = Prompt::new(1);
+    let mut homes = PromptHomes::default();
+    homes.note(prompt.shared(1), 1, true, NOW);
+    let spoil: [fn(&mut EngineCandidate); 3] = [
+        |engine| engine.failure_share = 0.6,
+        |engine| engine.is_full = true,
+        |engine| engine.is_excluded = true,
+    ];
+    for (case, spoil) in spoil.iter().enumerate() {
+        let mut engines = engines();
+        spoil(&mut engines[0]);
+        let choice = prompt.choose(&engines, &homes).expect("a choice");
+        assert_ne!(choice.index, 0, "case {case}");
+    }
+}
+
+#[test]
+fn with_five_of_eighteen_engines_silent_the_others_share_the_load_evenly() {
+    let mut engines: Vec<EngineCandidate> = (0..18)
+        .map(|key| EngineCandidate {
+            key: key + 1,
+            ..engines()[0].clone()
+        })
+        .collect();
+    for engine in engines.iter_mut().take(5) {
+        engine.is_excluded = true;
+    }
+    let mut sent = [0_u32; 18];
+    let mut homes = PromptHomes::default();
+    for id in 0..130 {
+        let prompt = Prompt::new(id);
+        let choice = prompt.choose(&engines, &homes).expect("a choice");
+        homes.note(prompt.shared(1), engines[choice.index].key, true, NOW);
+        sent[choice.index] += 1;
+        engines[choice.index].prefill_tokens += choice.prefill_tokens as f64;
+        engines[choice.index].requests += 1.0;
+    }
+    assert_eq!(sent[..5], [0; 5]);
+    assert!(
+        sent[5..].iter().all(|&count| (8..=12).contains(&count)),
+        "{sent:?}"
+    );
+}
+
+#[test]
+fn while_weights_are_rolled_out_old_ones_run_rather_than_wait_then_no_more() {
+    let mut prompt = Prompt::new(1);
+    prompt.wanted = 2;
+    let mut engines = engines();
+    engines[0].weights = 2;
+    engines[0].prefill_tokens = 60_000.0;
+    let cases = [(200, true), (3_000, true), (5_200, false), (60_000, false)];
+    for (age_ms, may_be_old) in cases {
+        prompt.wanted_age = Duration::from_millis(age_ms);
+        let choice = prompt.choose(&engines, &PromptHomes::default());
+        let choice = choice.expect("a choice");
+        assert_eq!(choice.weights == 1, may_be_old, "after {age_ms} ms");
+    }
+    engines[0].is_excluded = true;
+    assert_eq!(prompt.choose(&engines, &PromptHomes::default()), None);
+}
+
+#[test]
+fn a_request_that_would_begin_after_the_limit_does_not_go_to_old_weights() {
+    let mut prompt = Prompt::new(1);
+    prompt.wanted = 2;
+    prompt.wanted_age = Duration::from_millis(4_500);
+    let mut engines = engines();
+    assert!(prompt.choose(&engines, &PromptHomes::default()).is_some());
+    for engine in &mut engines {
+        engine.prefill_tokens = 40_000.0;
+    }
+    assert_eq!(prompt.choose(&engines, &PromptHomes::default()), None);
+}
+
+#[test]
+fn blocks_of_other_weights_are_not_fetched() {
+    let mut prompt = Prompt::new(1);
+    prompt.wanted = 2;
+    let mut engines = engines();
+    engines[3].weights = 2;
+    let mut homes = PromptHomes::default();
+    homes.note(prompt.shared(1), 1, true, NOW);
+    let choice = prompt.choose(&engines, &homes).expect("a choice");
+    assert_eq!(choice.index, 3);
+    assert!(
+        !matches!(choice.source, Some(BlockSource::Engine(_))),
+        "{choice:?}"
+    );
+}
+
+#[test]
+fn a_prompt_without_shared_parts_goes_to_the_least_busy_engine() {
+    let mut engines = engines();
+    for (index, engine) in engines.iter_mut().enumerate() {
+        engine.prefill_tokens = 9_000.0 - 3_000.0 * index as f64;
+    }
+    let mut prompt = Prompt::new(1);
+    prompt.prefixes.clear();
+    let choice = prompt.choose(&engines, &PromptHomes::default());
+    assert_eq!(choice.expect("a choice").index, 3);
+}
--- /dev/null
+++ b/wagtaildoor_front/tests/record_mirror.rs
@@ -0,0 +1,62 @@
+//! Records from the store and from other hosts are merged by their offsets.
+
+use bytes::Bytes;
+use wagtaildoor_front::{
+    control_store::{
+        ControlRecord,
+        ControlStream, //
+    },
+    record_mirror::RecordMirror,
+};
+
+/// A record with a value.
+fn record(offset: u64, key: &str, value: &'static str) -> ControlRecord {
+    ControlRecord {
+        offset,
+        key: key.into(),
+        value: Some(Bytes::from_static(value.as_bytes())),
+    }
+}
+
+#[test]
+fn an_older_record_changes_nothing_wherever_it_comes_from() {
+    let mut mirror = RecordMirror::default();
+    let stream = ControlStream::Operator;
+    assert!(mirror.take(stream, &record(4, "config", "new")));
+    assert!(!mirror.take(stream, &record(3, "config", "old")));
+    assert!(
+        !mirror.take(stream, &record(4, "config", "new")),
+        "the same again"
+    );
+    assert!(mirror.take(ControlStream::Endpoints, &record(1, "config", "x")));
+}
+
+#[test]
+fn a_key_that_was_taken_away_stays_away() {
+    let mut mirror = RecordMirror::default();
+    let stream = ControlStream::Endpoints;
+    mirror.take(stream, &record(1, "a", "ready"));
+    let gone = ControlRecord {
+        value: None,
+        ..record(5, "a", "")
+    };
+    assert!(mirror.take(stream, &gone));
+    assert!(!mirror.take(stream, &record(4, "a", "ready")));
+    assert!(mirror.take(stream, &record(6, "a", "ready")));
+}
+
+#[test]
+fn other_hosts_get_the_newest_of_each_key_from_an_offset_on() {
+    let mut mirror = RecordMirror::default();
+    let stream = ControlStream::Operator;
+    for (offset, key) in [(2, "config"), (7, "version/m"), (5, "config")] {
+        mirror.take(stream, &record(offset, key, "x"));
+    }
+    mirror.read_to(stream, 8);
+    mirror.read_to(stream, 6);
+    assert_eq!(mirror.next(stream), 8);
+    let page = mirror.page_from(stream, 5);
+    let offsets: Vec<u64> = page.records.iter().map(|record| record.offset).collect();
+    assert_eq!((offsets, page.next), (vec![5, 7], 8));
+    assert_eq!(mirror.page_from(stream, 6).records.len(), 1);
+}
