Let engines take turns to load by one order that all hosts share

Now all hosts put the engines that are behind into one order and the first few have their turn; long answers avoid engines whose turn comes next. A silent engine is neither home nor source of a part.

--- a/wagtaildoor/src/schema.rs
+++ b/wagtaildoor/src/schema.rs
@@ -2241,6 +2241,9 @@
     ///Cost of one more copy of a prefix, in milliseconds of an engine's time.
     #[serde(default = "defaults::default_u64::<u64, 10>")]
     pub new_copy_ms: u64,
+    ///Cost of an engine that loads weights next, for a prompt whose answer will still be under way then, in milliseconds; the second wave costs half.
+    #[serde(default = "defaults::default_u64::<u64, 120>")]
+    pub next_load_ms: u64,
     ///Time after new weights were named in which older ones cost nothing, in milliseconds.
     #[serde(default = "defaults::default_u64::<u64, 1200>")]
     pub old_weights_free_ms: u64,
@@ -2283,6 +2286,7 @@
             fetch_us_per_1000: defaults::default_u64::<u64, 2000>(),
             full_ms: defaults::default_u64::<u64, 500>(),
             new_copy_ms: defaults::default_u64::<u64, 10>(),
+            next_load_ms: defaults::default_u64::<u64, 120>(),
             old_weights_free_ms: defaults::default_u64::<u64, 1200>(),
             old_weights_ms: defaults::default_u64::<u64, 150>(),
             other_domain_ms: defaults::default_u64::<u64, 15>(),
@@ -2742,16 +2746,16 @@
     #[serde(default = "defaults::default_u64::<u64, 3000>")]
     pub lease_expiry_ms: u64,
     ///Pause between two words to the group of hosts, in milliseconds.
-    #[serde(default = "defaults::default_u64::<u64, 350>")]
+    #[serde(default = "defaults::default_u64::<u64, 500>")]
     pub lease_pause_ms: u64,
     ///Time after its last word for which a host gives orders, in milliseconds.
-    #[serde(default = "defaults::default_u64::<u64, 800>")]
+    #[serde(default = "defaults::default_u64::<u64, 1200>")]
     pub lease_validity_ms: u64,
     ///Pause between two reads of the list of endpoints, in percent of the time in which a leaving one must get no more work.
     #[serde(default = "defaults::default_u64::<u64, 42>")]
     pub list_drain_percent: u64,
-    ///Longest wait of one read of the operator's stream, in milliseconds; a silent connection is noticed after it.
-    #[serde(default = "defaults::default_u64::<u64, 3000>")]
+    ///Longest wait of one read of the operator's stream, in milliseconds; a silent connection is noticed sooner, by probes and by other hosts' words.
+    #[serde(default = "defaults::default_u64::<u64, 12000>")]
     pub operator_wait_ms: u64,
 }
 impl ::std::convert::From<&StoreSection> for StoreSection {
@@ -2763,10 +2767,10 @@
     fn default() -> Self {
         Self {
             lease_expiry_ms: defaults::default_u64::<u64, 3000>(),
-            lease_pause_ms: defaults::default_u64::<u64, 350>(),
-            lease_validity_ms: defaults::default_u64::<u64, 800>(),
+            lease_pause_ms: defaults::default_u64::<u64, 500>(),
+            lease_validity_ms: defaults::default_u64::<u64, 1200>(),
             list_drain_percent: defaults::default_u64::<u64, 42>(),
-            operator_wait_ms: defaults::default_u64::<u64, 3000>(),
+            operator_wait_ms: defaults::default_u64::<u64, 12000>(),
         }
     }
 }
--- a/wagtaildoor_front/src/engine_placement.rs
+++ b/wagtaildoor_front/src/engine_placement.rs
@@ -27,6 +27,9 @@
 /// turn their memory over in four to five seconds.
 const FRESH_TIME: Duration = Duration::from_millis(2_500);
 
+/// Tokens of an answer that takes longer than a wave of loads.
+const LONG_ANSWER_TOKENS: u64 = 16;
+
 /// Figures that the choice weighs.
 #[derive(Clone, Debug, PartialEq)]
 pub struct EnginePolicy {
@@ -53,6 +56,9 @@
     pub failure_ms: f64,
     /// Cost of an engine that refused for lack of room a moment ago, in milliseconds.
     pub full_ms: f64,
+    /// Cost of an engine whose weights change in the next wave of loads, for a prompt whose answer
+    /// will still be under way then, in milliseconds.
+    pub next_load_ms: f64,
     /// Time after which older weights begin to cost.
     pub old_weights_free: Duration,
     /// Cost of older weights from then on, in milliseconds.
@@ -84,6 +90,8 @@
     pub failure_share: f64,
     /// It refused for lack of room a moment ago, or is loading weights.
     pub is_full: bool,
+    /// Waves of loads until its weights change; 0 when it is loading or has the newest.
+    pub load_wave: u32,
     /// It must not get the request, but others may fetch blocks from it.
     pub is_excluded: bool,
 }
@@ -125,6 +133,8 @@
     pub prefixes: &'a [(WeightsVersion, Vec<SharedPrefix>)],
     /// Tokens of the whole prompt.
     pub tokens: f64,
+    /// Tokens of the answer at most.
+    pub answer_tokens: u64,
     /// Newest weights that were named.
     pub wanted: WeightsVersion,
     /// Time since they were.
@@ -273,6 +283,9 @@
     if candidate.is_full {
         cost += policy.full_ms;
     }
+    if candidate.load_wave > 0 && demand.answer_tokens >= LONG_ANSWER_TOKENS {
+        cost += policy.next_load_ms / f64::from(candidate.load_wave);
+    }
     if candidate.weights < demand.wanted && demand.wanted_age > policy.old_weights_free {
         cost += policy.old_weights_ms;
     }
@@ -381,10 +394,11 @@
         .map(|(index, _)| BlockSource::Store(index))
 }
 
-/// The engine at which all hosts would read a prefix first.
+/// The engine at which all hosts would read a prefix first; one that is silent is no home, and
+/// no source either.
 fn home(prefix: PrefixId, engines: &[EngineCandidate], weights: WeightsVersion) -> Option<usize> {
     let members = engines.iter().enumerate();
-    let members = members.filter(|(_, engine)| engine.weights == weights);
+    let members = members.filter(|(_, engine)| engine.weights == weights && !engine.is_excluded);
     let members = members.map(|(index, engine)| HomeMember {
         slot: index as SlotIndex,
         hash: engine.key,
--- a/wagtaildoor_front/src/front.rs
+++ b/wagtaildoor_front/src/front.rs
@@ -24,7 +24,6 @@
         self,
         BlockStore, //
     },
-    endpoint::EndpointKey,
     endpoint_directory::EndpointDirectory,
     front_metrics::FrontMetrics,
     front_settings::FrontSettings,
@@ -76,8 +75,6 @@
     pub retries: RefCell<RetryAllowance>,
     /// Other hosts and this one.
     pub peers: RefCell<PeerHosts>,
-    /// Engines that load weights, by this host's orders or another's, and since when.
-    pub loading: RefCell<HashMap<EndpointKey, BootInstant>>,
     /// When the process started.
     pub started: BootInstant,
     /// Requests in work.
@@ -109,7 +106,6 @@
             homes: RefCell::new(PromptHomes::default()),
             retries: RefCell::new(retries),
             peers: RefCell::new(PeerHosts::default()),
-            loading: RefCell::new(HashMap::new()),
             started: BootInstant::now(),
             in_flight: Cell::new(0),
             stopping_since: Cell::new(None),
--- a/wagtaildoor_front/src/peer_link.rs
+++ b/wagtaildoor_front/src/peer_link.rs
@@ -182,7 +182,6 @@
         if let Some(endpoint) = endpoints.by_key(seen.endpoint) {
             if seen.is_loading {
                 endpoint.load.borrow_mut().refused(now);
-                front.loading.borrow_mut().insert(seen.endpoint, now);
             } else {
                 endpoint.saw_weights(&seen.model, seen.version);
             }
--- a/wagtaildoor_front/src/request_place.rs
+++ b/wagtaildoor_front/src/request_place.rs
@@ -36,6 +36,7 @@
     },
     prefix_hash,
     service_config::ServiceKind,
+    weights_rollout,
     wire_codec::PromptHead,
 };
 
@@ -139,7 +140,7 @@
     let directory = front.endpoints.borrow();
     let endpoints = directory.service(service);
     let share = connection_share(front, service);
-    let candidates: Vec<EngineCandidate> = endpoints
+    let mut candidates: Vec<EngineCandidate> = endpoints
         .iter()
         .map(|endpoint| {
             let usable = is_usable(endpoint, share, query.tried);
@@ -147,10 +148,14 @@
         })
         .collect();
     let wanted = front.wanted(&prompt.model);
+    if let Some(wanted) = wanted {
+        set_load_waves(front, &mut candidates, wanted.version);
+    }
     let prefixes = shared_prefixes(prompt, query.isolated, &candidates);
     let demand = EngineDemand {
         prefixes: &prefixes,
         tokens: prompt.tokens as f64,
+        answer_tokens: prompt.answer_tokens,
         wanted: wanted.map_or(0, |wanted| wanted.version),
         wanted_age: wanted.map_or(std::time::Duration::ZERO, |wanted| now.since(wanted.since)),
     };
@@ -208,10 +213,22 @@
         slots: f64::from(load.slots()),
         failure_share: endpoint.health.borrow().failure_share(now),
         is_full: load.is_full(now),
+        load_wave: 0,
         is_excluded: !usable,
     }
 }
 
+/// Notes which engines load next; all hosts put them into the same order.
+fn set_load_waves(front: &Front, candidates: &mut [EngineCandidate], wanted: WeightsVersion) {
+    let at_once = weights_rollout::at_once(candidates.len(), &front.settings.rollout);
+    let behind = candidates.iter_mut().filter(|c| c.weights < wanted);
+    let mut behind: Vec<&mut EngineCandidate> = behind.collect();
+    behind.sort_by_key(|candidate| weights_rollout::turn(candidate.key, wanted));
+    for (place, candidate) in behind.into_iter().enumerate() {
+        candidate.load_wave = 1 + (place / at_once) as u32;
+    }
+}
+
 /// Prefixes of a prompt under each version of weights that an engine has.
 fn shared_prefixes(
     prompt: &PromptHead,
--- a/wagtaildoor_front/src/weights_rollout.rs
+++ b/wagtaildoor_front/src/weights_rollout.rs
@@ -30,6 +30,7 @@
     },
     front::Front,
     front_settings::RolloutPolicy,
+    prefix_hash,
     shard_leases::ShardLeases,
     wire_codec::{
         EngineReport,
@@ -45,6 +46,9 @@
 const REPORT_TIME: Duration = Duration::from_millis(350);
 /// Time for an answer to an order.
 const ORDER_TIME: Duration = Duration::from_millis(450);
+/// Time in which an engine should have its weights once it has its turn: a report, an order, and a
+/// load that is slowed by others.
+const TURN_TIME: Duration = Duration::from_millis(1_200);
 /// Pause before an engine is asked again.
 const RETRY_PAUSE: Duration = Duration::from_millis(200);
 
@@ -66,11 +70,15 @@
     Waiting(BootInstant),
 }
 
-/// Orders by engine.
+/// Orders by engine, and who may load next.
 #[derive(Debug, Default)]
 pub struct OrderBook {
-    /// What was last done.
+    /// What was last done by this host.
     states: HashMap<EndpointKey, OrderState>,
+    /// Weights that are rolled out.
+    version: WeightsVersion,
+    /// When each engine's turn was first seen.
+    turns: HashMap<EndpointKey, BootInstant>,
 }
 
 /// An engine as the choice of the next order sees it.
@@ -82,42 +90,50 @@
     pub weights: WeightsVersion,
     /// Weights as it describes itself.
     pub described: WeightsVersion,
-    /// Requests there.
-    pub requests: f64,
+    /// Whether this host gives it orders.
+    pub is_own: bool,
 }
 
 impl OrderBook {
-    /// Engines that this host is giving orders to, or that load by its orders.
-    pub fn busy(&self, now: BootInstant) -> impl Iterator<Item = EndpointKey> + '_ {
-        let busy = self.states.iter().filter(move |(_, state)| match state {
-            OrderState::Calling => true,
-            OrderState::Loading { done, .. } => now < *done,
-            OrderState::Waiting(_) => false,
-        });
-        busy.map(|(key, _)| *key)
-    }
-
     /// Notes what was done about an engine.
     pub fn note(&mut self, key: EndpointKey, state: OrderState) {
         self.states.insert(key, state);
     }
 
-    /// Engines to be given an order now, those with the least work first.
+    /// Engines of this host to be given an order now.
+    ///
+    /// All hosts put the engines that are behind into the same order, and the first so many have
+    /// their turn. So no more load at a time, though their orders come from several hosts. An
+    /// engine that does nothing with its turn loses it.
     pub fn next(
         &mut self,
         engines: &[RolloutEngine],
         wanted: WeightsVersion,
-        room: usize,
+        at_once: usize,
         now: BootInstant,
     ) -> Vec<EndpointKey> {
-        self.states
-            .retain(|key, _| engines.iter().any(|engine| engine.key == *key));
-        let behind = engines.iter().filter(|engine| engine.weights < wanted);
-        let mut due: Vec<&RolloutEngine> = behind
-            .filter(|engine| self.is_due(engine.key, wanted, now))
+        if wanted != self.version {
+            self.version = wanted;
+            self.turns.clear();
+        }
+        let known = |key: &EndpointKey| engines.iter().any(|engine| engine.key == *key);
+        self.states.retain(|key, _| known(key));
+        self.turns.retain(|key, _| known(key));
+        let mut behind: Vec<&RolloutEngine> = engines
+            .iter()
+            .filter(|engine| engine.weights < wanted && !self.has_lost_turn(engine.key, now))
             .collect();
-        due.sort_by(|a, b| a.requests.total_cmp(&b.requests));
-        due.iter().take(room).map(|engine| engine.key).collect()
+        behind.sort_by_key(|engine| turn(engine.key, wanted));
+        let turns: Vec<&RolloutEngine> = behind.into_iter().take(at_once).collect();
+        for engine in &turns {
+            self.turns.entry(engine.key).or_insert(now);
+        }
+        let late = engines
+            .iter()
+            .filter(|engine| engine.weights < wanted && self.has_lost_turn(engine.key, now));
+        let due = turns.into_iter().chain(late).filter(|engine| engine.is_own);
+        let due = due.map(|engine| engine.key);
+        due.filter(|key| self.is_due(*key, wanted, now)).collect()
     }
 
     /// Engines that should have been seen with their weights by now, and were not.
@@ -142,6 +158,12 @@
         unconfirmed
     }
 
+    /// Whether an engine had its turn for so long that the next may load beside it.
+    fn has_lost_turn(&self, key: EndpointKey, now: BootInstant) -> bool {
+        let turn = self.turns.get(&key);
+        turn.is_some_and(|&since| now.since(since) > TURN_TIME)
+    }
+
     /// Whether an engine may be given an order.
     fn is_due(&self, key: EndpointKey, wanted: WeightsVersion, now: BootInstant) -> bool {
         match self.states.get(&key) {
@@ -153,6 +175,11 @@
     }
 }
 
+/// Place of an engine in the order in which all hosts load weights.
+pub fn turn(engine: EndpointKey, wanted: WeightsVersion) -> u64 {
+    prefix_hash::join(wanted, engine)
+}
+
 /// Engines of a service that load at a time.
 pub fn at_once(engines: usize, policy: &RolloutPolicy) -> usize {
     let share = (engines as f64 * policy.at_once_share).floor() as usize;
@@ -168,10 +195,6 @@
         if leases.usable(now).next().is_none() {
             continue;
         }
-        let load_time = front.settings.rollout.load_time;
-        let mut loading = front.loading.borrow_mut();
-        loading.retain(|_, since| now.since(*since) < load_time);
-        drop(loading);
         for (model, wanted) in front.all_wanted() {
             step::<C>(&front, &leases, &book, &model, wanted.version, now);
         }
@@ -194,12 +217,11 @@
         .collect();
     let engines: Vec<RolloutEngine> = serving
         .iter()
-        .filter(|endpoint| leases.may_order(endpoint.key, now).is_some())
         .map(|endpoint| RolloutEngine {
             key: endpoint.key,
             weights: endpoint.weights(model),
             described: endpoint.described_weights(model),
-            requests: endpoint.load.borrow().requests(now),
+            is_own: leases.may_order(endpoint.key, now).is_some(),
         })
         .collect();
     let mut orders = book.borrow_mut();
@@ -212,11 +234,7 @@
         }
     }
     let limit = at_once(serving.len(), &front.settings.rollout);
-    let loading = front.loading.borrow();
-    let own = orders.busy(now).filter(|key| !loading.contains_key(key));
-    let room = limit.saturating_sub(loading.len() + own.count());
-    drop(loading);
-    for key in orders.next(&engines, wanted, room, now) {
+    for key in orders.next(&engines, wanted, limit, now) {
         let Some(endpoint) = directory.by_key(key).cloned() else {
             continue;
         };
@@ -294,10 +312,6 @@
             orders_before: report.orders,
         };
         let call = C::order_call(&self.endpoint.id, &order);
-        self.front
-            .loading
-            .borrow_mut()
-            .insert(key, BootInstant::now());
         self.endpoint.load.borrow_mut().refused(BootInstant::now());
         self.front
             .hints
