--- a/wagtaildoor/tests/settings_examples.rs
+++ b/wagtaildoor/tests/settings_examples.rs
@@ -15,10 +15,11 @@
 use wagtaildoor::settings;
 
 /// Example files and the definitions they follow.
-const EXAMPLES: [(&str, &str); 3] = [
+const EXAMPLES: [(&str, &str); 4] = [
     ("entry.ini", "EntrySettings"),
     ("keeper.ini", "KeeperSettings"),
     ("operator.ini", "OperatorSettings"),
+    ("front.ini", "FrontTuning"),
 ];
 
 /// The path of an example.
@@ -45,6 +46,8 @@
     settings::read_entry(&example("entry.ini")).expect("an entry's settings");
     settings::read_keeper(&example("keeper.ini")).expect("a keeper's settings");
     settings::read_operator(&example("operator.ini")).expect("an operator's settings");
+    settings::read_front(&example("front.ini")).expect("a front's settings");
+    settings::read_front(&example("../deploy/front.ini")).expect("the deployment's settings");
 }
 
 #[test]
