Give up reads that wait when another read of the store has no answer

Any read without an answer now ends the one that waits, and reads wait only while the store is known to answer.

--- a/wagtaildoor_front/src/control_follower.rs
+++ b/wagtaildoor_front/src/control_follower.rs
@@ -15,6 +15,7 @@
         ControlRecord,
         ControlStore,
         ControlStream,
+        Result,
         StoreError, //
     },
     endpoint::EndpointRecord,
@@ -78,14 +79,15 @@
         pause: RETRY_PAUSE_MIN,
     };
     loop {
-        let (result, source) = match state.cursor {
-            None => (store.snapshot(stream).await, PageSource::Snapshot),
-            Some(from) => {
-                let wait = match stream {
-                    ControlStream::Operator => front.settings.times.operator_wait,
-                    ControlStream::Endpoints => Duration::ZERO,
-                };
-                (store.changes(stream, from, wait).await, PageSource::Changes)
+        let source = match state.cursor {
+            None => PageSource::Snapshot,
+            Some(_) => PageSource::Changes,
+        };
+        let result = tokio::select! {
+            result = state.read(&front, &store) => result,
+            // The store may have dropped a read that waits without a word.
+            () = front.store_trouble.notified(), if state.is_waiting() => {
+                Err(StoreError::Unavailable("another read had no answer".into()))
             }
         };
         match result {
@@ -112,6 +114,23 @@
 }
 
 impl FollowState {
+    /// Reads what is next; waits long for it only while the store is known to answer.
+    async fn read<S: ControlStore>(&self, front: &Front, store: &S) -> Result<ControlPage> {
+        let Some(from) = self.cursor else {
+            return store.snapshot(self.stream).await;
+        };
+        let wait = match self.is_waiting() {
+            true => front.settings.times.operator_wait,
+            false => Duration::ZERO,
+        };
+        store.changes(self.stream, from, wait).await
+    }
+
+    /// Whether a read waits until there is something to read.
+    fn is_waiting(&self) -> bool {
+        self.stream == ControlStream::Operator && self.cursor.is_some() && !self.is_lost
+    }
+
     /// Notes an answer of the store.
     fn answered(&mut self, front: &Front) {
         let now = BootInstant::now();
@@ -136,6 +155,7 @@
             slog::warn!(front.log, "store lost"; "stream" => ?self.stream, "error" => %error);
         }
         self.is_lost = true;
+        front.store_trouble.notify_waiters();
     }
 
     /// Whether endpoints may still be missing only because the store was away.
--- a/wagtaildoor_front/src/front.rs
+++ b/wagtaildoor_front/src/front.rs
@@ -10,6 +10,7 @@
 };
 
 use slog::Logger;
+use tokio::sync::Notify;
 use tokio_util::sync::CancellationToken;
 use wagtaildoor::{
     boot_clock::BootInstant,
@@ -75,6 +76,8 @@
     pub retries: RefCell<RetryAllowance>,
     /// Other hosts and this one.
     pub peers: RefCell<PeerHosts>,
+    /// Told when a read of the store had no answer.
+    pub store_trouble: Notify,
     /// When the process started.
     pub started: BootInstant,
     /// Requests in work.
@@ -106,6 +109,7 @@
             homes: RefCell::new(PromptHomes::default()),
             retries: RefCell::new(retries),
             peers: RefCell::new(PeerHosts::default()),
+            store_trouble: Notify::new(),
             started: BootInstant::now(),
             in_flight: Cell::new(0),
             stopping_since: Cell::new(None),
