Start from other hosts' records when the store is away

Cause: a soak in which hosts restarted while the store was silent had hosts that refused everything as not configured, though their peers held all records. A host now asks others 120 ms after its start.

--- a/wagtaildoor_front/src/control_follower.rs
+++ b/wagtaildoor_front/src/control_follower.rs
@@ -5,7 +5,10 @@
     time::Duration, //
 };
 
-use tokio::time;
+use tokio::{
+    task,
+    time, //
+};
 use wagtaildoor::boot_clock::BootInstant;
 
 use crate::{
@@ -34,6 +37,12 @@
 const RETRY_PAUSE_MIN: Duration = Duration::from_millis(150);
 /// Longest pause after a call that failed.
 const RETRY_PAUSE_MAX: Duration = Duration::from_millis(900);
+/// Time after the start of a process in which what it finds may be old.
+const START_TIME: Duration = Duration::from_secs(3);
+/// Time that the store has for the first answer before other hosts are asked.
+const START_PAUSE: Duration = Duration::from_millis(120);
+/// Hosts that are asked after the start.
+const START_ASKS: u32 = 6;
 /// Time without an answer of the store that counts as an outage, for the endpoints' sake.
 const OUTAGE_TIME: Duration = Duration::from_millis(2_500);
 
@@ -78,6 +87,7 @@
         is_lost: false,
         pause: RETRY_PAUSE_MIN,
     };
+    task::spawn_local(start_from_peers::<C>(front.clone(), stream));
     loop {
         let source = match state.cursor {
             None => PageSource::Snapshot,
@@ -113,6 +123,17 @@
     }
 }
 
+/// Asks other hosts for a stream, if the store has not given it soon after the start.
+async fn start_from_peers<C: WireCodec>(front: Rc<Front>, stream: ControlStream) {
+    for _ in 0..START_ASKS {
+        time::sleep(START_PAUSE).await;
+        if front.mirror.borrow().next(stream) > 0 {
+            return;
+        }
+        peer_link::fetch::<C>(&front, stream).await;
+    }
+}
+
 impl FollowState {
     /// Reads what is next; waits long for it only while the store is known to answer.
     async fn read<S: ControlStore>(&self, front: &Front, store: &S) -> Result<ControlPage> {
@@ -196,6 +217,7 @@
         let mut endpoints = front.endpoints.borrow_mut();
         let gone = endpoints.keep_only(is_named, after_outage, now);
         for id in gone {
+            mirror.forget(stream, &id);
             slog::info!(front.log, "endpoint gone"; "endpoint" => &*id, "by" => "snapshot");
         }
     }
@@ -241,9 +263,12 @@
 /// Records bear no time. What a process finds when it starts may be old already, so old weights
 /// are only used for as long as the process counts as just started.
 fn wanted_since(front: &Front, source: PageSource, now: BootInstant) -> BootInstant {
+    let is_start = now.since(front.started) < START_TIME;
     match source {
-        PageSource::Snapshot => front.started - front.settings.times.age_at_start,
-        PageSource::Changes | PageSource::Peer => now,
+        PageSource::Snapshot | PageSource::Peer if is_start => {
+            front.started - front.settings.times.age_at_start
+        }
+        _ => now,
     }
 }
 
--- a/wagtaildoor_front/src/record_mirror.rs
+++ b/wagtaildoor_front/src/record_mirror.rs
@@ -40,6 +40,11 @@
         newer
     }
 
+    /// Drops the record of a key that a complete list does not name.
+    pub fn forget(&mut self, stream: ControlStream, key: &str) {
+        self.stream_mut(stream).records.remove(key);
+    }
+
     /// Notes how far a stream was read.
     pub fn read_to(&mut self, stream: ControlStream, next: LogOffset) {
         let mirror = self.stream_mut(stream);
--- /dev/null
+++ b/wagtaildoor_front/tests/control_follower.rs
@@ -0,0 +1,319 @@
+//! What a host makes of the records that it reads, wherever they come from.
+
+use std::{
+    net::SocketAddr,
+    rc::Rc,
+    time::Duration, //
+};
+
+use bytes::Bytes;
+use http::{
+    HeaderMap,
+    StatusCode, //
+};
+use slog::Logger;
+use wagtaildoor::{
+    boot_clock::BootInstant,
+    ids::EndpointId, //
+};
+use wagtaildoor_front::{
+    control_follower::{
+        self,
+        PageSource, //
+    },
+    control_store::{
+        ControlFact,
+        ControlPage,
+        ControlRecord,
+        ControlStream, //
+    },
+    endpoint::{
+        EndpointRecord,
+        EndpointState, //
+    },
+    engine_placement::EnginePolicy,
+    front::Front,
+    front_metrics::FrontMetrics,
+    front_settings::{
+        FrontSettings,
+        FrontTimes,
+        RolloutPolicy, //
+    },
+    plain_placement::PlainPolicy,
+    retry_allowance::RetryLimit,
+    service_config::{
+        CallerLimits,
+        ServiceConfig, //
+    },
+    wire_codec::{
+        AnswerHead,
+        CallerHead,
+        DispatchHead,
+        EndpointCall,
+        EngineReport,
+        OrderVerdict,
+        WeightsOrder,
+        WireCodec, //
+    },
+};
+
+/// Age that weights found at the start are taken to have.
+const AGE_AT_START: Duration = Duration::from_millis(2_600);
+
+/// A codec whose records are short texts: a configuration's version, weights, or an endpoint.
+struct TextCodec;
+
+impl WireCodec for TextCodec {
+    const READY_PATH: &'static str = "/ready";
+
+    fn caller_head(_: &HeaderMap) -> CallerHead {
+        CallerHead::default()
+    }
+
+    fn strip_caller_headers(_: &mut HeaderMap) {}
+
+    fn write_dispatch(_: &mut HeaderMap, _: &DispatchHead<'_>) {}
+
+    fn answer_head(_: StatusCode, _: &HeaderMap) -> AnswerHead {
+        AnswerHead::default()
+    }
+
+    fn event_weights(_: &[u8]) -> Option<u64> {
+        None
+    }
+
+    fn control_fact(_: ControlStream, record: &ControlRecord) -> ControlFact {
+        let Some(value) = &record.value else {
+            return ControlFact::EndpointGone {
+                id: record.key.clone(),
+                fault: None,
+            };
+        };
+        let text = std::str::from_utf8(value).expect("text");
+        let number = text.parse().expect("a number");
+        match &*record.key {
+            "config" => ControlFact::Config(Box::new(ServiceConfig {
+                version: number,
+                routes: Vec::new(),
+                services: Vec::new(),
+                accounts: None,
+                limits: CallerLimits::default(),
+            })),
+            "weights" => ControlFact::WantedWeights {
+                model: "m".into(),
+                version: number,
+            },
+            id => ControlFact::Endpoint(EndpointRecord {
+                id: id.into(),
+                service: "s".into(),
+                address: "10.0.0.1:80".parse().expect("an address"),
+                domain: "a".into(),
+                state: EndpointState::Ready,
+                slots: 8,
+                warm_up: Duration::ZERO,
+                weights: Vec::new(),
+                started_ms: 1,
+                revision: number,
+            }),
+        }
+    }
+
+    fn order_call(_: &EndpointId, _: &WeightsOrder<'_>) -> EndpointCall {
+        unreachable!("no orders here")
+    }
+
+    fn order_verdict(_: StatusCode) -> OrderVerdict {
+        OrderVerdict::Refused
+    }
+
+    fn report_call(_: &EndpointId) -> EndpointCall {
+        unreachable!("no reports here")
+    }
+
+    fn report(_: &[u8]) -> Option<EngineReport> {
+        None
+    }
+}
+
+/// A host that has read nothing.
+fn host() -> Rc<Front> {
+    let any: SocketAddr = "127.0.0.1:0".parse().expect("an address");
+    let settings = FrontSettings {
+        host: "host".into(),
+        domain: "a".into(),
+        callers: any,
+        readiness: any,
+        peers: any,
+        metrics: any,
+        seeds: Vec::new(),
+        times: FrontTimes {
+            grace: Duration::from_secs(8),
+            list_pause: Duration::from_millis(840),
+            operator_wait: Duration::from_secs(12),
+            age_at_start: AGE_AT_START,
+            default_deadline: Duration::from_secs(30),
+        },
+        retries: RetryLimit {
+            ratio: 0.2,
+            slack: 56.0,
+            window: Duration::from_secs(10),
+        },
+        engines: EnginePolicy {
+            prefill_tokens_per_ms: 90.0,
+            queued_request_tokens: 2_000.0,
+            running_ms: 0.7,
+            over_slots_ms: 40.0,
+            fetch_ms_per_1000: 2.0,
+            new_copy_ms: 10.0,
+            copy_own_share: 1.0,
+            away_from_home_ms: 40.0,
+            other_domain_ms: 15.0,
+            failure_ms: 600.0,
+            full_ms: 500.0,
+            next_load_ms: 120.0,
+            old_weights_free: Duration::from_millis(1_200),
+            old_weights_ms: 150.0,
+            old_weights_limit: Duration::from_millis(5_100),
+        },
+        plain: PlainPolicy {
+            work_ms: 30.0,
+            other_domain_ms: 4.0,
+            failure_ms: 600.0,
+            full_ms: 500.0,
+        },
+        rollout: RolloutPolicy {
+            at_once_share: 0.17,
+            load_time: Duration::from_millis(300),
+            confirm_time: Duration::from_millis(2_600),
+            lease_expiry: Duration::from_millis(3_000),
+            lease_validity: Duration::from_millis(1_200),
+            lease_pause: Duration::from_millis(500),
+            handover: Duration::from_millis(3_000),
+        },
+    };
+    let metrics = FrontMetrics::new("test").expect("instruments");
+    Front::new(settings, Logger::root(slog::Discard, slog::o!()), metrics)
+}
+
+/// A record with a number; `None` takes its key away.
+fn record(offset: u64, key: &str, number: Option<u64>) -> ControlRecord {
+    ControlRecord {
+        offset,
+        key: key.into(),
+        value: number.map(|number| Bytes::from(number.to_string())),
+    }
+}
+
+/// Gives a host records.
+fn give(front: &Front, stream: ControlStream, records: Vec<ControlRecord>, source: PageSource) {
+    let next = records
+        .iter()
+        .map(|record| record.offset + 1)
+        .max()
+        .unwrap_or(0);
+    let page = ControlPage { records, next };
+    control_follower::take_page::<TextCodec>(front, stream, &page, source, false);
+}
+
+#[test]
+fn a_host_is_ready_once_it_has_both_a_configuration_and_the_list() {
+    let front = host();
+    assert!(!front.is_ready());
+    let config = vec![record(0, "config", Some(3))];
+    give(
+        &front,
+        ControlStream::Operator,
+        config,
+        PageSource::Snapshot,
+    );
+    assert!(!front.is_ready());
+    give(
+        &front,
+        ControlStream::Endpoints,
+        Vec::new(),
+        PageSource::Peer,
+    );
+    assert!(front.is_ready());
+    front.stop(BootInstant::now());
+    assert!(!front.is_ready());
+}
+
+#[test]
+fn a_configuration_never_goes_back() {
+    let front = host();
+    let version = || front.routes().expect("a configuration").version();
+    let newer = vec![record(9, "config", Some(7))];
+    give(&front, ControlStream::Operator, newer, PageSource::Changes);
+    for (offset, number) in [(5, 5), (10, 6)] {
+        let stale = vec![record(offset, "config", Some(number))];
+        give(&front, ControlStream::Operator, stale, PageSource::Peer);
+        assert_eq!(version(), 7);
+    }
+}
+
+#[test]
+fn weights_found_at_the_start_count_as_old_and_later_ones_as_new() {
+    let front = host();
+    let age = || front.wanted("m").expect("wanted").since.elapsed();
+    let found = vec![record(1, "weights", Some(2))];
+    give(&front, ControlStream::Operator, found, PageSource::Snapshot);
+    assert!(age() >= AGE_AT_START);
+    let named = vec![record(2, "weights", Some(3))];
+    give(&front, ControlStream::Operator, named, PageSource::Changes);
+    assert!(age() < Duration::from_secs(1));
+    let again = vec![record(3, "weights", Some(2))];
+    give(&front, ControlStream::Operator, again, PageSource::Changes);
+    assert_eq!(front.wanted("m").expect("wanted").version, 3);
+}
+
+#[test]
+fn a_snapshot_does_not_take_off_what_was_described_after_it() {
+    let front = host();
+    let listed = || front.endpoints.borrow().len();
+    let stream = ControlStream::Endpoints;
+    let first = vec![record(1, "a", Some(1)), record(2, "b", Some(1))];
+    give(&front, stream, first, PageSource::Snapshot);
+    give(
+        &front,
+        stream,
+        vec![record(8, "c", Some(1))],
+        PageSource::Changes,
+    );
+    assert_eq!(listed(), 3);
+    let older = ControlPage {
+        records: vec![record(1, "a", Some(1))],
+        next: 5,
+    };
+    control_follower::take_page::<TextCodec>(&front, stream, &older, PageSource::Snapshot, false);
+    let endpoints = front.endpoints.borrow();
+    assert!(endpoints.get("b").is_none(), "it is not named any more");
+    assert!(
+        endpoints.get("c").is_some(),
+        "the snapshot is older than it"
+    );
+}
+
+#[test]
+fn an_endpoint_that_was_taken_away_stays_away_for_older_records() {
+    let front = host();
+    let stream = ControlStream::Endpoints;
+    give(
+        &front,
+        stream,
+        vec![record(1, "a", Some(1))],
+        PageSource::Changes,
+    );
+    give(
+        &front,
+        stream,
+        vec![record(4, "a", None)],
+        PageSource::Changes,
+    );
+    give(
+        &front,
+        stream,
+        vec![record(3, "a", Some(2))],
+        PageSource::Peer,
+    );
+    assert!(front.endpoints.borrow().is_empty());
+}
