--- a/wagtaildoor_front/src/front_body.rs
+++ b/wagtaildoor_daemon/src/answer_body.rs
@@ -17,9 +17,6 @@
 };
 use tokio::sync::mpsc;
 
-/// Parts held for a slow caller before the endpoint is held back.
-const RELAY_PARTS: usize = 32;
-
 /// A relayed body ends before it is complete; the caller's connection has to break off.
 #[derive(Clone, Copy, Debug, derive_more::Display, derive_more::Error)]
 #[display("the answer broke off")]
@@ -30,27 +27,27 @@
 
 /// Body of an answer.
 #[derive(Debug)]
-pub enum FrontBody {
+pub enum AnswerBody {
     /// All of it; `None` once it was given out.
     Whole(Option<Bytes>),
     /// Parts as they come.
     Relayed(mpsc::Receiver<Result<Bytes>>),
 }
 
-impl FrontBody {
+impl AnswerBody {
     /// A whole body.
     pub fn whole(body: impl Into<Bytes>) -> Self {
         Self::Whole(Some(body.into()))
     }
 
-    /// A relayed body, and where its parts go in.
-    pub fn relayed() -> (mpsc::Sender<Result<Bytes>>, Self) {
-        let (sender, receiver) = mpsc::channel(RELAY_PARTS);
+    /// A relayed body that holds so many parts, and where its parts go in.
+    pub fn relayed(held_parts: usize) -> (mpsc::Sender<Result<Bytes>>, Self) {
+        let (sender, receiver) = mpsc::channel(held_parts);
         (sender, Self::Relayed(receiver))
     }
 }
 
-impl Body for FrontBody {
+impl Body for AnswerBody {
     type Data = Bytes;
     type Error = RelayBroken;
 
@@ -59,11 +56,11 @@
         context: &mut Context<'_>,
     ) -> Poll<Option<Result<Frame<Bytes>>>> {
         match self.get_mut() {
-            FrontBody::Whole(body) => {
+            AnswerBody::Whole(body) => {
                 let body = body.take().filter(|body| !body.is_empty());
                 Poll::Ready(body.map(|body| Ok(Frame::data(body))))
             }
-            FrontBody::Relayed(parts) => {
+            AnswerBody::Relayed(parts) => {
                 let part = ready!(parts.poll_recv(context));
                 Poll::Ready(part.map(|part| part.map(Frame::data)))
             }
@@ -71,15 +68,15 @@
     }
 
     fn is_end_stream(&self) -> bool {
-        matches!(self, FrontBody::Whole(body) if body.as_ref().is_none_or(Bytes::is_empty))
+        matches!(self, AnswerBody::Whole(body) if body.as_ref().is_none_or(Bytes::is_empty))
     }
 
     fn size_hint(&self) -> SizeHint {
         match self {
-            FrontBody::Whole(body) => {
+            AnswerBody::Whole(body) => {
                 SizeHint::with_exact(body.as_ref().map_or(0, |body| body.len() as u64))
             }
-            FrontBody::Relayed(_) => SizeHint::default(),
+            AnswerBody::Relayed(_) => SizeHint::default(),
         }
     }
 }
--- a/wagtaildoor_daemon/src/timeline_query.rs
+++ b/wagtaildoor_daemon/src/timeline_query.rs
@@ -1,6 +1,9 @@
 //! The query of `GET /timeline`.
 
-use rocket::FromForm;
+use rocket::{
+    form::Form,
+    FromForm, //
+};
 use wagtaildoor::timeline::EventFilter;
 
 /// Which events are asked for; what is left out asks for all.
@@ -20,6 +23,13 @@
     newest: Option<usize>,
 }
 
+impl TimelineQuery {
+    /// Reads a query; the error is a sentence for whoever asked.
+    pub fn parse(query: &str) -> Result<Self, String> {
+        Form::parse(query).map_err(|faults| format!("the query cannot be read: {faults}"))
+    }
+}
+
 impl From<TimelineQuery> for EventFilter {
     fn from(query: TimelineQuery) -> Self {
         Self {
--- a/wagtaildoor_entry/src/caller_answer.rs
+++ b/wagtaildoor_entry/src/caller_answer.rs
@@ -1,36 +1,26 @@
 //! What callers get: whole answers, streams, and errors from the table.
 
 use std::{
-    io::Cursor,
+    fmt::Display,
     time::{
         SystemTime,
         UNIX_EPOCH, //
     },
 };
 
-use futures_util::{
-    stream,
-    Stream, //
-};
-use rocket::{
-    http::{
-        ContentType,
-        Status, //
-    },
-    request::Request,
-    response::{
-        self,
-        content::RawJson,
-        stream::{
-            Event,
-            EventStream, //
-        },
-        Responder,
-        Response, //
-    },
+use bytes::Bytes;
+use http::{
+    header,
+    HeaderName,
+    HeaderValue,
+    Response,
+    StatusCode, //
 };
 use serde::Serialize;
-use tokio::sync::mpsc;
+use tokio::sync::mpsc::{
+    self,
+    Sender, //
+};
 use wagtaildoor::{
     drain_gate::WorkGuard,
     error::{
@@ -52,6 +42,11 @@
     },
 };
 
+use wagtaildoor_daemon::answer_body::{
+    self,
+    AnswerBody, //
+};
+
 use crate::{
     caller_body::AnswerShape,
     model_run::{
@@ -65,6 +60,20 @@
 const STREAM_END: &str = "[DONE]";
 /// Name of the event that ends a stream which cannot be completed.
 const ERROR_EVENT: &str = "error";
+/// Parts of a stream held for a slow caller, beside those that the run holds.
+const HELD_PARTS: usize = 1;
+/// Header with the request's id.
+const REQUEST_ID: HeaderName = HeaderName::from_static("x-request-id");
+/// Header with the outcome of a refusal.
+const OUTCOME: HeaderName = HeaderName::from_static("x-wagtaildoor-outcome");
+/// Header with the endpoint that answers.
+const ENDPOINT: HeaderName = HeaderName::from_static("x-wagtaildoor-endpoint");
+/// Header with the reason for the endpoint.
+const REASON: HeaderName = HeaderName::from_static("x-wagtaildoor-reason");
+/// Media type of JSON.
+const JSON: &str = "application/json";
+/// Media type of server-sent events.
+const EVENTS: &str = "text/event-stream";
 /// Role of the answer's message.
 const ROLE: &str = "assistant";
 
@@ -93,20 +102,41 @@
     }
 }
 
-impl<'r> Responder<'r, 'static> for CallerError {
-    fn respond_to(self, request: &'r Request<'_>) -> response::Result<'static> {
-        let answer = self.error.kind.answer();
-        let mut response = RawJson(json(&self.body())).respond_to(request)?;
-        response.set_status(Status::new(answer.status));
-        response.set_raw_header("x-request-id", self.request.to_string());
-        response.set_raw_header("x-wagtaildoor-outcome", answer.outcome.to_string());
+impl From<CallerError> for Response<AnswerBody> {
+    fn from(error: CallerError) -> Self {
+        let answer = error.error.kind.answer();
+        let mut response = typed(JSON, AnswerBody::whole(json(&error.body())));
+        *response.status_mut() =
+            StatusCode::from_u16(answer.status).unwrap_or(StatusCode::INTERNAL_SERVER_ERROR);
+        put(&mut response, REQUEST_ID, &error.request);
+        put(&mut response, OUTCOME, answer.outcome);
         if let Some(time) = answer.retry_after {
-            response.set_raw_header("retry-after", time.as_secs().to_string());
+            put(&mut response, header::RETRY_AFTER, time.as_secs());
         }
-        Ok(response)
+        response
     }
 }
 
+/// An answer of a media type.
+pub fn typed(media: &'static str, body: AnswerBody) -> Response<AnswerBody> {
+    let mut response = Response::new(body);
+    let media = HeaderValue::from_static(media);
+    response.headers_mut().insert(header::CONTENT_TYPE, media);
+    response
+}
+
+/// Sets a header; other letters than visible ASCII become question marks.
+fn put(response: &mut Response<AnswerBody>, name: HeaderName, value: impl Display) {
+    let visible = |letter: char| letter == ' ' || letter.is_ascii_graphic();
+    let text = value.to_string();
+    let text: String = text
+        .chars()
+        .map(|letter| if visible(letter) { letter } else { '?' })
+        .collect();
+    let value = HeaderValue::from_str(&text).expect("visible ASCII is a header's value");
+    response.headers_mut().insert(name, value);
+}
+
 /// Names that every piece of a model's answer carries.
 #[derive(Clone, Debug)]
 pub struct AnswerHead {
@@ -201,77 +231,66 @@
     Stream(RunEvent, mpsc::Receiver<RunEvent>, WorkGuard),
 }
 
-impl<'r> Responder<'r, 'r> for ModelReply {
-    fn respond_to(self, request: &'r Request<'_>) -> response::Result<'r> {
-        let id = self.head.request.to_string();
-        let mut response = match self.body {
-            ModelBody::Whole(answer) => RawJson(json(&answer)).respond_to(request)?,
+impl From<ModelReply> for Response<AnswerBody> {
+    fn from(reply: ModelReply) -> Self {
+        let request = reply.head.request.clone();
+        let mut response = match reply.body {
+            ModelBody::Whole(answer) => typed(JSON, AnswerBody::whole(json(&answer))),
             ModelBody::Stream(first, events, work) => {
-                let pieces = stream_events(self.head, first, events, work);
-                EventStream::from(pieces).respond_to(request)?
+                let (parts, body) = AnswerBody::relayed(HELD_PARTS);
+                tokio::spawn(send_events(reply.head, first, events, work, parts));
+                typed(EVENTS, body)
             }
         };
-        response.set_raw_header("x-request-id", id);
-        response.set_raw_header("x-wagtaildoor-endpoint", self.start.endpoint.to_string());
-        response.set_raw_header("x-wagtaildoor-reason", header_text(&self.start.reason));
-        Ok(response)
+        put(&mut response, REQUEST_ID, request);
+        put(&mut response, ENDPOINT, reply.start.endpoint);
+        put(&mut response, REASON, reply.start.reason);
+        response
     }
 }
 
-/// Where a stream to a caller stands.
-enum StreamPlace {
-    /// An event is at hand.
-    Event(RunEvent),
-    /// The next event is to come.
-    Waiting,
-    /// The answer is whole; the end is to be sent.
-    Ending,
-    /// Everything was sent.
-    Over,
-}
-
-/// Server-sent events of a run; the last one says how the run ended.
-fn stream_events(
+/// Sends the events of a run; the last one says how the run ended. A caller that has gone drops
+/// the events, which ends the run.
+async fn send_events(
     head: AnswerHead,
     first: RunEvent,
-    events: mpsc::Receiver<RunEvent>,
+    mut events: mpsc::Receiver<RunEvent>,
     work: WorkGuard,
-) -> impl Stream<Item = Event> {
-    let start = (head, StreamPlace::Event(first), events, work);
-    stream::unfold(start, |(head, place, mut events, work)| async move {
-        let event = match place {
-            StreamPlace::Event(event) => event,
-            StreamPlace::Waiting => events.recv().await.unwrap_or_else(lost_run),
-            StreamPlace::Ending => {
-                let over = (head, StreamPlace::Over, events, work);
-                return Some((Event::data(STREAM_END), over));
-            }
-            StreamPlace::Over => return None,
+    parts: Sender<answer_body::Result<Bytes>>,
+) {
+    let mut next = Some(first);
+    loop {
+        let event = match next.take() {
+            Some(event) => event,
+            None => tokio::select! {
+                event = events.recv() => event.unwrap_or_else(lost_run),
+                () = parts.closed() => break,
+            },
         };
-        let (sent, place) = sent_event(&head, event);
-        Some((sent, (head, place, events, work)))
-    })
+        let is_last = matches!(event, RunEvent::Done(_) | RunEvent::Failed(_));
+        let sent = parts.send(Ok(event_text(&head, event).into())).await;
+        if sent.is_err() || is_last {
+            break;
+        }
+    }
+    drop(work);
 }
 
-/// The event a caller gets, and where the stream stands after it.
-fn sent_event(head: &AnswerHead, event: RunEvent) -> (Event, StreamPlace) {
+/// The text of an event as a caller gets it.
+fn event_text(head: &AnswerHead, event: RunEvent) -> String {
     match event {
-        RunEvent::Begun(_) => (Event::comment("begun"), StreamPlace::Waiting),
-        RunEvent::Chunk(text) => {
-            let piece = json(&head.piece(&text));
-            (Event::data(piece), StreamPlace::Waiting)
-        }
+        RunEvent::Begun(_) => ":begun\n\n".into(),
+        RunEvent::Chunk(text) => format!("data:{}\n\n", json(&head.piece(&text))),
         RunEvent::Done(done) => {
             let last = json(&head.last(&done));
-            (Event::data(last), StreamPlace::Ending)
+            format!("data:{last}\n\ndata:{STREAM_END}\n\n")
         }
         RunEvent::Failed(error) => {
             let error = CallerError {
                 request: head.request.clone(),
                 error,
             };
-            let data = json(&error.body());
-            (Event::data(data).event(ERROR_EVENT), StreamPlace::Over)
+            format!("event:{ERROR_EVENT}\ndata:{}\n\n", json(&error.body()))
         }
     }
 }
@@ -290,37 +309,28 @@
     pub reply: ServiceReply,
 }
 
-impl<'r> Responder<'r, 'static> for ServiceResponse {
-    fn respond_to(self, _request: &'r Request<'_>) -> response::Result<'static> {
-        let answer = self.reply.answer;
-        let endpoint = self.reply.endpoint.as_deref().unwrap_or("record");
-        let media = ContentType::parse_flexible(&answer.content_type).unwrap_or(ContentType::JSON);
-        let body = String::from(answer.body);
-        Response::build()
-            .status(Status::new(answer.status))
-            .header(media)
-            .raw_header("x-request-id", self.request.to_string())
-            .raw_header("x-wagtaildoor-endpoint", endpoint.to_string())
-            .raw_header("x-wagtaildoor-reason", header_text(&self.reply.reason))
-            .sized_body(body.len(), Cursor::new(body))
-            .ok()
+impl From<ServiceResponse> for Response<AnswerBody> {
+    fn from(response: ServiceResponse) -> Self {
+        let answer = response.reply.answer;
+        let endpoint = response.reply.endpoint.as_deref().unwrap_or("record");
+        let mut built = typed(JSON, AnswerBody::whole(String::from(answer.body)));
+        *built.status_mut() =
+            StatusCode::from_u16(answer.status).unwrap_or(StatusCode::BAD_GATEWAY);
+        if let Ok(media) = HeaderValue::from_str(&answer.content_type) {
+            built.headers_mut().insert(header::CONTENT_TYPE, media);
+        }
+        put(&mut built, REQUEST_ID, response.request);
+        put(&mut built, ENDPOINT, endpoint);
+        put(&mut built, REASON, response.reply.reason);
+        built
     }
 }
 
 /// A value as JSON.
-fn json<T: Serialize>(value: &T) -> String {
+pub fn json<T: Serialize>(value: &T) -> String {
     serde_json::to_string(value).expect("generated types have text keys only")
 }
 
-/// A sentence as the value of a header, which takes visible ASCII only.
-fn header_text(sentence: &str) -> String {
-    let visible = |letter: char| letter == ' ' || letter.is_ascii_graphic();
-    sentence
-        .chars()
-        .map(|letter| if visible(letter) { letter } else { '?' })
-        .collect()
-}
-
 /// A choice without content.
 fn empty_choice() -> ChatChoice {
     ChatChoice {
--- a/wagtaildoor_entry/src/caller_body.rs
+++ b/wagtaildoor_entry/src/caller_body.rs
@@ -2,10 +2,13 @@
 
 use std::time::Duration;
 
-use rocket::data::{
-    ByteUnit,
-    Data, //
+use bytes::Bytes;
+use http_body_util::{
+    BodyExt,
+    LengthLimitError,
+    Limited, //
 };
+use hyper::body::Incoming;
 use serde::de::DeserializeOwned;
 use wagtaildoor::{
     error::{
@@ -93,10 +96,11 @@
 }
 
 /// Reads a whole body within the limits of size and time.
-pub async fn read(data: Data<'_>, listen: &ListenSection) -> Result<Vec<u8>> {
+pub async fn read(body: Incoming, listen: &ListenSection) -> Result<Bytes> {
     let limit = Duration::from_millis(listen.body_timeout_ms);
-    let stream = data.open(ByteUnit::from(listen.body_limit_bytes));
-    let body = tokio::time::timeout(limit, stream.into_bytes())
+    let bytes = usize::try_from(listen.body_limit_bytes).unwrap_or(usize::MAX);
+    let whole = Limited::new(body, bytes).collect();
+    let body = tokio::time::timeout(limit, whole)
         .await
         .map_err(|_| {
             let detail = format!(
@@ -106,14 +110,14 @@
             RequestError::new(ErrorKind::BodyTimeout, detail)
         })?
         .map_err(|error| {
+            if error.is::<LengthLimitError>() {
+                let detail = format!("the body is larger than {} bytes", listen.body_limit_bytes);
+                return RequestError::new(ErrorKind::BodyTooLarge, detail);
+            }
             let detail = format!("the body could not be read: {error}");
             RequestError::new(ErrorKind::BadRequest, detail)
         })?;
-    if !body.is_complete() {
-        let detail = format!("the body is larger than {} bytes", listen.body_limit_bytes);
-        return Err(RequestError::new(ErrorKind::BodyTooLarge, detail));
-    }
-    Ok(body.into_inner())
+    Ok(body.to_bytes())
 }
 
 /// Reads a body of JSON.
--- a/wagtaildoor_entry/src/caller_head.rs
+++ b/wagtaildoor_entry/src/caller_head.rs
@@ -1,17 +1,14 @@
 //! What a caller says in the headers of a request.
 
-use std::convert::Infallible;
-
-use rocket::{
-    request::{
-        FromRequest,
-        Outcome, //
-    },
-    Request,
+use http::{
+    header,
+    HeaderMap, //
 };
 
 /// Scheme before the token.
 const BEARER: &str = "Bearer ";
+/// Header with the idempotency key.
+const IDEMPOTENCY_KEY: &str = "idempotency-key";
 
 /// The headers that matter.
 #[derive(Clone, Debug)]
@@ -22,19 +19,18 @@
     pub key: Option<Box<str>>,
 }
 
-#[rocket::async_trait]
-impl<'r> FromRequest<'r> for CallerHead {
-    type Error = Infallible;
-
-    async fn from_request(request: &'r Request<'_>) -> Outcome<Self, Self::Error> {
-        let headers = request.headers();
+impl From<&HeaderMap> for CallerHead {
+    fn from(headers: &HeaderMap) -> Self {
         let token = headers
-            .get_one("authorization")
+            .get(header::AUTHORIZATION)
+            .and_then(|value| value.to_str().ok())
             .and_then(|value| value.strip_prefix(BEARER))
             .map(Box::from);
-        let mut keys: Vec<&str> = headers.get("idempotency-key").collect();
+        let keys = headers.get_all(IDEMPOTENCY_KEY).iter();
+        // A key that is no text stays one that cannot be read, and is refused as such.
+        let mut keys: Vec<&str> = keys.map(|key| key.to_str().unwrap_or("?")).collect();
         keys.dedup();
         let key = (!keys.is_empty()).then(|| keys.join(", ").into());
-        Outcome::Success(Self { token, key })
+        Self { token, key }
     }
 }
--- /dev/null
+++ b/wagtaildoor_entry/src/caller_server.rs
@@ -0,0 +1,183 @@
+//! Listens for callers, with TLS where the settings name a certificate.
+
+use std::{
+    convert::Infallible,
+    io,
+    net::SocketAddr,
+    sync::Arc,
+    time::Duration, //
+};
+
+use http::Request;
+use hyper::{
+    body::Incoming,
+    server::conn::http1,
+    service::service_fn, //
+};
+use hyper_util::rt::{
+    TokioIo,
+    TokioTimer, //
+};
+use slog::{
+    debug,
+    warn, //
+};
+use tokio::{
+    io::{
+        AsyncRead,
+        AsyncWrite, //
+    },
+    net::{
+        TcpListener,
+        TcpStream, //
+    },
+    time,
+};
+use tokio_rustls::{
+    rustls::{
+        crypto::aws_lc_rs,
+        pki_types::{
+            pem::PemObject,
+            CertificateDer,
+            PrivateKeyDer, //
+        },
+        ServerConfig,
+    },
+    TlsAcceptor,
+};
+use tokio_util::{
+    sync::CancellationToken,
+    task::TaskTracker, //
+};
+use wagtaildoor::schema::ListenSection;
+
+use crate::{
+    routes,
+    state::EntryState, //
+};
+
+/// Result of starting the server.
+pub type Result<T> = io::Result<T>;
+
+/// Time for the head of a request, and for which a connection may stay idle.
+const HEAD_TIME: Duration = Duration::from_secs(30);
+/// Time for a TLS handshake.
+const HANDSHAKE_TIME: Duration = Duration::from_secs(10);
+/// Time that open connections have once the entry has drained.
+const END_TIME: Duration = Duration::from_secs(1);
+/// Pause after a connection could not be accepted.
+const ACCEPT_PAUSE: Duration = Duration::from_millis(20);
+
+/// A server that listens.
+pub struct CallerServer {
+    /// Where it listens.
+    listener: TcpListener,
+    /// TLS, if it is on.
+    tls: Option<TlsAcceptor>,
+}
+
+impl CallerServer {
+    /// Listens as the settings say.
+    pub async fn bind(listen: &ListenSection) -> Result<Self> {
+        let files = listen
+            .tls_certificate
+            .as_deref()
+            .zip(listen.tls_key.as_deref());
+        let tls = files.map(|(certificate, key)| acceptor(certificate, key));
+        Ok(Self {
+            tls: tls.transpose()?,
+            listener: TcpListener::bind(listen.address).await?,
+        })
+    }
+
+    /// Where it listens.
+    pub fn address(&self) -> Result<SocketAddr> {
+        self.listener.local_addr()
+    }
+
+    /// Serves until told to stop, and then gives open connections a moment to end.
+    pub async fn serve(self, state: Arc<EntryState>, stop: CancellationToken) {
+        let open = TaskTracker::new();
+        loop {
+            let accepted = tokio::select! {
+                accepted = self.listener.accept() => accepted,
+                () = stop.cancelled() => break,
+            };
+            match accepted {
+                Ok((stream, _)) => {
+                    let state = Arc::clone(&state);
+                    open.spawn(connection(state, stream, self.tls.clone(), stop.clone()));
+                }
+                Err(error) => {
+                    warn!(state.log, "accept failed"; "error" => %error);
+                    time::sleep(ACCEPT_PAUSE).await;
+                }
+            }
+        }
+        open.close();
+        if time::timeout(END_TIME, open.wait()).await.is_err() {
+            warn!(state.log, "connections cut"; "open" => open.len());
+        }
+    }
+}
+
+/// TLS with a certificate chain and its key.
+fn acceptor(certificate: &str, key: &str) -> Result<TlsAcceptor> {
+    let chain = CertificateDer::pem_file_iter(certificate).map_err(io::Error::other)?;
+    let chain: std::result::Result<Vec<_>, _> = chain.collect();
+    let key = PrivateKeyDer::from_pem_file(key).map_err(io::Error::other)?;
+    let provider = Arc::new(aws_lc_rs::default_provider());
+    let config = ServerConfig::builder_with_provider(provider)
+        .with_safe_default_protocol_versions()
+        .map_err(io::Error::other)?
+        .with_no_client_auth()
+        .with_single_cert(chain.map_err(io::Error::other)?, key)
+        .map_err(io::Error::other)?;
+    Ok(TlsAcceptor::from(Arc::new(config)))
+}
+
+/// Serves one connection.
+async fn connection(
+    state: Arc<EntryState>,
+    stream: TcpStream,
+    tls: Option<TlsAcceptor>,
+    stop: CancellationToken,
+) {
+    if let Err(error) = stream.set_nodelay(true) {
+        debug!(state.log, "socket option"; "error" => %error);
+    }
+    let Some(tls) = tls else {
+        return serve_stream(state, stream, stop).await;
+    };
+    match time::timeout(HANDSHAKE_TIME, tls.accept(stream)).await {
+        Ok(Ok(stream)) => serve_stream(state, stream, stop).await,
+        Ok(Err(error)) => debug!(state.log, "no handshake"; "error" => %error),
+        Err(_) => debug!(state.log, "no handshake in time"),
+    }
+}
+
+/// Serves the requests of one connection.
+async fn serve_stream<S>(state: Arc<EntryState>, stream: S, stop: CancellationToken)
+where
+    S: AsyncRead + AsyncWrite + Unpin + Send + 'static,
+{
+    let service = service_fn(|request: Request<Incoming>| {
+        let state = Arc::clone(&state);
+        async move { Ok::<_, Infallible>(routes::answer(state, request).await) }
+    });
+    let connection = http1::Builder::new()
+        .timer(TokioTimer::new())
+        .header_read_timeout(HEAD_TIME)
+        .serve_connection(TokioIo::new(stream), service);
+    let mut connection = std::pin::pin!(connection);
+    let ended = tokio::select! {
+        ended = connection.as_mut() => ended,
+        () = stop.cancelled() => {
+            connection.as_mut().graceful_shutdown();
+            connection.as_mut().await
+        }
+    };
+    if let Err(error) = ended {
+        debug!(state.log, "connection ended"; "error" => %error);
+    }
+}
--- a/wagtaildoor_entry/src/lib.rs
+++ b/wagtaildoor_entry/src/lib.rs
@@ -5,6 +5,7 @@
 pub mod caller_answer;
 pub mod caller_body;
 pub mod caller_head;
+pub mod caller_server;
 pub mod engine_attempt;
 pub mod engine_call;
 pub mod http_clients;
--- a/wagtaildoor_entry/src/routes.rs
+++ b/wagtaildoor_entry/src/routes.rs
@@ -2,25 +2,15 @@
 
 use std::sync::Arc;
 
-use rocket::{
-    catch,
-    catchers,
-    data::Data,
-    get,
-    http::{
-        ContentType,
-        Status, //
-    },
-    post,
-    routes,
-    serde::json::Json,
-    Build,
-    Catcher,
+use bytes::Bytes;
+use http::{
+    Method,
     Request,
-    Rocket,
-    Route,
-    State, //
+    Response,
+    StatusCode, //
 };
+use hyper::body::Incoming;
+use percent_encoding::percent_decode_str;
 use tokio::sync::mpsc;
 use wagtaildoor::{
     claim_key,
@@ -38,13 +28,15 @@
         ChatRequest,
         CompletionRequest,
         EventKind,
-        EventPage,
         PoolKind,
         Template, //
     },
     timeline::EventDraft,
 };
-use wagtaildoor_daemon::timeline_query::TimelineQuery;
+use wagtaildoor_daemon::{
+    answer_body::AnswerBody,
+    timeline_query::TimelineQuery, //
+};
 
 use crate::{
     access,
@@ -77,114 +69,131 @@
 const LAST_EVENT: usize = 1;
 
 /// State as routes get it.
-type Shared = State<Arc<EntryState>>;
+type Shared = Arc<EntryState>;
 /// Result of a route.
 type Answer<T> = std::result::Result<T, CallerError>;
 
-/// Adds routes and error answers to a server.
-pub fn mount(server: Rocket<Build>) -> Rocket<Build> {
-    server.mount("/", all()).register("/", fallbacks())
+/// Path under which plain services stand; the template's name follows.
+const SERVICES_PATH: &str = "/v1/services/";
+/// Media type of short texts.
+const TEXT: &str = "text/plain; charset=utf-8";
+/// Media type of JSON.
+const JSON: &str = "application/json";
+
+/// Answers a request. A caller that hangs up drops this, and with it what only the caller wants.
+pub async fn answer(state: Shared, request: Request<Incoming>) -> Response<AnswerBody> {
+    let path = request.uri().path().to_owned();
+    match (request.method(), &*path) {
+        (&Method::POST, "/v1/chat/completions") => {
+            either(model::<ChatRequest>(&state, request).await)
+        }
+        (&Method::POST, "/v1/completions") => {
+            either(model::<CompletionRequest>(&state, request).await)
+        }
+        (&Method::POST, path) if template_of(path).is_some() => {
+            let template = template_of(path).unwrap_or_default();
+            either(service(&state, &template, request).await)
+        }
+        (&Method::GET, "/health") => page(StatusCode::OK, "ok\n"),
+        (&Method::GET, "/ready") => ready(&state),
+        (&Method::GET, "/metrics") => page(StatusCode::OK, state.metrics.text()),
+        (&Method::GET, "/timeline") => either(timeline(&state, &request)),
+        _ => no_route(&request).into(),
+    }
 }
 
-/// All routes.
-fn all() -> Vec<Route> {
-    routes![chat, completion, service, health, ready, metrics, timeline]
+/// The template that a service's path names.
+fn template_of(path: &str) -> Option<String> {
+    let name = path.strip_prefix(SERVICES_PATH)?;
+    let name = percent_decode_str(name).decode_utf8().ok()?;
+    (!name.is_empty() && !name.contains('/')).then(|| name.into_owned())
 }
 
-/// Answers where no route fits.
-fn fallbacks() -> Vec<Catcher> {
-    catchers![no_route]
+/// A route's result as an answer.
+fn either<T: Into<Response<AnswerBody>>>(result: Answer<T>) -> Response<AnswerBody> {
+    match result {
+        Ok(answer) => answer.into(),
+        Err(error) => error.into(),
+    }
 }
 
-/// Chat completion.
-#[post("/v1/chat/completions", data = "<data>")]
-async fn chat(state: &Shared, head: CallerHead, data: Data<'_>) -> Answer<ModelReply> {
-    let scope = RequestScope::start(state);
-    let request = scope.request.clone();
-    let wish = read_wish::<ChatRequest>(state, &head, data).await;
-    answer_model(scope, head, wish)
-        .await
-        .map_err(|error| refuse(state, request, error))
+/// A short text.
+fn page(status: StatusCode, text: impl Into<Bytes>) -> Response<AnswerBody> {
+    let mut response = caller_answer::typed(TEXT, AnswerBody::whole(text));
+    *response.status_mut() = status;
+    response
 }
 
-/// Text completion.
-#[post("/v1/completions", data = "<data>")]
-async fn completion(state: &Shared, head: CallerHead, data: Data<'_>) -> Answer<ModelReply> {
+/// Chat or text completion.
+async fn model<T>(state: &Shared, request: Request<Incoming>) -> Answer<ModelReply>
+where
+    T: serde::de::DeserializeOwned + Into<ModelWish>,
+{
     let scope = RequestScope::start(state);
-    let request = scope.request.clone();
-    let wish = read_wish::<CompletionRequest>(state, &head, data).await;
+    let id = scope.request.clone();
+    let head = CallerHead::from(request.headers());
+    let wish = read_wish::<T>(state, &head, request.into_body()).await;
     answer_model(scope, head, wish)
         .await
-        .map_err(|error| refuse(state, request, error))
+        .map_err(|error| refuse(state, id, error))
 }
 
 /// Call of a plain service.
-#[post("/v1/services/<template>", data = "<data>")]
 async fn service(
     state: &Shared,
     template: &str,
-    head: CallerHead,
-    data: Data<'_>,
+    request: Request<Incoming>,
 ) -> Answer<ServiceResponse> {
     let scope = RequestScope::start(state);
-    let request = scope.request.clone();
-    let body = read_body(state, &head, data).await;
+    let id = scope.request.clone();
+    let head = CallerHead::from(request.headers());
+    let body = read_body(state, &head, request.into_body()).await;
     answer_service(scope, template, head, body)
         .await
-        .map_err(|error| refuse(state, request, error))
-}
-
-/// The process runs.
-#[get("/health")]
-fn health() -> &'static str {
-    "ok\n"
+        .map_err(|error| refuse(state, id, error))
 }
 
-/// The balancer may send requests here.
-#[get("/ready")]
-fn ready(state: &Shared) -> (Status, &'static str) {
+/// Whether the balancer may send requests here.
+fn ready(state: &Shared) -> Response<AnswerBody> {
     if state.gate.is_leaving() {
-        return (Status::ServiceUnavailable, "leaving\n");
+        return page(StatusCode::SERVICE_UNAVAILABLE, "leaving\n");
     }
     if state.view.borrow().is_none() {
-        return (Status::ServiceUnavailable, "no configuration yet\n");
+        return page(StatusCode::SERVICE_UNAVAILABLE, "no configuration yet\n");
     }
-    (Status::Ok, "ready\n")
-}
-
-/// Metrics, as text.
-#[get("/metrics")]
-fn metrics(state: &Shared) -> (ContentType, String) {
-    (ContentType::Plain, state.metrics.text())
+    page(StatusCode::OK, "ready\n")
 }
 
 /// Events of this process.
-#[get("/timeline?<query..>")]
-fn timeline(state: &Shared, query: TimelineQuery) -> Json<EventPage> {
-    Json(state.recorder.page(&query.into()))
+fn timeline(state: &Shared, request: &Request<Incoming>) -> Answer<Response<AnswerBody>> {
+    let query = request.uri().query().unwrap_or_default();
+    let query = TimelineQuery::parse(query).map_err(|fault| CallerError {
+        request: request_scope::new_request(),
+        error: RequestError::new(ErrorKind::BadRequest, fault),
+    })?;
+    let events = caller_answer::json(&state.recorder.page(&query.into()));
+    Ok(caller_answer::typed(JSON, AnswerBody::whole(events)))
 }
 
-/// No route fits, or the server met a fault.
-#[catch(default)]
-fn no_route(status: Status, request: &Request<'_>) -> CallerError {
-    let kind = match status.code {
-        404 | 405 => ErrorKind::UnknownRoute,
-        400..=499 => ErrorKind::BadRequest,
-        _ => ErrorKind::Internal,
-    };
-    let detail = format!("{} {}: {status}", request.method(), request.uri().path());
+/// No route fits.
+fn no_route(request: &Request<Incoming>) -> CallerError {
+    let detail = format!(
+        "{} {}: no such route",
+        request.method(),
+        request.uri().path()
+    );
     CallerError {
         request: request_scope::new_request(),
-        error: RequestError::new(kind, detail),
+        error: RequestError::new(ErrorKind::UnknownRoute, detail),
     }
 }
 
 /// Reads a model's request.
-async fn read_wish<T>(state: &Shared, head: &CallerHead, data: Data<'_>) -> Result<ModelWish>
+async fn read_wish<T>(state: &Shared, head: &CallerHead, body: Incoming) -> Result<ModelWish>
 where
     T: serde::de::DeserializeOwned + Into<ModelWish>,
 {
-    let body = read_body(state, head, data).await?;
+    let body = read_body(state, head, body).await?;
     let request: T = caller_body::parse(&body)?;
     let wish: ModelWish = request.into();
     if wish.max_tokens == Some(0) {
@@ -195,10 +204,10 @@
 }
 
 /// Reads the body of a caller that has an account.
-async fn read_body(state: &Shared, head: &CallerHead, data: Data<'_>) -> Result<Vec<u8>> {
+async fn read_body(state: &Shared, head: &CallerHead, body: Incoming) -> Result<Bytes> {
     let held = state.held_view()?;
     access::account(&held.view.configuration, head.token.as_deref())?;
-    caller_body::read(data, &state.settings.listen).await
+    caller_body::read(body, &state.settings.listen).await
 }
 
 /// Runs a model's request, and waits until its answer begins or is whole.
@@ -296,7 +305,7 @@
     scope: RequestScope,
     template: &str,
     head: CallerHead,
-    body: Result<Vec<u8>>,
+    body: Result<Bytes>,
 ) -> Result<ServiceResponse> {
     let keyed = head.key.is_some();
     let request = scope.request.clone();
@@ -320,7 +329,7 @@
     scope: &RequestScope,
     template: &str,
     head: CallerHead,
-    body: Result<Vec<u8>>,
+    body: Result<Bytes>,
 ) -> Result<ServiceRun> {
     let body = body?;
     let state = Arc::clone(&scope.state);
--- a/wagtaildoor_entry/src/server.rs
+++ b/wagtaildoor_entry/src/server.rs
@@ -2,14 +2,16 @@
 
 use std::{
     fs,
+    net::SocketAddr,
     sync::Arc,
     time::Duration, //
 };
 
-use rocket::{
-    config::TlsConfig,
-    fairing::AdHoc,
-    Config, //
+use crate::{
+    caller_server::CallerServer,
+    http_clients::HttpClients,
+    metrics::EntryMetrics,
+    state::EntryState, //
 };
 use slog::{
     info,
@@ -46,22 +48,13 @@
         EntryHello,
         EntrySettings,
         EventKind,
-        KeeperView,
-        ListenSection, //
+        KeeperView, //
     },
     timeline::{
         EventDraft,
         EventRecorder, //
     },
 };
-use wagtaildoor_daemon::http_server;
-
-use crate::{
-    http_clients::HttpClients,
-    metrics::EntryMetrics,
-    routes,
-    state::EntryState, //
-};
 
 /// Name of the program in logs and time lines.
 const PROCESS: &str = "wagtaildoor-entry";
@@ -76,7 +69,8 @@
 pub enum ServerError {
     /// The HTTP server failed.
     #[display("server: {_0}")]
-    Server(Box<rocket::Error>),
+    #[from(skip)]
+    Server(std::io::Error),
     /// The HTTP clients could not be built.
     #[display("clients: {_0}")]
     Clients(reqwest::Error),
@@ -96,13 +90,13 @@
     tokio::spawn(feed_table(Arc::clone(&state), token.clone()));
     let (link, recorder) = (state.link.clone(), state.recorder.clone());
     tokio::spawn(clock_exchange::run(link, recorder, token.clone()));
-    let server = rocket::custom(server_config(&state.settings.listen))
-        .manage(Arc::clone(&state))
-        .attach(announce(Arc::clone(&state)));
-    let server = routes::mount(server).ignite().await.map_err(Box::new)?;
-    let stop = server.shutdown();
-    let drain = tokio::spawn(drain(Arc::clone(&state), terminate, stop));
-    server.launch().await.map_err(Box::new)?;
+    let server = CallerServer::bind(&state.settings.listen).await;
+    let server = server.map_err(ServerError::Server)?;
+    let address = server.address().map_err(ServerError::Server)?;
+    announce(&state, address);
+    let stop = CancellationToken::new();
+    let drain = tokio::spawn(drain(Arc::clone(&state), terminate, stop.clone()));
+    server.serve(Arc::clone(&state), stop).await;
     drain.abort();
     note(&state, EventKind::ProcessStopped, "stopped");
     token.cancel();
@@ -191,45 +185,26 @@
     u32::try_from(live).unwrap_or(u32::MAX).max(HOSTS_AT_START)
 }
 
-/// Settings of the HTTP server.
-fn server_config(listen: &ListenSection) -> Config {
-    let tls = listen
-        .tls_certificate
-        .as_deref()
-        .zip(listen.tls_key.as_deref())
-        .map(|(certificate, key)| TlsConfig::from_paths(certificate, key));
-    Config {
-        tls,
-        ..http_server::config(listen.address)
-    }
-}
-
 /// Tells the log, and the address file, where the entry listens.
-fn announce(state: Arc<EntryState>) -> AdHoc {
-    AdHoc::on_liftoff("announce", move |server| {
-        Box::pin(async move {
-            let config = server.config();
-            let address = format!("{}:{}", config.address, config.port);
-            info!(state.log, "listening"; "address" => &address);
-            note(
-                &state,
-                EventKind::ProcessStarted,
-                format!("listening on {address}"),
-            );
-            let Some(file) = &state.settings.listen.address_file else {
-                return;
-            };
-            if let Err(error) = fs::write(&**file, &address) {
-                warn!(state.log, "address file"; "error" => %error);
-            }
-        })
-    })
+fn announce(state: &EntryState, address: SocketAddr) {
+    info!(state.log, "listening"; "address" => %address);
+    note(
+        state,
+        EventKind::ProcessStarted,
+        format!("listening on {address}"),
+    );
+    let Some(file) = &state.settings.listen.address_file else {
+        return;
+    };
+    if let Err(error) = fs::write(&**file, address.to_string()) {
+        warn!(state.log, "address file"; "error" => %error);
+    }
 }
 
 /// Waits for the signal, lets all work end, and stops the server.
 ///
 /// A second signal ends the process at once.
-async fn drain(state: Arc<EntryState>, mut terminate: Signal, stop: rocket::Shutdown) {
+async fn drain(state: Arc<EntryState>, mut terminate: Signal, stop: CancellationToken) {
     terminate.recv().await;
     note(
         &state,
@@ -246,7 +221,7 @@
     };
     let end = state.gate.drain(limits, hurry).await;
     info!(state.log, "drained"; "end" => %end, "running" => state.gate.running());
-    stop.notify();
+    stop.cancel();
 }
 
 /// Notes something of this process.
--- a/wagtaildoor_front/src/caller_run.rs
+++ b/wagtaildoor_front/src/caller_run.rs
@@ -47,6 +47,8 @@
     },
 };
 
+use wagtaildoor_daemon::answer_body::AnswerBody;
+
 use crate::{
     endpoint::{
         EndpointKey,
@@ -58,7 +60,6 @@
         FRESH_TIME, //
     },
     front::Front,
-    front_body::FrontBody,
     prefix_hash,
     request_log::RequestLog,
     request_place::{
@@ -89,6 +90,8 @@
 /// Result of work on a request.
 pub type Result<T> = std::result::Result<T, RequestError>;
 
+/// Parts held for a slow caller before the endpoint is held back.
+const RELAY_PARTS: usize = 32;
 /// Sends of one request at most, counting those that were refused.
 const SENDS_LIMIT: u32 = 6;
 /// Largest answer that is held until it is complete.
@@ -152,7 +155,7 @@
     /// Endpoints on which it has run or may have run.
     runs: u32,
     /// An answer with a failure, for the case that no endpoint gives a better one.
-    failure: Option<Response<FrontBody>>,
+    failure: Option<Response<AnswerBody>>,
     /// Wire format.
     codec: PhantomData<C>,
 }
@@ -183,7 +186,7 @@
 pub async fn answer<C: WireCodec>(
     front: Rc<Front>,
     request: Request<Incoming>,
-) -> Response<FrontBody> {
+) -> Response<AnswerBody> {
     let (parts, body) = request.into_parts();
     let head = C::caller_head(&parts.headers);
     let mut log = RequestLog::new(front.clone(), head.attempt.as_ref());
@@ -285,11 +288,11 @@
     log: &mut RequestLog,
     error: &RequestError,
     retry_after: Option<Duration>,
-) -> Response<FrontBody> {
+) -> Response<AnswerBody> {
     log.decided(format_args!("{error}"));
     log.ended(outcome_name(error.kind));
     let table = error.kind.answer();
-    let mut response = Response::new(FrontBody::whole(format!("{error}\n")));
+    let mut response = Response::new(AnswerBody::whole(format!("{error}\n")));
     *response.status_mut() =
         StatusCode::from_u16(table.status).unwrap_or(StatusCode::INTERNAL_SERVER_ERROR);
     let headers = response.headers_mut();
@@ -362,7 +365,7 @@
     }
 
     /// Serves the request, or says why not.
-    async fn execute(mut self) -> Response<FrontBody> {
+    async fn execute(mut self) -> Response<AnswerBody> {
         let now = BootInstant::now();
         if !self.ends_in_grace(now) {
             let detail = "this host is stopping, others are not";
@@ -784,7 +787,7 @@
     }
 
     /// Gives the failure that was kept.
-    fn give_failure(mut self) -> Response<FrontBody> {
+    fn give_failure(mut self) -> Response<AnswerBody> {
         match self.failure.take() {
             Some(response) => {
                 self.log.ended("failure_relayed");
@@ -798,7 +801,7 @@
     }
 
     /// Reads an answer to its end, and gives it.
-    async fn whole(mut self, mut started: StartedAnswer) -> Response<FrontBody> {
+    async fn whole(mut self, mut started: StartedAnswer) -> Response<AnswerBody> {
         loop {
             let endpoint = started.ticket.endpoint().clone();
             let deadline = self.deadline;
@@ -844,7 +847,7 @@
     async fn read_whole(
         &mut self,
         started: StartedAnswer,
-    ) -> std::result::Result<Response<FrontBody>, Box<str>> {
+    ) -> std::result::Result<Response<AnswerBody>, Box<str>> {
         let (parts, body) = started.response.into_parts();
         let limited = Limited::new(body, WHOLE_ANSWER_LIMIT);
         let silence = started.ticket.endpoint().health.borrow().silence();
@@ -864,12 +867,12 @@
                 .connections
                 .give_back(started.connection, started.head.idle_limit, now);
         }
-        Ok(caller_response(parts, FrontBody::whole(body.to_bytes())))
+        Ok(caller_response(parts, AnswerBody::whole(body.to_bytes())))
     }
 
     /// Relays a stream while it comes.
-    fn relay(self, started: StartedAnswer) -> Response<FrontBody> {
-        let (sender, body) = FrontBody::relayed();
+    fn relay(self, started: StartedAnswer) -> Response<AnswerBody> {
+        let (sender, body) = AnswerBody::relayed(RELAY_PARTS);
         let (parts, incoming) = started.response.into_parts();
         let response = caller_response(parts, body);
         let stream = stream_relay::StreamSource {
@@ -894,7 +897,7 @@
 }
 
 /// An endpoint's answer as it goes to the caller.
-fn caller_response(mut parts: http::response::Parts, body: FrontBody) -> Response<FrontBody> {
+fn caller_response(mut parts: http::response::Parts, body: AnswerBody) -> Response<AnswerBody> {
     strip_connection_headers(&mut parts.headers);
     parts.headers.remove(header::CONTENT_LENGTH);
     let mut response = Response::new(body);
--- a/wagtaildoor_front/src/caller_server.rs
+++ b/wagtaildoor_front/src/caller_server.rs
@@ -32,12 +32,12 @@
 };
 use tokio_util::sync::CancellationToken;
 use wagtaildoor::boot_clock::BootInstant;
+use wagtaildoor_daemon::answer_body::AnswerBody;
 
 use crate::{
     caller_run,
     endpoint_connection,
     front::Front,
-    front_body::FrontBody,
     wire_codec::WireCodec, //
 };
 
@@ -210,7 +210,7 @@
         async move {
             let service = service_fn(|request| {
                 let (status, text) = page(request);
-                let mut response = Response::new(FrontBody::whole(text));
+                let mut response = Response::new(AnswerBody::whole(text));
                 *response.status_mut() = status;
                 async move { Ok::<_, Infallible>(response) }
             });
--- a/wagtaildoor_front/src/lib.rs
+++ b/wagtaildoor_front/src/lib.rs
@@ -15,7 +15,6 @@
 pub mod engine_placement;
 pub mod event_splitter;
 pub mod front;
-pub mod front_body;
 pub mod front_host;
 pub mod front_metrics;
 pub mod front_settings;
--- a/wagtaildoor_front/src/stream_relay.rs
+++ b/wagtaildoor_front/src/stream_relay.rs
@@ -9,6 +9,10 @@
     time, //
 };
 use wagtaildoor::boot_clock::BootInstant;
+use wagtaildoor_daemon::answer_body::{
+    self,
+    RelayBroken, //
+};
 
 use crate::{
     caller_run::{
@@ -18,10 +22,6 @@
     endpoint::WorkTicket,
     endpoint_connection::EndpointConnection,
     event_splitter::EventSplitter,
-    front_body::{
-        self,
-        RelayBroken, //
-    },
     wire_codec::{
         AnswerHead,
         WireCodec, //
@@ -67,7 +67,7 @@
 pub async fn relay<C: WireCodec>(
     mut run: CallerRun<C>,
     mut source: StreamSource,
-    parts: Sender<front_body::Result<Bytes>>,
+    parts: Sender<answer_body::Result<Bytes>>,
 ) {
     let mut events = EventSplitter::default();
     loop {
@@ -124,7 +124,7 @@
     run: &mut CallerRun<C>,
     source: &mut StreamSource,
     events: &mut EventSplitter,
-    parts: &Sender<front_body::Result<Bytes>>,
+    parts: &Sender<answer_body::Result<Bytes>>,
 ) -> SourceEnd {
     let silence = source.ticket.endpoint().health.borrow().silence();
     let may_move = run.may_resume();
@@ -159,7 +159,7 @@
 /// Passes on what follows the last whole event of a complete answer.
 async fn finish(
     events: &mut EventSplitter,
-    parts: &Sender<front_body::Result<Bytes>>,
+    parts: &Sender<answer_body::Result<Bytes>>,
 ) -> SourceEnd {
     if !events.is_mid_event() {
         return SourceEnd::Complete;
@@ -185,7 +185,7 @@
 async fn resume<C: WireCodec>(
     run: &mut CallerRun<C>,
     last_id: Option<u64>,
-    parts: &Sender<front_body::Result<Bytes>>,
+    parts: &Sender<answer_body::Result<Bytes>>,
 ) -> Option<StreamSource> {
     let deadline = run.deadline;
     let started = tokio::select! {
