Split the caller's run by its steps; judge held leases by the boot clock too

Leases of the keeper were judged by a clock that stands still while the host is suspended, so that a host that wakes could have used one that had passed on.

--- a/wagtaildoor/src/lease_holder.rs
+++ b/wagtaildoor/src/lease_holder.rs
@@ -5,6 +5,7 @@
 use tokio::time::Instant;
 
 use crate::{
+    boot_clock::BootInstant,
     ids::{
         FencingNumber,
         LeaseId,
@@ -45,6 +46,8 @@
     duration: Duration,
     /// Time on the own clock from which on it must not be used.
     valid_until: Instant,
+    /// The same by the clock that goes on while the host is suspended.
+    boot_valid_until: BootInstant,
     /// When it was read back for the first time.
     granted: Instant,
 }
@@ -52,7 +55,13 @@
 impl HeldLease {
     /// Whether it may be used now. To be asked right before each use.
     pub fn is_valid(&self) -> bool {
-        Instant::now() < self.valid_until
+        self.is_valid_at(Instant::now(), BootInstant::now())
+    }
+
+    /// Whether it may be used at a time of both clocks: the steady one stands still while the host
+    /// is suspended, and the lease runs on.
+    pub fn is_valid_at(&self, now: Instant, boot_now: BootInstant) -> bool {
+        now < self.valid_until && boot_now < self.boot_valid_until
     }
 
     /// Time on the own clock until which it may be used.
@@ -119,6 +128,7 @@
         };
         // Taken before the append, and so before the log's time of the record.
         let asked = Instant::now();
+        let boot_asked = BootInstant::now();
         self.append(&LeaseRecord::Grant(grant.clone())).await?;
         let state = self.ledger.holder(lease, self.log_ms);
         Ok(state
@@ -129,6 +139,7 @@
                 holder: grant.holder.clone(),
                 duration,
                 valid_until: asked + duration - duration / MARGIN_PART,
+                boot_valid_until: boot_asked + duration - duration / MARGIN_PART,
                 granted: Instant::now(),
             }))
     }
@@ -136,6 +147,7 @@
     /// Prolongs a lease; `false` when it was not read back as prolonged.
     pub async fn renew(&mut self, held: &mut HeldLease) -> Result<bool> {
         let asked = Instant::now();
+        let boot_asked = BootInstant::now();
         if !held.is_valid() {
             return Ok(false);
         }
@@ -146,7 +158,9 @@
         if !own || offset.is_none() {
             return Ok(false);
         }
-        held.valid_until = asked + held.duration - held.duration / MARGIN_PART;
+        let usable = held.duration - held.duration / MARGIN_PART;
+        held.valid_until = asked + usable;
+        held.boot_valid_until = boot_asked + usable;
         Ok(true)
     }
 
--- a/wagtaildoor/tests/lease_machine.rs
+++ b/wagtaildoor/tests/lease_machine.rs
@@ -26,9 +26,12 @@
     SequencePlan, //
 };
 use tokio::time;
-use wagtaildoor::lease_holder::{
-    HeldLease,
-    LeaseHolder, //
+use wagtaildoor::{
+    boot_clock::BootInstant,
+    lease_holder::{
+        HeldLease,
+        LeaseHolder, //
+    },
 };
 use wagtaildoor_fakes::fake_log::{
     FakeLog,
@@ -306,3 +309,19 @@
     };
     sequences::check(plan, hold);
 }
+
+#[tokio::test(start_paused = true)]
+async fn a_lease_runs_out_while_its_host_is_suspended() {
+    let log = FakeLog::starting_at(RETENTION, STARTED_MS);
+    let mut holder = LeaseHolder::new(log.link(), "p0");
+    let held = holder.acquire(LEASE, DURATION).await.expect("a log");
+    let held = held.expect("nobody else wants it");
+    let steady = time::Instant::now();
+    let boot = BootInstant::now();
+    assert!(held.is_valid_at(steady, boot));
+    assert!(
+        !held.is_valid_at(steady, boot + DURATION),
+        "the steady clock stood still"
+    );
+    assert!(!held.is_valid_at(steady + DURATION, boot));
+}
--- /dev/null
+++ b/wagtaildoor_front/src/caller_run/answer_read.rs
@@ -0,0 +1,119 @@
+//! Answers of endpoints on their way to the caller: whole, or relayed as they come.
+
+use http::Response;
+use http_body_util::{
+    BodyExt,
+    Limited, //
+};
+use tokio::{
+    task,
+    time, //
+};
+use wagtaildoor::boot_clock::BootInstant;
+use wagtaildoor_daemon::answer_body::AnswerBody;
+
+use crate::{
+    caller_run::{
+        caller_refusal,
+        connection_headers,
+        CallerRun,
+        StartedAnswer, //
+    },
+    stream_relay,
+    wire_codec::WireCodec,
+};
+
+/// Largest answer that is held until it is complete.
+const WHOLE_ANSWER_LIMIT: usize = 8 << 20;
+/// Parts held for a slow caller before the endpoint is held back.
+const RELAY_PARTS: usize = 32;
+
+impl<C: WireCodec> CallerRun<C> {
+    /// Reads an answer to its end, and gives it.
+    pub(super) async fn whole(mut self, mut started: StartedAnswer) -> Response<AnswerBody> {
+        loop {
+            let endpoint = started.ticket.endpoint().clone();
+            let deadline = self.deadline;
+            let reason = match time::timeout_at(deadline, self.read_whole(started)).await {
+                Ok(Ok(response)) => {
+                    self.log.answered_by(&endpoint.id);
+                    self.log.first_part();
+                    self.log.ended(match response.status().is_success() {
+                        true => "answered",
+                        false => "failure_relayed",
+                    });
+                    return response;
+                }
+                Ok(Err(reason)) => reason,
+                Err(_) => {
+                    let error = self.deadline_passed();
+                    return caller_refusal::refuse(&mut self.log, &error, None);
+                }
+            };
+            self.log.decided(format_args!("broke off: {reason}"));
+            endpoint
+                .health
+                .borrow_mut()
+                .outcome(true, BootInstant::now());
+            self.broke_off(endpoint.key);
+            let next = match self.may_run_again() {
+                true => time::timeout_at(deadline, self.first_answer(None)).await,
+                false => Ok(self.without_place()),
+            };
+            started = match next {
+                Ok(Ok(Some(next))) => next,
+                Ok(Ok(None)) => return self.give_failure(),
+                Ok(Err(error)) => return caller_refusal::refuse(&mut self.log, &error, None),
+                Err(_) => {
+                    let error = self.deadline_passed();
+                    return caller_refusal::refuse(&mut self.log, &error, None);
+                }
+            };
+        }
+    }
+
+    /// Reads an answer to its end.
+    pub(super) async fn read_whole(
+        &mut self,
+        started: StartedAnswer,
+    ) -> std::result::Result<Response<AnswerBody>, Box<str>> {
+        let (parts, body) = started.response.into_parts();
+        let limited = Limited::new(body, WHOLE_ANSWER_LIMIT);
+        let silence = started.ticket.endpoint().health.borrow().silence();
+        let body = tokio::select! {
+            body = limited.collect() => body.map_err(|error| error.to_string())?,
+            () = silence.cancelled() => return Err("endpoint is silent".into()),
+        };
+        let now = BootInstant::now();
+        let endpoint = started.ticket.endpoint();
+        let failed = parts.status.is_server_error();
+        endpoint.health.borrow_mut().outcome(failed, now);
+        self.front
+            .metrics
+            .send(if failed { "failed" } else { "answered" });
+        if !started.head.closing {
+            endpoint
+                .connections
+                .give_back(started.connection, started.head.idle_limit, now);
+        }
+        Ok(connection_headers::caller_response(
+            parts,
+            AnswerBody::whole(body.to_bytes()),
+        ))
+    }
+
+    /// Relays a stream while it comes.
+    pub(super) fn relay(self, started: StartedAnswer) -> Response<AnswerBody> {
+        let (sender, body) = AnswerBody::relayed(RELAY_PARTS);
+        let (parts, incoming) = started.response.into_parts();
+        let response = connection_headers::caller_response(parts, body);
+        let stream = stream_relay::StreamSource {
+            ticket: started.ticket,
+            connection: started.connection,
+            body: incoming,
+            head: started.head,
+        };
+        task::spawn_local(stream_relay::relay(self, stream, sender));
+        response
+    }
+}
--- /dev/null
+++ b/wagtaildoor_front/src/caller_run/caller_refusal.rs
@@ -0,0 +1,64 @@
+//! Answers to requests that are not served.
+
+use std::time::Duration;
+
+use http::{
+    header,
+    HeaderValue,
+    Response,
+    StatusCode, //
+};
+use wagtaildoor::error::{
+    ErrorKind,
+    RequestError,
+    RunOutcome, //
+};
+use wagtaildoor_daemon::answer_body::AnswerBody;
+
+use crate::request_log::RequestLog;
+
+/// Advice on when to come back, where no better estimate is known.
+const RETRY_SOON: Duration = Duration::from_millis(400);
+
+/// The answer to a request that is not served.
+pub(super) fn refuse(
+    log: &mut RequestLog,
+    error: &RequestError,
+    retry_after: Option<Duration>,
+) -> Response<AnswerBody> {
+    log.decided(format_args!("{error}"));
+    log.ended(outcome_name(error.kind));
+    let table = error.kind.answer();
+    let mut response = Response::new(AnswerBody::whole(format!("{error}\n")));
+    *response.status_mut() =
+        StatusCode::from_u16(table.status).unwrap_or(StatusCode::INTERNAL_SERVER_ERROR);
+    let headers = response.headers_mut();
+    headers.insert(header::CONTENT_TYPE, HeaderValue::from_static("text/plain"));
+    if table.retry_after.is_some() && table.outcome == RunOutcome::NotRun {
+        let after = retry_after.unwrap_or(RETRY_SOON).as_secs_f64();
+        if let Ok(value) = HeaderValue::from_str(&format!("{after:.2}")) {
+            headers.insert(header::RETRY_AFTER, value);
+        }
+    }
+    response
+}
+
+/// Name of an outcome in logs and metrics.
+fn outcome_name(kind: ErrorKind) -> &'static str {
+    match kind {
+        ErrorKind::BadRequest => "bad_request",
+        ErrorKind::BodyTooLarge => "body_too_large",
+        ErrorKind::BodyTimeout => "body_timeout",
+        ErrorKind::Unauthorized => "unauthorized",
+        ErrorKind::UnknownRoute => "unknown_route",
+        ErrorKind::Overloaded => "overloaded",
+        ErrorKind::DeadlineUnreachable => "deadline_unreachable",
+        ErrorKind::NoEndpoint => "no_endpoint",
+        ErrorKind::NotConfigured => "not_configured",
+        ErrorKind::EndpointFailed => "endpoint_failed",
+        ErrorKind::DeadlinePassed => "deadline_passed",
+        ErrorKind::OutcomeUnknown => "outcome_unknown",
+        ErrorKind::StreamBroken => "stream_broken",
+        _ => "error",
+    }
+}
--- /dev/null
+++ b/wagtaildoor_front/src/caller_run/request_admission.rs
@@ -0,0 +1,120 @@
+//! Whether a request may be served: its route, its key and its body.
+
+use std::{
+    rc::Rc,
+    time::Duration, //
+};
+
+use bytes::Bytes;
+use http::{
+    header,
+    request, //
+};
+use http_body_util::{
+    BodyExt,
+    LengthLimitError,
+    Limited, //
+};
+use hyper::body::Incoming;
+use tokio::time;
+use wagtaildoor::error::{
+    ErrorKind,
+    RequestError, //
+};
+
+use crate::{
+    caller_run::Result,
+    front::Front,
+    request_log::RequestLog,
+    route_table::{
+        KeyVerdict,
+        RouteTable, //
+    },
+    service_config::{
+        AccountRule,
+        RouteRule, //
+    },
+    wire_codec::CallerHead,
+};
+
+/// Time a caller has to send a body.
+const BODY_TIME: Duration = Duration::from_secs(10);
+
+/// A request that may be served.
+pub(super) struct AdmittedRequest {
+    /// Configuration that admitted it.
+    pub(super) table: Rc<RouteTable>,
+    /// What its head says.
+    pub(super) head: CallerHead,
+    /// Route.
+    pub(super) route: Rc<RouteRule>,
+    /// Client account.
+    pub(super) account: Option<Rc<AccountRule>>,
+}
+
+/// Checks a request against the configuration.
+pub(super) fn admit(
+    front: &Front,
+    parts: &request::Parts,
+    head: CallerHead,
+    log: &mut RequestLog,
+) -> Result<AdmittedRequest> {
+    let Some(table) = front.routes() else {
+        let detail = "this host has read no configuration yet";
+        return Err(RequestError::new(ErrorKind::NotConfigured, detail));
+    };
+    let host = host_name(parts);
+    let Some(route) = table.route(&host, parts.uri.path()).cloned() else {
+        let detail = format!("no route for host {host} and this path");
+        return Err(RequestError::new(ErrorKind::UnknownRoute, detail));
+    };
+    let account = match table.key(&route, head.key.as_deref()) {
+        KeyVerdict::Account(account) => Some(account),
+        KeyVerdict::Anonymous => None,
+        KeyVerdict::Unknown => {
+            let detail = "the key belongs to no client account";
+            return Err(RequestError::new(ErrorKind::Unauthorized, detail));
+        }
+    };
+    let account_id = account.as_ref().map(|account| &account.id);
+    log.classified(&route.id, account_id, table.version());
+    if head.attempt.is_none() {
+        let detail = "the request carries no attempt id";
+        return Err(RequestError::new(ErrorKind::BadRequest, detail));
+    }
+    Ok(AdmittedRequest {
+        table,
+        head,
+        route,
+        account,
+    })
+}
+
+/// Host that a request names, without its port.
+fn host_name(parts: &request::Parts) -> Box<str> {
+    let named = parts.headers.get(header::HOST);
+    let named = named.and_then(|host| host.to_str().ok());
+    let host = named.or_else(|| parts.uri.host()).unwrap_or_default();
+    let host = host.rsplit_once(':').map_or(host, |(name, _)| name);
+    host.to_ascii_lowercase().into()
+}
+
+/// Reads a body to its end.
+pub(super) async fn read_body(body: Incoming, limit: usize) -> Result<Bytes> {
+    let limited = Limited::new(body, limit);
+    match time::timeout(BODY_TIME, limited.collect()).await {
+        Ok(Ok(collected)) => Ok(collected.to_bytes()),
+        Ok(Err(error)) if error.is::<LengthLimitError>() => {
+            let detail = format!("the body is larger than {limit} bytes");
+            Err(RequestError::new(ErrorKind::BodyTooLarge, detail))
+        }
+        Ok(Err(error)) => {
+            let detail = format!("the body cannot be read: {error}");
+            Err(RequestError::new(ErrorKind::BadRequest, detail))
+        }
+        Err(_) => {
+            let detail = format!("the body did not come within {} s", BODY_TIME.as_secs());
+            Err(RequestError::new(ErrorKind::BodyTimeout, detail))
+        }
+    }
+}
