Give a failure that was answered when nothing better comes in time

Cause: the read-through. A lookup whose first endpoint answered with a failure, and whose second did not answer before the deadline, got a 504 of our own although an answer was at hand.

The test fails first (no signed 500 among six lookups), then passes.

--- a/wagtaildoor_front/src/caller_run.rs
+++ b/wagtaildoor_front/src/caller_run.rs
@@ -212,10 +212,7 @@
             Ok(Ok(Some(started))) => started,
             Ok(Ok(None)) => return self.give_failure(),
             Ok(Err(error)) => return caller_refusal::refuse(&mut self.log, &error, None),
-            Err(_) => {
-                let error = self.deadline_passed();
-                return caller_refusal::refuse(&mut self.log, &error, None);
-            }
+            Err(_) => return self.end_at_deadline(),
         };
         if self.route.kind.is_stream() && started.response.status() == StatusCode::OK {
             return self.relay(started);
@@ -418,6 +415,15 @@
         })
     }
 
+    /// Ends the request at its deadline; a failure that an endpoint answered is still given.
+    fn end_at_deadline(mut self) -> Response<AnswerBody> {
+        if self.failure.is_some() {
+            return self.give_failure();
+        }
+        let error = self.deadline_passed();
+        caller_refusal::refuse(&mut self.log, &error, None)
+    }
+
     /// What to say at the deadline.
     fn deadline_passed(&self) -> RequestError {
         if self.arrivals == 0 {
--- a/wagtaildoor_front/src/caller_run/answer_read.rs
+++ b/wagtaildoor_front/src/caller_run/answer_read.rs
@@ -45,10 +45,7 @@
                     return response;
                 }
                 Ok(Err(reason)) => reason,
-                Err(_) => {
-                    let error = self.deadline_passed();
-                    return caller_refusal::refuse(&mut self.log, &error, None);
-                }
+                Err(_) => return self.end_at_deadline(),
             };
             self.log.decided(format_args!("broke off: {reason}"));
             endpoint
@@ -64,10 +61,7 @@
                 Ok(Ok(Some(next))) => next,
                 Ok(Ok(None)) => return self.give_failure(),
                 Ok(Err(error)) => return caller_refusal::refuse(&mut self.log, &error, None),
-                Err(_) => {
-                    let error = self.deadline_passed();
-                    return caller_refusal::refuse(&mut self.log, &error, None);
-                }
+                Err(_) => return self.end_at_deadline(),
             };
         }
     }
