--- a/wagtaildoor_front/src/endpoint_connection.rs
+++ b/wagtaildoor_front/src/endpoint_connection.rs
@@ -5,6 +5,7 @@
         Cell,
         RefCell, //
     },
+    error::Error,
     io,
     net::SocketAddr,
     rc::Rc,
@@ -226,7 +227,7 @@
 }
 
 /// An error with its causes, in one line.
-pub fn error_chain(error: &dyn std::error::Error) -> Box<str> {
+fn error_chain<E: Error>(error: &E) -> Box<str> {
     let mut text = error.to_string();
     let mut cause = error.source();
     while let Some(error) = cause {
