Send hints to each other failure domain once

Change: a hint goes to the hosts of the own domain, and to one host of each other domain, which passes it on; that host changes with each datagram. Hosts name others once a second also while there is news, and only those that are listed or spoke within 3 s, so that hosts that are gone are not kept alive by hearsay.

--- a/wagtaildoor/src/schema.rs
+++ b/wagtaildoor/src/schema.rs
@@ -1233,14 +1233,16 @@
 #[derive(::serde::Deserialize, ::serde::Serialize, Clone, Debug, PartialEq)]
 #[serde(deny_unknown_fields)]
 pub struct FrontHint {
-    ///Host that sent it.
-    pub host: crate::ids::HostId,
     ///Some hosts that it knows.
     pub hosts: ::std::vec::Vec<FrontHost>,
     ///Offset from which it reads the operator's stream on.
     pub operator_next: u64,
+    ///Whether the host that gets it sends it to all others of its failure domain.
+    pub pass_on: bool,
     ///Prefixes that went to engines.
     pub placed: ::std::vec::Vec<PlacedPrefix>,
+    ///Host whose news it is.
+    pub sender: FrontHost,
     ///Weights of engines.
     pub weights: ::std::vec::Vec<EngineWeights>,
     ///What the host still wants read at engines, where that has changed.
@@ -1257,6 +1259,8 @@
 pub struct FrontHost {
     ///Address for other hosts.
     pub address: ::std::boxed::Box<str>,
+    ///Failure domain.
+    pub domain: crate::ids::DomainId,
     ///Name.
     pub host: crate::ids::HostId,
 }
--- a/wagtaildoor_front/src/control_store.rs
+++ b/wagtaildoor_front/src/control_store.rs
@@ -8,6 +8,7 @@
 
 use bytes::Bytes;
 use wagtaildoor::ids::{
+    DomainId,
     EndpointId,
     HostId,
     LogOffset,
@@ -107,6 +108,8 @@
 pub struct GroupMember {
     /// Name.
     pub host: HostId,
+    /// Failure domain.
+    pub domain: DomainId,
     /// Address for other hosts.
     pub address: SocketAddr,
 }
--- a/wagtaildoor_front/src/front.rs
+++ b/wagtaildoor_front/src/front.rs
@@ -25,6 +25,7 @@
         self,
         BlockStore, //
     },
+    control_store::GroupMember,
     endpoint_directory::EndpointDirectory,
     front_metrics::FrontMetrics,
     front_settings::FrontSettings,
@@ -166,6 +167,15 @@
         newer
     }
 
+    /// This host, as others know it.
+    pub fn own_member(&self) -> GroupMember {
+        GroupMember {
+            host: self.settings.host.clone(),
+            domain: self.settings.domain.clone(),
+            address: self.settings.peers,
+        }
+    }
+
     /// Hosts of the group, this one included.
     pub fn hosts(&self) -> usize {
         self.peers.borrow().len().max(1)
--- a/wagtaildoor_front/src/peer_hosts.rs
+++ b/wagtaildoor_front/src/peer_hosts.rs
@@ -1,6 +1,7 @@
 //! Other hosts of the front, as the group lists them and as their hints show them.
 
 use std::{
+    collections::BTreeMap,
     net::SocketAddr,
     time::Duration, //
 };
@@ -11,6 +12,9 @@
 
 /// Time after which a host is forgotten that is neither listed nor heard.
 const FORGET_TIME: Duration = Duration::from_secs(12);
+/// Time after its last own word for which a host is vouched for; hosts send one each second, and
+/// two may be lost.
+const VOUCH_TIME: Duration = Duration::from_secs(3);
 
 /// A host.
 #[derive(Clone, Debug, Eq, PartialEq)]
@@ -19,8 +23,19 @@
     member: GroupMember,
     /// Whether the group listed it last time.
     is_listed: bool,
-    /// When it was last listed or heard.
+    /// When it was last listed or heard, or first named by another.
     seen_at: BootInstant,
+    /// When it last spoke itself.
+    spoke_at: Option<BootInstant>,
+}
+
+/// Where a hint goes.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct HintTarget {
+    /// Address.
+    pub address: SocketAddr,
+    /// Whether it passes the hint on to the hosts of its failure domain.
+    pub passes_on: bool,
 }
 
 /// Hosts of the group, this one included.
@@ -42,13 +57,64 @@
         self.forget(now);
     }
 
-    /// Takes a sign of a host; tells whether it was not known.
-    pub fn heard(&mut self, member: GroupMember, now: BootInstant) -> bool {
-        let is_new = self.see(member, false, now);
+    /// Takes a host's own word; tells whether it was not known.
+    pub fn heard(&mut self, member: &GroupMember, now: BootInstant) -> bool {
+        let is_new = self.see(member.clone(), false, now);
+        if let Some(host) = self.hosts.iter_mut().find(|host| host.member == *member) {
+            host.spoke_at = Some(now);
+        }
         self.forget(now);
         is_new
     }
 
+    /// Takes another host's word that there is this one. It does not keep a host that is known,
+    /// or hosts would keep one that is gone by naming it to each other.
+    pub fn named(&mut self, member: GroupMember, now: BootInstant) {
+        if !self.members().any(|known| *known == member) {
+            self.see(member, false, now);
+        }
+    }
+
+    /// Hosts that this one may name to others: they are listed, or spoke of late.
+    pub fn vouched(&self, now: BootInstant) -> impl Iterator<Item = &GroupMember> {
+        let hosts = self.hosts.iter().filter(move |host| host.is_vouched(now));
+        hosts.map(|host| &host.member)
+    }
+
+    /// Where this host's next hint goes: to all hosts of its failure domain, and to one of each
+    /// other, which passes it on. So a link between domains carries each hint once, whatever the
+    /// number of hosts; the one that passes it on changes with each `round`, so that one that
+    /// fails costs a share of the hints only.
+    pub fn hint_targets(
+        &self,
+        own: &GroupMember,
+        round: usize,
+        now: BootInstant,
+    ) -> Vec<HintTarget> {
+        let mut others: BTreeMap<&str, Vec<&PeerHost>> = BTreeMap::new();
+        let mut targets = Vec::new();
+        for host in self.hosts.iter().filter(|host| host.member != *own) {
+            if host.member.domain == own.domain {
+                targets.push(HintTarget {
+                    address: host.member.address,
+                    passes_on: false,
+                });
+            } else {
+                others.entry(&host.member.domain).or_default().push(host);
+            }
+        }
+        for hosts in others.values_mut() {
+            if hosts.iter().any(|host| host.is_vouched(now)) {
+                hosts.retain(|host| host.is_vouched(now));
+            }
+            targets.push(HintTarget {
+                address: hosts[round % hosts.len()].member.address,
+                passes_on: true,
+            });
+        }
+        targets
+    }
+
     /// All hosts.
     pub fn members(&self) -> impl Iterator<Item = &GroupMember> {
         self.hosts.iter().map(|host| &host.member)
@@ -84,6 +150,7 @@
             member,
             is_listed,
             seen_at: now,
+            spoke_at: None,
         });
         true
     }
@@ -94,3 +161,11 @@
         self.hosts.retain(is_kept);
     }
 }
+
+impl PeerHost {
+    /// Whether it is listed, or spoke of late.
+    fn is_vouched(&self, now: BootInstant) -> bool {
+        let spoke = self.spoke_at.is_some_and(|at| now.since(at) < VOUCH_TIME);
+        self.is_listed || spoke
+    }
+}
--- a/wagtaildoor_front/src/peer_link.rs
+++ b/wagtaildoor_front/src/peer_link.rs
@@ -3,6 +3,7 @@
 use std::{
     collections::HashSet,
     io,
+    mem,
     net::SocketAddr,
     rc::Rc,
     time::Duration, //
@@ -49,16 +50,17 @@
     endpoint::EndpointKey,
     endpoint_connection,
     front::Front,
+    peer_hosts::HintTarget,
     prefix_hash,
     wire_codec::WireCodec, //
 };
 
 /// Pause in which hints are gathered into one datagram.
 const HINT_PAUSE: Duration = Duration::from_millis(25);
-/// Pauses without news after which a datagram goes out all the same.
-const QUIET_PAUSES: u32 = 40;
-/// Hosts that a datagram without news names.
-const GREETING_HOSTS: usize = 3;
+/// Pauses after which a datagram names some hosts, and goes out though there is no news.
+const NAMING_PAUSES: u32 = 40;
+/// Hosts that such a datagram names.
+const NAMED_HOSTS: usize = 3;
 /// Prefixes in one datagram, which keeps it below the size that networks cut.
 const PREFIXES_PER_HINT: usize = 60;
 /// Engines in one datagram.
@@ -77,44 +79,75 @@
 
 /// Sends news to all other hosts as it comes.
 pub async fn send_hints(front: Rc<Front>, socket: Rc<UdpSocket>) {
-    let mut quiet = 0;
+    let own = front.own_member();
+    let mut pauses = 0;
+    let mut round = 0;
     loop {
         time::sleep(HINT_PAUSE).await;
-        quiet += 1;
-        if front.hints.borrow().is_empty() && quiet < QUIET_PAUSES {
+        pauses += 1;
+        let names_hosts = pauses >= NAMING_PAUSES;
+        if front.hints.borrow().is_empty() && !names_hosts {
             continue;
         }
-        quiet = 0;
-        let is_greeting = front.hints.borrow().is_empty();
-        let work = front.hints.borrow_mut().take_work();
-        let (placed, weights) = front.hints.borrow_mut().take(PREFIXES_PER_HINT);
-        let hint = FrontHint {
-            host: front.settings.host.clone(),
-            operator_next: front.mirror.borrow().next(ControlStream::Operator),
-            placed,
-            weights,
-            work: engine_work(&front, work),
-            hosts: if is_greeting {
-                some_hosts(&front)
-            } else {
-                Vec::new()
-            },
-        };
-        let datagram = match frame::encode(&hint) {
-            Ok(datagram) => datagram,
-            Err(error) => {
-                slog::error!(front.log, "hint not encoded"; "error" => %error);
-                continue;
-            }
-        };
-        for peer in peers(&front) {
-            if let Err(error) = socket.try_send_to(&datagram, peer) {
-                slog::debug!(front.log, "hint not sent"; "peer" => %peer, "error" => %error);
-            }
+        let mut hint = next_hint(&front, &own);
+        if names_hosts {
+            pauses = 0;
+            hint.hosts = some_hosts(&front);
+        }
+        round += 1;
+        for target in hint_targets(&front, &own, round) {
+            hint.pass_on = target.passes_on;
+            send_hint(&front, &socket, &hint, target.address);
+        }
+    }
+}
+
+/// What there is to tell the other hosts now.
+fn next_hint(front: &Front, own: &GroupMember) -> FrontHint {
+    let work = front.hints.borrow_mut().take_work();
+    let (placed, weights) = front.hints.borrow_mut().take(PREFIXES_PER_HINT);
+    FrontHint {
+        sender: frame_host(own),
+        pass_on: false,
+        operator_next: front.mirror.borrow().next(ControlStream::Operator),
+        placed,
+        weights,
+        work: engine_work(front, work),
+        hosts: Vec::new(),
+    }
+}
+
+/// Sends one datagram; a hint that is lost is not sent again.
+fn send_hint(front: &Front, socket: &UdpSocket, hint: &FrontHint, peer: SocketAddr) {
+    let datagram = match frame::encode(hint) {
+        Ok(datagram) => datagram,
+        Err(error) => {
+            slog::error!(front.log, "hint not encoded"; "error" => %error);
+            return;
         }
+    };
+    if let Err(error) = socket.try_send_to(&datagram, peer) {
+        slog::debug!(front.log, "hint not sent"; "peer" => %peer, "error" => %error);
     }
 }
 
+/// Where hints go: to hosts of the group, or to the seeds until it is known.
+fn hint_targets(front: &Front, own: &GroupMember, round: usize) -> Vec<HintTarget> {
+    let known = front.peers.borrow();
+    let targets = known.hint_targets(own, round, BootInstant::now());
+    if !targets.is_empty() {
+        return targets;
+    }
+    let seeds = front.settings.seeds.iter().copied();
+    let others = seeds.filter(|&address| address != own.address);
+    others
+        .map(|address| HintTarget {
+            address,
+            passes_on: false,
+        })
+        .collect()
+}
+
 /// What this host still wants read at engines.
 fn engine_work(front: &Front, engines: HashSet<EndpointKey>) -> Vec<EngineWork> {
     let directory = front.endpoints.borrow();
@@ -131,15 +164,30 @@
 
 /// Some hosts of the group, for others that may not know them.
 fn some_hosts(front: &Front) -> Vec<FrontHost> {
+    let now = BootInstant::now();
     let peers = front.peers.borrow();
-    let drawn = BootInstant::now().since(BootInstant::ZERO).as_millis() as usize;
-    let known: Vec<&GroupMember> = peers.members().collect();
-    let some = (0..GREETING_HOSTS.min(known.len())).map(|i| known[(drawn + i) % known.len()]);
-    some.map(|member| FrontHost {
+    let known: Vec<&GroupMember> = peers.vouched(now).collect();
+    let drawn = now.since(BootInstant::ZERO).as_millis() as usize;
+    let some = (0..NAMED_HOSTS.min(known.len())).map(|i| known[(drawn + i) % known.len()]);
+    some.map(frame_host).collect()
+}
+
+/// A host in frames.
+fn frame_host(member: &GroupMember) -> FrontHost {
+    FrontHost {
         host: member.host.clone(),
+        domain: member.domain.clone(),
         address: member.address.to_string().into(),
+    }
+}
+
+/// A host by what a frame says; `None` if its address cannot be read.
+fn member_of(host: &FrontHost) -> Option<GroupMember> {
+    Some(GroupMember {
+        host: host.host.clone(),
+        domain: host.domain.clone(),
+        address: host.address.parse().ok()?,
     })
-    .collect()
 }
 
 /// Takes news of other hosts.
@@ -154,19 +202,42 @@
                 continue;
             }
         };
-        match frame::decode::<FrontHint>(&buffer[..length]) {
-            Ok(hint) => take_hint::<C>(&front, hint, from),
+        let mut hint = match frame::decode::<FrontHint>(&buffer[..length]) {
+            Ok(hint) => hint,
             Err(error) => {
                 slog::debug!(front.log, "datagram dropped"; "from" => %from, "error" => %error);
+                continue;
             }
+        };
+        let Some(sender) = member_of(&hint.sender) else {
+            slog::debug!(front.log, "datagram dropped"; "from" => %from,
+                "error" => "the sender's address cannot be read");
+            continue;
+        };
+        if mem::take(&mut hint.pass_on) {
+            pass_on(&front, &socket, &hint, &sender);
         }
+        take_hint::<C>(&front, hint, &sender);
+    }
+}
+
+/// Sends a hint of another failure domain to all other hosts of this one.
+fn pass_on(front: &Front, socket: &UdpSocket, hint: &FrontHint, sender: &GroupMember) {
+    let own = front.own_member();
+    if sender.domain == own.domain {
+        return;
+    }
+    let peers = front.peers.borrow();
+    let here = peers.members().filter(|host| host.domain == own.domain);
+    for host in here.filter(|host| **host != own) {
+        send_hint(front, socket, hint, host.address);
     }
 }
 
 /// Takes one hint.
-fn take_hint<C: WireCodec>(front: &Rc<Front>, hint: FrontHint, from: SocketAddr) {
+fn take_hint<C: WireCodec>(front: &Rc<Front>, hint: FrontHint, sender: &GroupMember) {
     let now = BootInstant::now();
-    meet(front, &hint, from);
+    meet(front, &hint, sender);
     let mut homes = front.homes.borrow_mut();
     for placed in &hint.placed {
         homes.note(placed.prefix, placed.endpoint, placed.is_read, now);
@@ -175,7 +246,7 @@
     for work in &hint.work {
         if let Some(endpoint) = endpoints.by_key(work.endpoint) {
             let mut load = endpoint.load.borrow_mut();
-            load.peer_prefill(from, work.tokens, now);
+            load.peer_prefill(sender.address, work.tokens, now);
         }
     }
     for seen in &hint.weights {
@@ -188,32 +259,20 @@
         }
     }
     if hint.operator_next > front.mirror.borrow().next(ControlStream::Operator) {
-        task::spawn_local(catch_up::<C>(front.clone(), hint.operator_next, from));
+        let ahead = catch_up::<C>(front.clone(), hint.operator_next, sender.address);
+        task::spawn_local(ahead);
     }
 }
 
-/// Adds a host that was not known.
-fn meet(front: &Front, hint: &FrontHint, from: SocketAddr) {
+/// Notes the host that sent a hint, and those that it names.
+fn meet(front: &Front, hint: &FrontHint, sender: &GroupMember) {
     let now = BootInstant::now();
-    let member = GroupMember {
-        host: hint.host.clone(),
-        address: from,
-    };
     let mut peers = front.peers.borrow_mut();
-    if peers.heard(member, now) {
-        slog::info!(front.log, "host met"; "host" => &*hint.host, "address" => %from);
+    if peers.heard(sender, now) {
+        slog::info!(front.log, "host met"; "host" => &*sender.host, "address" => %sender.address);
     }
-    for other in &hint.hosts {
-        let Ok(address) = other.address.parse() else {
-            continue;
-        };
-        let member = GroupMember {
-            host: other.host.clone(),
-            address,
-        };
-        if !peers.members().any(|known| *known == member) {
-            peers.heard(member, now);
-        }
+    for other in hint.hosts.iter().filter_map(member_of) {
+        peers.named(other, now);
     }
 }
 
--- a/wagtaildoor_front/src/shard_leases.rs
+++ b/wagtaildoor_front/src/shard_leases.rs
@@ -224,10 +224,7 @@
         validity: policy.lease_validity,
         handover: policy.handover,
     };
-    let own = GroupMember {
-        host: front.settings.host.clone(),
-        address: front.settings.peers,
-    };
+    let own = front.own_member();
     let mut known = None;
     let mut generation = 0;
     let mut history = OwnerHistory::default();
--- a/wagtaildoor_front/tests/shard_leases.rs
+++ b/wagtaildoor_front/tests/shard_leases.rs
@@ -49,6 +49,7 @@
 fn member(number: usize) -> GroupMember {
     GroupMember {
         host: format!("host-{number}").into(),
+        domain: "north".into(),
         address: format!("10.0.0.{}:7000", number + 1)
             .parse()
             .expect("an address"),
