--- a/wagtaildoor_front/src/control_follower.rs
+++ b/wagtaildoor_front/src/control_follower.rs
@@ -1,6 +1,7 @@
 //! Follows the streams of the platform's store, and takes over what their records say.
 
 use std::{
+    collections::HashSet,
     rc::Rc,
     time::Duration, //
 };
@@ -30,6 +31,7 @@
     peer_link,
     route_table::RouteTable,
     service_config::ServiceConfig,
+    snapshot_read::SnapshotRead,
     wire_codec::WireCodec,
 };
 
@@ -41,8 +43,10 @@
 const START_TIME: Duration = Duration::from_secs(3);
 /// Time that the store has for the first answer before other hosts are asked.
 const START_PAUSE: Duration = Duration::from_millis(120);
-/// Hosts that are asked after the start.
+/// Hosts that are asked with this pause after the start.
 const START_ASKS: u32 = 6;
+/// Pause between later asks, when the store or the others need seconds.
+const LATE_START_PAUSE: Duration = Duration::from_millis(500);
 /// Time without an answer of the store that counts as an outage, for the endpoints' sake.
 const OUTAGE_TIME: Duration = Duration::from_millis(2_500);
 
@@ -63,6 +67,10 @@
     stream: ControlStream,
     /// Offset from which to read on; `None` asks for a snapshot.
     cursor: Option<u64>,
+    /// Snapshot that is being read.
+    snapshot: SnapshotRead,
+    /// Whether nothing was read so far, so that what another host has read serves as well.
+    is_start: bool,
     /// When the store last answered.
     answered_at: Option<BootInstant>,
     /// When the store answered again after an outage.
@@ -73,37 +81,39 @@
     pause: Duration,
 }
 
+/// What one read gave.
+enum StreamRead {
+    /// Part of a snapshot; more follows.
+    Part,
+    /// Records to take over, and where they came from.
+    Page(ControlPage, PageSource),
+}
+
 /// Follows one stream until the process ends.
 pub async fn follow<C: WireCodec, S: ControlStore>(
     front: Rc<Front>,
     store: S,
     stream: ControlStream,
 ) {
-    let mut state = FollowState {
-        stream,
-        cursor: None,
-        answered_at: None,
-        returned_at: None,
-        is_lost: false,
-        pause: RETRY_PAUSE_MIN,
-    };
+    let mut state = FollowState::new(stream);
     task::spawn_local(start_from_peers::<C>(front.clone(), stream));
     loop {
-        let source = match state.cursor {
-            None => PageSource::Snapshot,
-            Some(_) => PageSource::Changes,
-        };
+        state.start_from_mirror(&front);
+        let trouble = front.store_trouble.notified();
+        let is_waiting = state.is_waiting();
         let result = tokio::select! {
-            result = state.read(&front, &store) => result,
+            result = state.read::<C, S>(&front, &store) => result,
             // The store may have dropped a read that waits without a word.
-            () = front.store_trouble.notified(), if state.is_waiting() => {
+            () = trouble, if is_waiting => {
                 Err(StoreError::Unavailable("another read had no answer".into()))
             }
         };
         match result {
-            Ok(page) => {
+            Ok(StreamRead::Part) => state.answered(&front),
+            Ok(StreamRead::Page(page, source)) => {
                 state.answered(&front);
                 state.cursor = Some(page.next);
+                state.is_start = false;
                 take_page::<C>(&front, stream, &page, source, state.is_after_outage());
                 if stream == ControlStream::Endpoints {
                     time::sleep(front.settings.times.list_pause).await;
@@ -112,6 +122,7 @@
             Err(StoreError::Expired) => {
                 slog::info!(front.log, "stream expired, reading a snapshot"; "stream" => ?stream);
                 state.cursor = None;
+                state.is_start = false;
             }
             Err(error) => {
                 state.failed(&front, &error);
@@ -123,10 +134,16 @@
     }
 }
 
-/// Asks other hosts for a stream, if the store has not given it soon after the start.
+/// Asks other hosts for a stream until it is there, if the store has not given it soon after the
+/// start.
 async fn start_from_peers<C: WireCodec>(front: Rc<Front>, stream: ControlStream) {
-    for _ in 0..START_ASKS {
-        time::sleep(START_PAUSE).await;
+    for ask in 0.. {
+        let pause = if ask < START_ASKS {
+            START_PAUSE
+        } else {
+            LATE_START_PAUSE
+        };
+        time::sleep(pause).await;
         if front.mirror.borrow().next(stream) > 0 {
             return;
         }
@@ -135,16 +152,65 @@
 }
 
 impl FollowState {
+    /// Nothing read yet.
+    fn new(stream: ControlStream) -> Self {
+        Self {
+            stream,
+            cursor: None,
+            snapshot: SnapshotRead::default(),
+            is_start: true,
+            answered_at: None,
+            returned_at: None,
+            is_lost: false,
+            pause: RETRY_PAUSE_MIN,
+        }
+    }
+
+    /// Reads on from what another host gave, if that was sooner than the store's snapshot.
+    fn start_from_mirror(&mut self, front: &Front) {
+        let next = front.mirror.borrow().next(self.stream);
+        if self.is_start && next > 0 {
+            slog::info!(front.log, "stream taken from a peer"; "stream" => ?self.stream,
+                "next" => next);
+            self.cursor = Some(next);
+            self.snapshot = SnapshotRead::default();
+            self.is_start = false;
+        }
+    }
+
     /// Reads what is next; waits long for it only while the store is known to answer.
-    async fn read<S: ControlStore>(&self, front: &Front, store: &S) -> Result<ControlPage> {
+    async fn read<C: WireCodec, S: ControlStore>(
+        &mut self,
+        front: &Front,
+        store: &S,
+    ) -> Result<StreamRead> {
         let Some(from) = self.cursor else {
-            return store.snapshot(self.stream).await;
+            return self.read_snapshot::<C, S>(front, store).await;
         };
         let wait = match self.is_waiting() {
             true => front.settings.times.operator_wait,
             false => Duration::ZERO,
         };
-        store.changes(self.stream, from, wait).await
+        let page = store.changes(self.stream, from, wait).await?;
+        Ok(StreamRead::Page(page, PageSource::Changes))
+    }
+
+    /// Reads the next part of a snapshot; its records are in use before the others are there.
+    async fn read_snapshot<C: WireCodec, S: ControlStore>(
+        &mut self,
+        front: &Front,
+        store: &S,
+    ) -> Result<StreamRead> {
+        let snapshot = &mut self.snapshot;
+        let part = store.snapshot(self.stream, snapshot.after(), snapshot.patience());
+        let part = part.await.inspect_err(|_| snapshot.failed())?;
+        let after_outage = self
+            .returned_at
+            .is_some_and(|at| at.elapsed() < RETURN_TIME);
+        let source = PageSource::Snapshot;
+        take_records::<C>(front, self.stream, &part.records, source, after_outage);
+        let whole = self.snapshot.take(part);
+        Ok(whole.map_or(StreamRead::Part, |page| StreamRead::Page(page, source)))
     }
 
     /// Whether a read waits until there is something to read.
@@ -186,40 +252,57 @@
     }
 }
 
-/// Takes over the records of a page that are newer than those held.
-pub fn take_page<C: WireCodec>(
+/// Takes over records that are newer than those held.
+fn take_records<C: WireCodec>(
     front: &Front,
     stream: ControlStream,
-    page: &ControlPage,
+    records: &[ControlRecord],
     source: PageSource,
     after_outage: bool,
 ) {
     let now = BootInstant::now();
-    for record in &page.records {
+    for record in records {
         if front.mirror.borrow_mut().take(stream, record) {
             let fact = C::control_fact(stream, record);
             take_fact(front, record, fact, source, after_outage, now);
         }
     }
-    let mut mirror = front.mirror.borrow_mut();
-    mirror.read_to(stream, page.next);
+}
+
+/// Takes over a page; a snapshot also shows what is gone.
+pub fn take_page<C: WireCodec>(
+    front: &Front,
+    stream: ControlStream,
+    page: &ControlPage,
+    source: PageSource,
+    after_outage: bool,
+) {
+    take_records::<C>(front, stream, &page.records, source, after_outage);
+    front.mirror.borrow_mut().read_to(stream, page.next);
     if stream != ControlStream::Endpoints {
         return;
     }
     front.list_read.set(true);
-    front.list_at.set(Some(now));
+    front.list_at.set(Some(BootInstant::now()));
     if source == PageSource::Snapshot {
-        let is_named = |key: &str| {
-            let newer = mirror.offset(stream, key);
-            page.records.iter().any(|record| &*record.key == key)
-                || newer.is_some_and(|offset| offset >= page.next)
-        };
-        let mut endpoints = front.endpoints.borrow_mut();
-        let gone = endpoints.keep_only(is_named, after_outage, now);
-        for id in gone {
-            mirror.forget(stream, &id);
-            slog::info!(front.log, "endpoint gone"; "endpoint" => &*id, "by" => "snapshot");
-        }
+        keep_named(front, page, after_outage);
+    }
+}
+
+/// Takes off endpoints that a snapshot does not name, unless they were described after it.
+fn keep_named(front: &Front, snapshot: &ControlPage, after_outage: bool) {
+    let stream = ControlStream::Endpoints;
+    let named: HashSet<&str> = snapshot.records.iter().map(|r| &*r.key).collect();
+    let mut mirror = front.mirror.borrow_mut();
+    let is_kept = |key: &str| {
+        let newer = mirror.offset(stream, key);
+        named.contains(key) || newer.is_some_and(|offset| offset >= snapshot.next)
+    };
+    let mut endpoints = front.endpoints.borrow_mut();
+    let gone = endpoints.keep_only(is_kept, after_outage, BootInstant::now());
+    for id in gone {
+        mirror.forget(stream, &id);
+        slog::info!(front.log, "endpoint gone"; "endpoint" => &*id, "by" => "snapshot");
     }
 }
 
--- a/wagtaildoor_front/src/control_store.rs
+++ b/wagtaildoor_front/src/control_store.rs
@@ -67,6 +67,17 @@
     pub next: LogOffset,
 }
 
+/// Part of a snapshot: the newest records of some keys.
+#[derive(Clone, Debug, Default, Eq, PartialEq)]
+pub struct SnapshotPart {
+    /// Records.
+    pub records: Vec<ControlRecord>,
+    /// End of the stream when this part was read.
+    pub end: LogOffset,
+    /// Key after which the next part begins; `None` if this is the last.
+    pub more_after: Option<Box<str>>,
+}
+
 /// Part of the engines that one host at a time gives orders to.
 pub type ShardId = u32;
 
@@ -144,8 +155,14 @@
 
 /// The platform's store.
 pub trait ControlStore: Clone + 'static {
-    /// The newest record of each key of a stream.
-    fn snapshot(&self, stream: ControlStream) -> impl Future<Output = Result<ControlPage>>;
+    /// The newest record of each key of a stream, from the one behind `after` on, as many as the
+    /// store gives at a time. Waits for `patience` beyond the usual time for an answer.
+    fn snapshot(
+        &self,
+        stream: ControlStream,
+        after: Option<&str>,
+        patience: Duration,
+    ) -> impl Future<Output = Result<SnapshotPart>>;
 
     /// Records of a stream from an offset on; waits up to `wait` for the first.
     fn changes(
--- a/wagtaildoor_front/src/lib.rs
+++ b/wagtaildoor_front/src/lib.rs
@@ -31,6 +31,7 @@
 pub mod route_table;
 pub mod service_config;
 pub mod shard_leases;
+pub mod snapshot_read;
 pub mod stream_relay;
 pub mod weights_rollout;
 pub mod wire_codec;
