Count the time to read a long prompt by its pairs of tokens

Each token is compared with all before it, so the time grows with the square, and a prompt of 40,000 tokens keeps an engine almost twice as long as was counted. Change: the work of a prompt counts 20 tokens for each million pairs (setting pair_tokens_per_million). Holders and homes of a prompt are looked up once for a choice instead of once for each engine, which was quadratic in the engines for a part that nobody holds.

--- a/wagtaildoor/src/schema.rs
+++ b/wagtaildoor/src/schema.rs
@@ -2260,6 +2260,9 @@
     ///Cost of each request beyond an engine's slots, in milliseconds; about the time until one ends.
     #[serde(default = "defaults::default_u64::<u64, 40>")]
     pub over_slots_ms: u64,
+    ///Tokens of plain reading that a million pairs of prompt tokens cost, each token paired with each one before it and after it: 200 ms at 100 tokens a millisecond for 32,000 tokens.
+    #[serde(default = "defaults::default_u64::<u64, 20>")]
+    pub pair_tokens_per_million: u64,
     ///Cost of a plain endpoint in another failure domain, in milliseconds; about the way there and back.
     #[serde(default = "defaults::default_u64::<u64, 4>")]
     pub plain_other_domain_ms: u64,
@@ -2295,6 +2298,7 @@
             old_weights_ms: defaults::default_u64::<u64, 150>(),
             other_domain_ms: defaults::default_u64::<u64, 15>(),
             over_slots_ms: defaults::default_u64::<u64, 40>(),
+            pair_tokens_per_million: defaults::default_u64::<u64, 20>(),
             plain_other_domain_ms: defaults::default_u64::<u64, 4>(),
             plain_work_ms: defaults::default_u64::<u64, 30>(),
             prefill_tokens_per_s: defaults::default_u64::<u64, 90000>(),
--- a/wagtaildoor_front/src/engine_placement.rs
+++ b/wagtaildoor_front/src/engine_placement.rs
@@ -1,5 +1,7 @@
 //! Chooses an engine for a prompt: queue, tokens to read, weights and distance against each other.
 
+mod prompt_view;
+
 use std::time::Duration;
 
 use wagtaildoor::{
@@ -8,11 +10,6 @@
         PrefixId,
         WeightsVersion, //
     },
-    rendezvous::{
-        self,
-        HomeMember, //
-    },
-    residency::SlotIndex,
 };
 
 use crate::{
@@ -20,13 +17,11 @@
     prompt_homes::PromptHomes, //
 };
 
+use prompt_view::PromptView;
+
 /// Times the expected cost that a request is taken to wait before it begins.
 const BEGIN_TIMES: f64 = 2.0;
 
-/// Time since its last use in which an engine is trusted to hold a prefix; engines of the sheet
-/// turn their memory over in four to five seconds.
-const FRESH_TIME: Duration = Duration::from_millis(2_500);
-
 /// Tokens of an answer that takes longer than a wave of loads.
 const LONG_ANSWER_TOKENS: u64 = 16;
 
@@ -35,6 +30,8 @@
 pub struct EnginePolicy {
     /// Prompt tokens that an engine reads in a millisecond.
     pub prefill_tokens_per_ms: f64,
+    /// Tokens of plain reading that a million pairs of prompt tokens cost.
+    pub pair_tokens_per_million: f64,
     /// Tokens of an average request, for queues of which only the length is known.
     pub queued_request_tokens: f64,
     /// Cost of each request that runs at an engine, in milliseconds.
@@ -78,7 +75,7 @@
     pub domain: u64,
     /// Weights that it serves the model with.
     pub weights: WeightsVersion,
-    /// Prompt tokens that it has to read first.
+    /// Work of reading that it has to do first, as [`EngineChoice::prefill_tokens`] counts it.
     pub prefill_tokens: f64,
     /// Requests that wait there without a known length.
     pub waiting: f64,
@@ -161,7 +158,8 @@
     pub source: Option<BlockSource>,
     /// Store that it sends blocks to.
     pub copy_to: Option<usize>,
-    /// Tokens that it is expected to read.
+    /// Work of reading that is expected, in tokens at the start of a prompt; those far behind it
+    /// take longer, since each is compared with all before it.
     pub prefill_tokens: u64,
     /// Expected cost, in milliseconds.
     pub cost_ms: f64,
@@ -170,7 +168,7 @@
 /// What one engine would have to do for the prompt.
 #[derive(Clone, Copy, Debug, PartialEq)]
 struct PromptWork {
-    /// Tokens that it has to read.
+    /// Work of reading that it has to do.
     read_tokens: f64,
     /// Tokens that it has to fetch.
     fetch_tokens: f64,
@@ -186,12 +184,18 @@
     demand: &EngineDemand<'_>,
     policy: &EnginePolicy,
 ) -> Option<EngineChoice> {
+    let views = demand.prefixes.iter();
+    let views = views.map(|(weights, chain)| PromptView::new(field, *weights, chain));
+    let views: Vec<PromptView<'_>> = views.collect();
+    let none = PromptView::new(field, 0, &[]);
+    let view_of = |weights| views.iter().find(|view| view.weights() == weights);
     let mut best: Option<EngineChoice> = None;
     for (index, candidate) in field.engines.iter().enumerate() {
         if candidate.is_excluded || candidate.weights == 0 {
             continue;
         }
-        let work = prompt_work(index, field, demand);
+        let view = view_of(candidate.weights).unwrap_or(&none);
+        let work = prompt_work(index, view, demand, policy);
         let cost_ms = cost_ms(candidate, demand, &work, policy);
         if !may_use_weights(candidate, demand, cost_ms, policy) {
             continue;
@@ -208,7 +212,8 @@
         }
     }
     best.map(|mut best| {
-        best.copy_to = store_for_copy(field, demand, best.weights, policy);
+        let view = view_of(best.weights);
+        best.copy_to = view.and_then(|view| store_for_copy(view, demand, policy));
         best
     })
 }
@@ -216,36 +221,17 @@
 /// A store that should get the prompt's blocks: it does not hold the shared part yet, and what is
 /// sent along beside it is not too much.
 fn store_for_copy(
-    field: &PlacementField<'_>,
+    view: &PromptView<'_>,
     demand: &EngineDemand<'_>,
-    weights: WeightsVersion,
     policy: &EnginePolicy,
 ) -> Option<usize> {
-    let innermost = prefixes(demand, weights).last()?;
+    let innermost = view.chain().last()?;
     let own = demand.tokens - innermost.tokens;
     if own > innermost.tokens * policy.copy_own_share {
         return None;
     }
-    let store = store_of(innermost.id, field.stores)?;
-    let key = field.stores[store].key;
-    let held = field.homes.holder(innermost.id, key, field.now);
-    held.is_none().then_some(store)
-}
-
-/// The store that keeps a prefix.
-fn store_of(prefix: PrefixId, stores: &[StoreCandidate]) -> Option<usize> {
-    let members = stores.iter().enumerate().map(|(index, store)| HomeMember {
-        slot: index as SlotIndex,
-        hash: store.key,
-    });
-    rendezvous::first_home(prefix, members).map(|slot| slot as usize)
-}
-
-/// Shared prefixes of a prompt under weights.
-fn prefixes<'a>(demand: &EngineDemand<'a>, weights: WeightsVersion) -> &'a [SharedPrefix] {
-    let mut by_weights = demand.prefixes.iter();
-    let chain = by_weights.find(|(version, _)| *version == weights);
-    chain.map_or(&[], |(_, chain)| chain)
+    let store = view.home_store()?;
+    (!view.is_in_store(store)).then_some(store)
 }
 
 /// Whether an engine's weights will be new enough when it begins the request.
@@ -293,115 +279,60 @@
 }
 
 /// What an engine would have to do for a prompt.
-fn prompt_work(index: usize, field: &PlacementField<'_>, demand: &EngineDemand<'_>) -> PromptWork {
-    let candidate = &field.engines[index];
-    let chain = prefixes(demand, candidate.weights);
-    let Some(innermost) = chain.last() else {
+fn prompt_work(
+    index: usize,
+    view: &PromptView<'_>,
+    demand: &EngineDemand<'_>,
+    policy: &EnginePolicy,
+) -> PromptWork {
+    let Some(innermost) = view.chain().len().checked_sub(1) else {
         return PromptWork {
-            read_tokens: demand.tokens,
+            read_tokens: read_work(0.0, demand.tokens, policy),
             fetch_tokens: 0.0,
             source: None,
             is_home: true,
         };
     };
-    let holds = |prefix: &&SharedPrefix| {
-        let holder = field.homes.holder(prefix.id, candidate.key, field.now);
-        holder.is_some()
-    };
-    let held_tokens = chain
-        .iter()
-        .rev()
-        .find(holds)
-        .map_or(0.0, |held| held.tokens);
-    if held_tokens >= innermost.tokens {
+    let held = view.held(index);
+    let held_tokens = held.map_or(0.0, |held| view.chain()[held].tokens);
+    if held == Some(innermost) {
         // It may have evicted the prefix since: what is still there is not fetched again.
         return PromptWork {
-            read_tokens: demand.tokens - held_tokens,
+            read_tokens: read_work(held_tokens, demand.tokens, policy),
             fetch_tokens: 0.0,
-            source: known_source(innermost.id, index, field),
+            source: view.known_source(innermost, index),
             is_home: true,
         };
     }
-    let beyond = chain
-        .iter()
-        .rev()
-        .filter(|prefix| prefix.tokens > held_tokens);
-    for prefix in beyond {
-        if let Some(source) = known_source(prefix.id, index, field) {
+    let beyond = held.map_or(0, |held| held + 1)..=innermost;
+    for prefix in beyond.rev() {
+        if let Some(source) = view.known_source(prefix, index) {
+            let tokens = view.chain()[prefix].tokens;
             return PromptWork {
-                read_tokens: demand.tokens - prefix.tokens,
-                fetch_tokens: prefix.tokens - held_tokens,
+                read_tokens: read_work(tokens, demand.tokens, policy),
+                fetch_tokens: tokens - held_tokens,
                 source: Some(source),
                 is_home: false,
             };
         }
     }
     // Nobody is known to hold more. Other hosts read it at its home first, if they have at all.
-    let home = home(innermost.id, field.engines, candidate.weights);
-    let is_home = home == Some(index);
+    let is_home = view.home() == Some(index);
     let source = if is_home {
-        store_of(innermost.id, field.stores).map(BlockSource::Store)
+        view.home_store().map(BlockSource::Store)
     } else {
-        home.map(BlockSource::Engine)
+        view.home().map(BlockSource::Engine)
     };
     PromptWork {
-        read_tokens: demand.tokens - held_tokens,
+        read_tokens: read_work(held_tokens, demand.tokens, policy),
         fetch_tokens: 0.0,
         source,
         is_home,
     }
 }
 
-/// Where else a prefix is known to have been read: at an engine of late, in a store, or at an
-/// engine some time ago, when it may have been evicted since.
-fn known_source(prefix: PrefixId, index: usize, field: &PlacementField<'_>) -> Option<BlockSource> {
-    let target = &field.engines[index];
-    let mut late = None;
-    let mut far = None;
-    for holder in field
-        .homes
-        .holders(prefix, field.now)
-        .filter(|holder| holder.is_read)
-    {
-        let place = field.engines.iter().position(|e| e.key == holder.endpoint);
-        let Some(place) = place.filter(|&place| place != index) else {
-            continue;
-        };
-        let engine = &field.engines[place];
-        if engine.weights != target.weights || engine.is_excluded {
-            continue;
-        }
-        if field.now.since(holder.used) > FRESH_TIME {
-            late = late.or(Some(BlockSource::Engine(place)));
-        } else if engine.domain == target.domain {
-            return Some(BlockSource::Engine(place));
-        } else {
-            far = far.or(Some(BlockSource::Engine(place)));
-        }
-    }
-    far.or_else(|| known_store(prefix, field)).or(late)
-}
-
-/// The store, if it is known to hold a prefix.
-fn known_store(prefix: PrefixId, field: &PlacementField<'_>) -> Option<BlockSource> {
-    let held = |&(_, store): &(usize, &StoreCandidate)| {
-        let holder = field.homes.holder(prefix, store.key, field.now);
-        holder.is_some_and(|holder| holder.is_read)
-    };
-    let mut stores = field.stores.iter().enumerate();
-    stores
-        .find(held)
-        .map(|(index, _)| BlockSource::Store(index))
-}
-
-/// The engine at which all hosts would read a prefix first; one that is silent is no home, and
-/// no source either.
-fn home(prefix: PrefixId, engines: &[EngineCandidate], weights: WeightsVersion) -> Option<usize> {
-    let members = engines.iter().enumerate();
-    let members = members.filter(|(_, engine)| engine.weights == weights && !engine.is_excluded);
-    let members = members.map(|(index, engine)| HomeMember {
-        slot: index as SlotIndex,
-        hash: engine.key,
-    });
-    rendezvous::first_home(prefix, members).map(|slot| slot as usize)
+/// Work of reading a prompt of which so many tokens are there, in tokens at its start.
+fn read_work(held: f64, tokens: f64, policy: &EnginePolicy) -> f64 {
+    let million_pairs = (tokens * tokens - held * held).max(0.0) / 1e6;
+    (tokens - held).max(0.0) + million_pairs * policy.pair_tokens_per_million
 }
--- a/wagtaildoor_front/tests/control_follower.rs
+++ b/wagtaildoor_front/tests/control_follower.rs
@@ -160,6 +160,7 @@
         },
         engines: EnginePolicy {
             prefill_tokens_per_ms: 90.0,
+            pair_tokens_per_million: 20.0,
             queued_request_tokens: 2_000.0,
             running_ms: 0.7,
             over_slots_ms: 40.0,
