Give long lists to one host at a time, log lists by their number

Cause: a host that starts asked others for the whole list also while the store was giving it, and several such answers at a time share one link of 24 Mbit/s, so that none comes within 600 ms. 3,000 endpoints were logged with a line each. Change: a host asks others only while the store gives nothing; one long answer at a time; one line for a whole list.

--- a/wagtaildoor_front/src/control_follower.rs
+++ b/wagtaildoor_front/src/control_follower.rs
@@ -134,9 +134,9 @@
     }
 }
 
-/// Asks other hosts for a stream until it is there, if the store has not given it soon after the
-/// start.
+/// Asks other hosts for a stream until it is there, while the store gives nothing of it.
 async fn start_from_peers<C: WireCodec>(front: Rc<Front>, stream: ControlStream) {
+    let mut held = 0;
     for ask in 0.. {
         let pause = if ask < START_ASKS {
             START_PAUSE
@@ -144,10 +144,14 @@
             LATE_START_PAUSE
         };
         time::sleep(pause).await;
+        let now_held = front.mirror.borrow().len(stream);
         if front.mirror.borrow().next(stream) > 0 {
             return;
         }
-        peer_link::fetch::<C>(&front, stream).await;
+        if now_held == held {
+            peer_link::fetch::<C>(&front, stream).await;
+        }
+        held = now_held;
     }
 }
 
@@ -287,6 +291,10 @@
     if source == PageSource::Snapshot {
         keep_named(front, page, after_outage);
     }
+    if source != PageSource::Changes {
+        slog::info!(front.log, "list of endpoints"; "by" => ?source,
+            "endpoints" => front.endpoints.borrow().len(), "next" => page.next);
+    }
 }
 
 /// Takes off endpoints that a snapshot does not name, unless they were described after it.
@@ -323,7 +331,7 @@
                     "version" => version, "offset" => record.offset);
             }
         }
-        ControlFact::Endpoint(described) => take_endpoint(front, record, described, now),
+        ControlFact::Endpoint(described) => take_endpoint(front, record, described, source, now),
         ControlFact::EndpointGone { id, fault } => {
             if let Some(fault) = fault {
                 slog::warn!(front.log, "endpoint's description unreadable";
@@ -363,11 +371,12 @@
         "in_force" => taken);
 }
 
-/// Takes a description of an endpoint.
+/// Takes a description of an endpoint. Those of a whole list are logged by their number.
 fn take_endpoint(
     front: &Front,
     record: &ControlRecord,
     described: EndpointRecord,
+    source: PageSource,
     now: BootInstant,
 ) {
     let id = described.id.clone();
@@ -375,6 +384,7 @@
     let change = front.endpoints.borrow_mut().describe(described, now);
     let change = match change {
         DirectoryChange::None => return,
+        DirectoryChange::Appeared if source != PageSource::Changes => return,
         DirectoryChange::Appeared => "appeared",
         DirectoryChange::Leaving => "leaving",
         DirectoryChange::Returned => "returned",
--- a/wagtaildoor_front/src/peer_link.rs
+++ b/wagtaildoor_front/src/peer_link.rs
@@ -13,8 +13,10 @@
 use tokio::{
     net::{
         TcpListener,
+        TcpStream,
         UdpSocket, //
     },
+    sync::Semaphore,
     task,
     time, //
 };
@@ -69,6 +71,10 @@
 const DATAGRAM_BYTES: usize = 4_096;
 /// Time for one exchange of records with another host.
 const RECORDS_TIME: Duration = Duration::from_millis(600);
+/// Records of an answer that takes a host's link for long; a usual one has a few.
+const LONG_ANSWER_RECORDS: usize = 500;
+/// Such answers that a host gives at a time.
+const LONG_ANSWERS: usize = 1;
 /// Time that the own read of the store has before a peer is asked for what it has seen.
 const OWN_READ_TIME: Duration = Duration::from_millis(120);
 
@@ -333,6 +339,7 @@
 
 /// Gives other hosts the records that they ask for.
 pub async fn serve_records(front: Rc<Front>, listener: TcpListener) {
+    let long_answers = Rc::new(Semaphore::new(LONG_ANSWERS));
     loop {
         let stream = match listener.accept().await {
             Ok((stream, _)) => stream,
@@ -343,16 +350,9 @@
             }
         };
         let front = front.clone();
+        let long_answers = long_answers.clone();
         task::spawn_local(async move {
-            let (reader, writer) = stream.into_split();
-            let answer = async {
-                let ask = FrameReader::new(reader).next::<FrontAsk>().await?;
-                if let Some(ask) = ask {
-                    let records = records_for(&front, &ask);
-                    FrameWriter::new(writer).send(&records).await?;
-                }
-                Ok::<_, frame::FrameError>(())
-            };
+            let answer = answer_ask(&front, stream, &long_answers);
             if let Ok(Err(error)) = time::timeout(RECORDS_TIME, answer).await {
                 slog::debug!(front.log, "records not given"; "error" => %error);
             }
@@ -360,6 +360,29 @@
     }
 }
 
+/// Answers one host. While one long answer is on its way, others that want one get none: several
+/// at a time would share this host's link, and none would be there in time.
+async fn answer_ask(
+    front: &Front,
+    stream: TcpStream,
+    long_answers: &Semaphore,
+) -> frame::Result<()> {
+    let (reader, writer) = stream.into_split();
+    let Some(ask) = FrameReader::new(reader).next::<FrontAsk>().await? else {
+        return Ok(());
+    };
+    let mut records = records_for(front, &ask);
+    let is_long = records.records.len() > LONG_ANSWER_RECORDS;
+    let permit = long_answers.try_acquire();
+    if is_long && permit.is_err() {
+        records = FrontRecords {
+            next: 0,
+            records: Vec::new(),
+        };
+    }
+    FrameWriter::new(writer).send(&records).await
+}
+
 /// Records that another host asks for.
 fn records_for(front: &Front, ask: &FrontAsk) -> FrontRecords {
     let stream = match ask.stream {
--- a/wagtaildoor_front/src/record_mirror.rs
+++ b/wagtaildoor_front/src/record_mirror.rs
@@ -56,6 +56,11 @@
         self.stream(stream).next
     }
 
+    /// Number of keys of a stream of which a record is held.
+    pub fn len(&self, stream: ControlStream) -> usize {
+        self.stream(stream).records.len()
+    }
+
     /// Offset of the newest record of a key.
     pub fn offset(&self, stream: ControlStream, key: &str) -> Option<LogOffset> {
         self.stream(stream)
