--- a/wagtaildoor_front/src/control_follower.rs
+++ b/wagtaildoor_front/src/control_follower.rs
@@ -115,7 +115,7 @@
                 state.cursor = Some(page.next);
                 state.is_start = false;
                 take_page::<C>(&front, stream, &page, source, state.is_after_outage());
-                if stream == ControlStream::Endpoints {
+                if stream == ControlStream::Endpoints && !page.has_more {
                     time::sleep(front.settings.times.list_pause).await;
                 }
             }
@@ -286,7 +286,9 @@
     if stream != ControlStream::Endpoints {
         return;
     }
-    front.list_read.set(true);
+    if !page.has_more {
+        front.list_read.set(true);
+    }
     front.list_at.set(Some(BootInstant::now()));
     if source == PageSource::Snapshot {
         keep_named(front, page, after_outage);
--- a/wagtaildoor_front/src/control_store.rs
+++ b/wagtaildoor_front/src/control_store.rs
@@ -65,6 +65,8 @@
     pub records: Vec<ControlRecord>,
     /// Offset from which to read on.
     pub next: LogOffset,
+    /// Whether the stream already had records beyond it.
+    pub has_more: bool,
 }
 
 /// Part of a snapshot: the newest records of some keys.
--- a/wagtaildoor_front/src/peer_link.rs
+++ b/wagtaildoor_front/src/peer_link.rs
@@ -411,6 +411,7 @@
     ControlPage {
         records: page.collect(),
         next: records.next,
+        has_more: false,
     }
 }
 
--- a/wagtaildoor_front/src/record_mirror.rs
+++ b/wagtaildoor_front/src/record_mirror.rs
@@ -81,6 +81,7 @@
         ControlPage {
             records,
             next: mirror.next,
+            has_more: false,
         }
     }
 
--- a/wagtaildoor_front/src/snapshot_read.rs
+++ b/wagtaildoor_front/src/snapshot_read.rs
@@ -61,6 +61,7 @@
         Some(ControlPage {
             records: whole.records,
             next,
+            has_more: false,
         })
     }
 }
--- a/wagtaildoor_front/tests/control_follower.rs
+++ b/wagtaildoor_front/tests/control_follower.rs
@@ -212,7 +212,11 @@
         .map(|record| record.offset + 1)
         .max()
         .unwrap_or(0);
-    let page = ControlPage { records, next };
+    let page = ControlPage {
+        records,
+        next,
+        has_more: false,
+    };
     control_follower::take_page::<TextCodec>(front, stream, &page, source, false);
 }
 
@@ -284,6 +288,7 @@
     let older = ControlPage {
         records: vec![record(1, "a", Some(1))],
         next: 5,
+        has_more: false,
     };
     control_follower::take_page::<TextCodec>(&front, stream, &older, PageSource::Snapshot, false);
     let endpoints = front.endpoints.borrow();
