Catch up with one peer at a time

Two hosts lost the store for 17 s while their links worked: a host that is behind asked the sender of each hint, some hundreds a second, each answer a whole configuration over a link of 26 Mbit/s, so that neither store nor peers got through any more, and its peers' links filled as well (peak 43 MB where 12 MB are usual). The fault is as old as the hints. Change: one such ask at a time.

--- a/wagtaildoor_front/src/front.rs
+++ b/wagtaildoor_front/src/front.rs
@@ -7,10 +7,14 @@
     },
     collections::HashMap,
     rc::Rc,
+    sync::Arc,
 };
 
 use slog::Logger;
-use tokio::sync::Notify;
+use tokio::sync::{
+    Notify,
+    Semaphore, //
+};
 use tokio_util::sync::CancellationToken;
 use wagtaildoor::{
     boot_clock::BootInstant,
@@ -77,6 +81,8 @@
     pub retries: RefCell<RetryAllowance>,
     /// Other hosts and this one.
     pub peers: RefCell<PeerHosts>,
+    /// Held while this host asks another for what it is behind with.
+    pub catch_up: Arc<Semaphore>,
     /// Told when a read of the store had no answer.
     pub store_trouble: Notify,
     /// When the process started.
@@ -110,6 +116,7 @@
             homes: RefCell::new(PromptHomes::default()),
             retries: RefCell::new(retries),
             peers: RefCell::new(PeerHosts::default()),
+            catch_up: Arc::new(Semaphore::new(1)),
             store_trouble: Notify::new(),
             started: BootInstant::now(),
             in_flight: Cell::new(0),
--- a/wagtaildoor_front/src/peer_link.rs
+++ b/wagtaildoor_front/src/peer_link.rs
@@ -16,7 +16,10 @@
         TcpStream,
         UdpSocket, //
     },
-    sync::Semaphore,
+    sync::{
+        OwnedSemaphorePermit,
+        Semaphore, //
+    },
     task,
     time, //
 };
@@ -265,8 +268,10 @@
         }
     }
     if hint.operator_next > front.mirror.borrow().next(ControlStream::Operator) {
-        let ahead = catch_up::<C>(front.clone(), hint.operator_next, sender.address);
-        task::spawn_local(ahead);
+        if let Ok(permit) = front.catch_up.clone().try_acquire_owned() {
+            let ahead = catch_up::<C>(front.clone(), hint.operator_next, sender.address, permit);
+            task::spawn_local(ahead);
+        }
     }
 }
 
@@ -282,8 +287,14 @@
     }
 }
 
-/// Asks a host for the operator's records, if the store does not give them in time.
-async fn catch_up<C: WireCodec>(front: Rc<Front>, head: u64, peer: SocketAddr) {
+/// Asks a host for the operator's records, if the store does not give them in time. One at a time:
+/// while a host is behind, each hint says so, and an ask for each would fill its link.
+async fn catch_up<C: WireCodec>(
+    front: Rc<Front>,
+    head: u64,
+    peer: SocketAddr,
+    _permit: OwnedSemaphorePermit,
+) {
     time::sleep(OWN_READ_TIME).await;
     if front.mirror.borrow().next(ControlStream::Operator) < head {
         fetch_from::<C>(&front, ControlStream::Operator, peer).await;
--- a/wagtaildoor_front/tests/control_follower.rs
+++ b/wagtaildoor_front/tests/control_follower.rs
@@ -12,9 +12,22 @@
     StatusCode, //
 };
 use slog::Logger;
+use tokio::{
+    net::{
+        TcpListener,
+        UdpSocket, //
+    },
+    task,
+    time, //
+};
 use wagtaildoor::{
     boot_clock::BootInstant,
-    ids::EndpointId, //
+    frame,
+    ids::EndpointId,
+    schema::{
+        FrontHint,
+        FrontHost, //
+    },
 };
 use wagtaildoor_front::{
     control_follower::{
@@ -39,6 +52,7 @@
         FrontTimes,
         RolloutPolicy, //
     },
+    peer_link,
     plain_placement::PlainPolicy,
     retry_allowance::RetryLimit,
     service_config::{
@@ -323,3 +337,54 @@
     );
     assert!(front.endpoints.borrow().is_empty());
 }
+
+#[test]
+fn a_host_that_is_behind_asks_one_peer_at_a_time() {
+    // Pattern: a host that the store does not reach gets a thousand hints a second from hosts that
+    // are ahead, while its link is slow.
+    let runtime = tokio::runtime::Builder::new_current_thread()
+        .enable_all()
+        .build()
+        .expect("a runtime");
+    let local = tokio::task::LocalSet::new();
+    let asked = local.block_on(&runtime, hint_a_host_that_is_behind(300));
+    assert!((1..=4).contains(&asked), "{asked} asks within a second");
+}
+
+/// Sends so many hints of a newer head to a host over half a second; counts the asks that the
+/// sender gets within a second. It answers none.
+async fn hint_a_host_that_is_behind(hints: u64) -> usize {
+    let front = host();
+    let any: SocketAddr = "127.0.0.1:0".parse().expect("an address");
+    let peer = TcpListener::bind(any).await.expect("a port");
+    let own = Rc::new(UdpSocket::bind(any).await.expect("a port"));
+    let own_address = own.local_addr().expect("an address");
+    task::spawn_local(peer_link::receive_hints::<TextCodec>(front.clone(), own));
+    let hint = FrontHint {
+        sender: FrontHost {
+            host: "peer".into(),
+            domain: "a".into(),
+            address: peer.local_addr().expect("an address").to_string().into(),
+        },
+        pass_on: false,
+        operator_next: 9,
+        placed: Vec::new(),
+        weights: Vec::new(),
+        work: Vec::new(),
+        hosts: Vec::new(),
+    };
+    let datagram = frame::encode(&hint).expect("a frame");
+    task::spawn_local(async move {
+        let sender = UdpSocket::bind(any).await.expect("a port");
+        for _ in 0..hints {
+            sender.send_to(&datagram, own_address).await.expect("sent");
+            time::sleep(Duration::from_millis(500) / hints as u32).await;
+        }
+    });
+    let end = time::Instant::now() + Duration::from_secs(1);
+    let mut asks = Vec::new();
+    while let Ok(accepted) = time::timeout_at(end, peer.accept()).await {
+        asks.push(accepted.expect("a connection"));
+    }
+    asks.len()
+}
