Name the work of reading as such

Cause: read_tokens held work in tokens, not tokens; the state of an outage was worked out in two places. Change: read_work; is_after_outage in both.

--- a/wagtaildoor_front/src/control_follower.rs
+++ b/wagtaildoor_front/src/control_follower.rs
@@ -45,7 +45,7 @@
 const START_PAUSE: Duration = Duration::from_millis(120);
 /// Hosts that are asked with this pause after the start.
 const START_ASKS: u32 = 6;
-/// Pause between later asks, when the store or the others need seconds.
+/// Pause between later asks: by then store and hosts need seconds, as when all start at once.
 const LATE_START_PAUSE: Duration = Duration::from_millis(500);
 /// Time without an answer of the store that counts as an outage, for the endpoints' sake.
 const OUTAGE_TIME: Duration = Duration::from_millis(2_500);
@@ -208,9 +208,7 @@
         let snapshot = &mut self.snapshot;
         let part = store.snapshot(self.stream, snapshot.after(), snapshot.patience());
         let part = part.await.inspect_err(|_| snapshot.failed())?;
-        let after_outage = self
-            .returned_at
-            .is_some_and(|at| at.elapsed() < RETURN_TIME);
+        let after_outage = self.is_after_outage();
         let source = PageSource::Snapshot;
         take_records::<C>(front, self.stream, &part.records, source, after_outage);
         let whole = self.snapshot.take(part);
--- a/wagtaildoor_front/src/engine_placement.rs
+++ b/wagtaildoor_front/src/engine_placement.rs
@@ -168,8 +168,8 @@
 /// What one engine would have to do for the prompt.
 #[derive(Clone, Copy, Debug, PartialEq)]
 struct PromptWork {
-    /// Work of reading that it has to do.
-    read_tokens: f64,
+    /// Work of reading that it has to do, as [`EngineChoice::prefill_tokens`] counts it.
+    read_work: f64,
     /// Tokens that it has to fetch.
     fetch_tokens: f64,
     /// Where from.
@@ -206,7 +206,7 @@
                 weights: candidate.weights,
                 source: work.source,
                 copy_to: None,
-                prefill_tokens: work.read_tokens as u64,
+                prefill_tokens: work.read_work as u64,
                 cost_ms,
             });
         }
@@ -253,7 +253,7 @@
     policy: &EnginePolicy,
 ) -> f64 {
     let queued = candidate.prefill_tokens + candidate.waiting * policy.queued_request_tokens;
-    let mut cost = (queued + work.read_tokens) / policy.prefill_tokens_per_ms;
+    let mut cost = (queued + work.read_work) / policy.prefill_tokens_per_ms;
     cost += candidate.requests * policy.running_ms;
     cost += (candidate.requests + 1.0 - candidate.slots).max(0.0) * policy.over_slots_ms;
     cost += candidate.failure_share * policy.failure_ms;
@@ -287,7 +287,7 @@
 ) -> PromptWork {
     let Some(innermost) = view.chain().len().checked_sub(1) else {
         return PromptWork {
-            read_tokens: read_work(0.0, demand.tokens, policy),
+            read_work: read_work(0.0, demand.tokens, policy),
             fetch_tokens: 0.0,
             source: None,
             is_home: true,
@@ -298,7 +298,7 @@
     if held == Some(innermost) {
         // It may have evicted the prefix since: what is still there is not fetched again.
         return PromptWork {
-            read_tokens: read_work(held_tokens, demand.tokens, policy),
+            read_work: read_work(held_tokens, demand.tokens, policy),
             fetch_tokens: 0.0,
             source: view.known_source(innermost, index),
             is_home: true,
@@ -309,7 +309,7 @@
         if let Some(source) = view.known_source(prefix, index) {
             let tokens = view.chain()[prefix].tokens;
             return PromptWork {
-                read_tokens: read_work(tokens, demand.tokens, policy),
+                read_work: read_work(tokens, demand.tokens, policy),
                 fetch_tokens: tokens - held_tokens,
                 source: Some(source),
                 is_home: false,
@@ -324,7 +324,7 @@
         view.home().map(BlockSource::Engine)
     };
     PromptWork {
-        read_tokens: read_work(held_tokens, demand.tokens, policy),
+        read_work: read_work(held_tokens, demand.tokens, policy),
         fetch_tokens: 0.0,
         source,
         is_home,
