--- a/wagtaildoor_entry/src/caller_body.rs
+++ b/wagtaildoor_entry/src/caller_body.rs
@@ -3,13 +3,9 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use http_body_util::{
-    BodyExt,
-    LengthLimitError,
-    Limited, //
-};
 use hyper::body::Incoming;
 use serde::de::DeserializeOwned;
+use tokio::time;
 use wagtaildoor::{
     error::{
         ErrorKind,
@@ -24,6 +20,10 @@
         NamedValue, //
     },
 };
+use wagtaildoor_daemon::request_body::{
+    self,
+    BodyError, //
+};
 
 /// Format of a model's answer.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
@@ -95,31 +95,32 @@
     values
 }
 
-/// Reads a complete body.
+/// Reads a complete body. The rest of one that is too large is discarded in the background.
 ///
 /// Fails with `BodyTooLarge` or `BodyTimeout` if the body exceeds the limits of the settings.
-pub async fn read_body(body: Incoming, listen: &ListenSection) -> Result<Bytes> {
+pub async fn read_body(mut body: Incoming, listen: &ListenSection) -> Result<Bytes> {
     let timeout = Duration::from_millis(listen.body_timeout_ms);
     let max_bytes = usize::try_from(listen.body_limit_bytes).unwrap_or(usize::MAX);
-    let collected = Limited::new(body, max_bytes).collect();
-    let body = tokio::time::timeout(timeout, collected)
-        .await
-        .map_err(|_| {
+    let result = time::timeout(timeout, request_body::read_limited(&mut body, max_bytes)).await;
+    match result {
+        Ok(Ok(bytes)) => Ok(bytes),
+        Ok(Err(BodyError::TooLarge)) => {
+            tokio::spawn(request_body::discard(body));
+            let detail = format!("the body is larger than {} bytes", listen.body_limit_bytes);
+            Err(RequestError::new(ErrorKind::BodyTooLarge, detail))
+        }
+        Ok(Err(BodyError::Unreadable(error))) => {
+            let detail = format!("the body could not be read: {error}");
+            Err(RequestError::new(ErrorKind::BadRequest, detail))
+        }
+        Err(_) => {
             let detail = format!(
                 "the body was not complete within {} ms",
                 listen.body_timeout_ms
             );
-            RequestError::new(ErrorKind::BodyTimeout, detail)
-        })?
-        .map_err(|error| {
-            if error.is::<LengthLimitError>() {
-                let detail = format!("the body is larger than {} bytes", listen.body_limit_bytes);
-                return RequestError::new(ErrorKind::BodyTooLarge, detail);
-            }
-            let detail = format!("the body could not be read: {error}");
-            RequestError::new(ErrorKind::BadRequest, detail)
-        })?;
-    Ok(body.to_bytes())
+            Err(RequestError::new(ErrorKind::BodyTimeout, detail))
+        }
+    }
 }
 
 /// Parses a JSON body, or returns a `BadRequest` error.
--- a/wagtaildoor_entry/tests/callers/slow_callers.rs
+++ b/wagtaildoor_entry/tests/callers/slow_callers.rs
@@ -22,6 +22,7 @@
 
 use crate::entry_rig::{
     EntryRig,
+    BODY_LIMIT_BYTES,
     BODY_TIMEOUT_MS,
     DESK_TOKEN,
     ENDLESS_DEADLINE_MS,
@@ -169,3 +170,29 @@
     let sent = text.matches("\"text\":").count();
     assert!(sent > 0, "no chunks were sent before the error");
 }
+
+/// A caller that writes on after its response was sent: the entry must read what it refuses, since
+/// the reset of a closed connection overtakes the response.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_caller_that_still_writes_gets_its_refusal() {
+    let rig = EntryRig::start().await;
+    let length = 40 * BODY_LIMIT_BYTES;
+    let part = vec![b' '; 4 * BODY_LIMIT_BYTES];
+    let mut stream = TcpStream::connect(rig.address).await.expect("a connection");
+    let head = format!(
+        "POST {CHAT} HTTP/1.1\r\nhost: entry\r\nauthorization: Bearer {DESK_TOKEN}\r\n\
+         content-type: application/json\r\ncontent-length: {length}\r\n\r\n"
+    );
+    stream.write_all(head.as_bytes()).await.expect("a head");
+    for _ in 0..10 {
+        time::sleep(Duration::from_millis(30)).await;
+        stream.write_all(&part).await.expect("an open connection");
+    }
+    let mut text = vec![0; 12];
+    time::timeout(WAIT_TIMEOUT, stream.read_exact(&mut text))
+        .await
+        .expect("an answer in time")
+        .expect("an answer");
+    assert_eq!(text, b"HTTP/1.1 413");
+    assert_eq!(rig.endpoint_calls(), 0);
+}
--- a/wagtaildoor_front/src/caller_request.rs
+++ b/wagtaildoor_front/src/caller_request.rs
@@ -78,6 +78,11 @@
 /// accepted, because the balancer may not have another host for them yet.
 const LONG_REQUEST_ACCEPT_TIME: Duration = Duration::from_millis(2_500);
 
+/// Interval between checks whether an engine has finished loading weights.
+const LOAD_POLL_INTERVAL: Duration = Duration::from_millis(20);
+/// Part of a request's time, as a divisor, that it may wait for an engine that is loading weights.
+const MAX_LOAD_WAIT_DIVISOR: u32 = 4;
+
 /// A caller request and the state of its attempts.
 pub struct CallerRequest<C> {
     /// Shared state of this host.
@@ -227,6 +232,10 @@
         loop {
             let now = BootInstant::now();
             let Some(placement) = self.choose_endpoint(now) else {
+                if self.may_wait_for_load(now) {
+                    time::sleep(LOAD_POLL_INTERVAL).await;
+                    continue;
+                }
                 return self.no_endpoint_outcome();
             };
             if !self.try_acquire_send(&placement.endpoint.service.clone(), now) {
@@ -302,6 +311,21 @@
         if self.sends >= MAX_SENDS {
             return None;
         }
+        self.with_query(|query| request_placement::choose_endpoint(&self.front, query, now))
+    }
+
+    /// Whether to wait for an engine that is loading weights, since no other can take the request.
+    fn may_wait_for_load(&self, now: BootInstant) -> bool {
+        let arrived = self.log.arrived();
+        let limit = self.deadline.saturating_duration_since(arrived) / MAX_LOAD_WAIT_DIVISOR;
+        self.sends < MAX_SENDS
+            && arrived.elapsed() < limit
+            && self
+                .with_query(|query| request_placement::is_load_in_progress(&self.front, query, now))
+    }
+
+    /// Calls a function with the properties that determine the choice of an endpoint.
+    fn with_query<T>(&self, choose: impl FnOnce(&PlacementQuery<'_>) -> T) -> T {
         let account = self.account.as_ref();
         let isolated = account.filter(|account| account.isolated);
         let attempt = self.head.attempt.as_deref().unwrap_or_default();
@@ -312,7 +336,7 @@
             tried: &self.tried,
             draw: prefix_hash::text_hash(attempt),
         };
-        request_placement::choose_endpoint(&self.front, &query, now)
+        choose(&query)
     }
 
     /// Whether the request may be sent. Once a send has reached an endpoint, each further send uses
--- a/wagtaildoor_front/src/caller_request/request_admission.rs
+++ b/wagtaildoor_front/src/caller_request/request_admission.rs
@@ -10,17 +10,19 @@
     header,
     request, //
 };
-use http_body_util::{
-    BodyExt,
-    LengthLimitError,
-    Limited, //
-};
 use hyper::body::Incoming;
-use tokio::time;
+use tokio::{
+    task,
+    time, //
+};
 use wagtaildoor::error::{
     ErrorKind,
     RequestError, //
 };
+use wagtaildoor_daemon::request_body::{
+    self,
+    BodyError, //
+};
 
 use crate::{
     caller_request::Result,
@@ -99,16 +101,17 @@
     host.to_ascii_lowercase().into()
 }
 
-/// Reads a request body of at most `limit` bytes.
-pub(super) async fn read_body(body: Incoming, limit: usize) -> Result<Bytes> {
-    let limited = Limited::new(body, limit);
-    match time::timeout(BODY_TIMEOUT, limited.collect()).await {
-        Ok(Ok(collected)) => Ok(collected.to_bytes()),
-        Ok(Err(error)) if error.is::<LengthLimitError>() => {
+/// Reads a request body of at most `limit` bytes. The rest of a larger one is discarded in the
+/// background.
+pub(super) async fn read_body(mut body: Incoming, limit: usize) -> Result<Bytes> {
+    match time::timeout(BODY_TIMEOUT, request_body::read_limited(&mut body, limit)).await {
+        Ok(Ok(bytes)) => Ok(bytes),
+        Ok(Err(BodyError::TooLarge)) => {
+            task::spawn_local(request_body::discard(body));
             let detail = format!("the body is larger than {limit} bytes");
             Err(RequestError::new(ErrorKind::BodyTooLarge, detail))
         }
-        Ok(Err(error)) => {
+        Ok(Err(BodyError::Unreadable(error))) => {
             let detail = format!("the body cannot be read: {error}");
             Err(RequestError::new(ErrorKind::BadRequest, detail))
         }
--- a/wagtaildoor_front/src/caller_request/request_send.rs
+++ b/wagtaildoor_front/src/caller_request/request_send.rs
@@ -26,9 +26,13 @@
     endpoint::RequestGuard,
     endpoint_connection::{
         self,
+        ConnectionUse,
         EndpointConnection,
-        ExchangeError,
-        MAX_AT_MOST_ONCE_IDLE_TIME, //
+        ExchangeError, //
+    },
+    engine_loads::{
+        self,
+        LoadEvidence, //
     },
     request_placement::RequestPlacement,
     wire_codec::{
@@ -98,13 +102,12 @@
 
     /// Takes an idle connection to the endpoint or opens a new one.
     async fn acquire_connection(&self, placement: &RequestPlacement) -> Result<EndpointConnection> {
-        let max_idle = if self.route.kind.is_repeatable() {
-            Duration::MAX
-        } else {
-            MAX_AT_MOST_ONCE_IDLE_TIME
+        let usage = match self.route.kind.is_repeatable() {
+            true => ConnectionUse::Repeatable,
+            false => ConnectionUse::AtMostOnce,
         };
         let endpoint = &placement.endpoint;
-        if let Some(idle) = endpoint.connections.take_idle(max_idle, BootInstant::now()) {
+        if let Some(idle) = endpoint.connections.take_idle(usage, BootInstant::now()) {
             return Ok(idle);
         }
         endpoint.connections.connect().await.map_err(|error| {
@@ -179,7 +182,8 @@
             return Err(SendFailure::Refused(head));
         }
         if let (Some(engine), Some(weights)) = (&placement.engine, head.weights) {
-            endpoint.record_weights(&engine.model, weights);
+            let evidence = LoadEvidence::Response;
+            engine_loads::record_weights(&self.front, endpoint, &engine.model, weights, evidence);
         }
         let is_encoded = response.headers().contains_key(header::CONTENT_ENCODING);
         if is_encoded || (!head.signed && response.status().is_success()) {
--- a/wagtaildoor_front/src/endpoint.rs
+++ b/wagtaildoor_front/src/endpoint.rs
@@ -74,6 +74,16 @@
     }
 }
 
+/// A load of weights that an engine was ordered to make.
+#[derive(Clone, Debug, Eq, PartialEq)]
+struct WeightsLoad {
+    model: ModelId,
+    version: WeightsVersion,
+    since: BootInstant,
+    /// When the load counts as failed if nothing shows its end.
+    overdue_at: BootInstant,
+}
+
 /// One incarnation of an endpoint, from its start to its removal.
 #[derive(Debug)]
 pub struct Endpoint {
@@ -93,6 +103,8 @@
     record: RefCell<EndpointRecord>,
     /// Weights version of each model: the newest from records, responses and load orders.
     weights: RefCell<Vec<(ModelId, WeightsVersion)>>,
+    /// Load of weights in progress, as far as this host knows.
+    loading: RefCell<Option<WeightsLoad>>,
     /// Load from this host and the reported load from others.
     pub load: RefCell<EndpointLoad>,
     /// Failures and silence observed by this host.
@@ -118,6 +130,7 @@
             health: RefCell::new(EndpointHealth::new(now)),
             connections: ConnectionPool::new(record.address),
             is_retired: Cell::new(false),
+            loading: RefCell::new(None),
             record: RefCell::new(record),
         }
     }
@@ -136,6 +149,8 @@
         }
         for (model, version) in &record.weights {
             self.record_weights(model, *version);
+            // A record says too late when the load ended for its time to be learned.
+            self.finish_load(model, *version, BootInstant::ZERO);
         }
         *self.record.borrow_mut() = record;
     }
@@ -168,6 +183,62 @@
         }
     }
 
+    /// Records that the engine was ordered to load weights. A repeated order does not restart the
+    /// load's time.
+    pub fn begin_load(
+        &self,
+        model: &ModelId,
+        version: WeightsVersion,
+        now: BootInstant,
+        overdue_after: Duration,
+    ) {
+        let mut loading = self.loading.borrow_mut();
+        let is_known = loading.as_ref().is_some_and(|load| {
+            load.model == *model && load.version == version && now < load.overdue_at
+        });
+        if !is_known {
+            *loading = Some(WeightsLoad {
+                model: model.clone(),
+                version,
+                since: now,
+                overdue_at: now + overdue_after,
+            });
+        }
+    }
+
+    /// Ends a load because the engine was seen with `version` of the model. Returns how long the
+    /// load took if it was a load of that version.
+    pub fn finish_load(
+        &self,
+        model: &str,
+        version: WeightsVersion,
+        now: BootInstant,
+    ) -> Option<Duration> {
+        let mut loading = self.loading.borrow_mut();
+        let is_done = |load: &mut WeightsLoad| &*load.model == model && load.version <= version;
+        let load = loading.take_if(is_done)?;
+        (load.version == version).then(|| now.since(load.since))
+    }
+
+    /// Ends a load that did not take place.
+    pub fn cancel_load(&self) {
+        self.loading.take();
+    }
+
+    /// Time since a load began that is not overdue; `None` if there is none.
+    pub fn load_age(&self, now: BootInstant) -> Option<Duration> {
+        let loading = self.loading.borrow();
+        let load = loading.as_ref().filter(|load| now < load.overdue_at);
+        load.map(|load| now.since(load.since))
+    }
+
+    /// Whether the engine is loading weights of a model, and so refuses new requests for it.
+    pub fn is_loading(&self, model: &str, now: BootInstant) -> bool {
+        let loading = self.loading.borrow();
+        let load = loading.as_ref().filter(|load| &*load.model == model);
+        load.is_some_and(|load| now < load.overdue_at)
+    }
+
     /// Weights version from the endpoint's record, or 0 if the record does not name the model.
     pub fn published_weights(&self, model: &str) -> WeightsVersion {
         let record = self.record.borrow();
--- a/wagtaildoor_front/src/endpoint_call.rs
+++ b/wagtaildoor_front/src/endpoint_call.rs
@@ -20,6 +20,10 @@
 
 use crate::{
     endpoint::Endpoint,
+    endpoint_connection::{
+        ConnectionUse,
+        EndpointConnection, //
+    },
     wire_codec::EndpointCall, //
 };
 
@@ -40,6 +44,23 @@
     AnswerLost(#[error(not(source))] Box<str>),
 }
 
+/// Makes a call that may be repeated, on an idle connection if there is one, and reads the response.
+/// `limit` covers the request and the response.
+pub async fn fetch(
+    endpoint: &Endpoint,
+    call: EndpointCall,
+    limit: Duration,
+) -> Result<(StatusCode, Bytes)> {
+    let now = BootInstant::now();
+    match endpoint
+        .connections
+        .take_idle(ConnectionUse::Repeatable, now)
+    {
+        Some(connection) => exchange(endpoint, connection, call, limit).await,
+        None => self::call(endpoint, call, limit).await,
+    }
+}
+
 /// Makes a call on a new connection and reads the response; `limit` covers the request and the
 /// response.
 pub async fn call(
@@ -48,7 +69,17 @@
     limit: Duration,
 ) -> Result<(StatusCode, Bytes)> {
     let connected = endpoint.connections.connect().await;
-    let mut connection = connected.map_err(|error| CallError::NotSent(error.to_string().into()))?;
+    let connection = connected.map_err(|error| CallError::NotSent(error.to_string().into()))?;
+    exchange(endpoint, connection, call, limit).await
+}
+
+/// Makes a call on a connection, which becomes idle afterwards.
+async fn exchange(
+    endpoint: &Endpoint,
+    mut connection: EndpointConnection,
+    call: EndpointCall,
+    limit: Duration,
+) -> Result<(StatusCode, Bytes)> {
     let exchange = async {
         let response = connection.exchange(request(endpoint, call)).await;
         let response = response.map_err(|error| error.to_string())?;
--- a/wagtaildoor_front/src/endpoint_connection.rs
+++ b/wagtaildoor_front/src/endpoint_connection.rs
@@ -51,9 +51,10 @@
 const DEFAULT_IDLE_TIMEOUT: Duration = Duration::from_secs(4);
 /// Fraction of the endpoint's idle timeout that is used; the rest covers the network delay.
 const IDLE_TIMEOUT_FRACTION: f64 = 0.7;
-/// Longest idle time of a connection that is reused for a request that must not run twice. An
-/// endpoint may close idle connections without notice, which would leave the outcome unknown.
-pub const MAX_AT_MOST_ONCE_IDLE_TIME: Duration = Duration::from_millis(1_000);
+/// Longest idle time of a connection that is reused for a request that must not run twice, if the
+/// endpoint does not announce its idle timeout. The endpoint may close it at any time, and a close
+/// that crosses the request would leave the outcome unknown.
+const MAX_UNANNOUNCED_IDLE_TIME: Duration = Duration::from_millis(1_000);
 
 /// Result type for exchanges with an endpoint.
 pub type Result<T> = std::result::Result<T, ExchangeError>;
@@ -86,6 +87,19 @@
     since: BootInstant,
     /// Idle time after which the connection is dropped.
     limit: Duration,
+    /// Idle time after which the connection carries no request that must not run twice.
+    at_most_once_limit: Duration,
+}
+
+/// Requests that an idle connection may be used for.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum ConnectionUse {
+    /// The request may be sent again if its connection was closed meanwhile.
+    Repeatable,
+    /// The request must not run twice.
+    AtMostOnce,
+    /// The connection must not have been idle for longer.
+    IdleAtMost(Duration),
 }
 
 /// A connection that is reserved for one request at a time.
@@ -121,11 +135,16 @@
         self.open.get()
     }
 
-    /// Takes the most recently used connection if it was idle for at most `max_idle`.
-    pub fn take_idle(&self, max_idle: Duration, now: BootInstant) -> Option<EndpointConnection> {
+    /// Takes the most recently used connection, unless it was idle for too long for this use.
+    pub fn take_idle(&self, usage: ConnectionUse, now: BootInstant) -> Option<EndpointConnection> {
         let mut idle = self.idle.borrow_mut();
         idle.retain(|kept| kept.connection.is_usable() && now.since(kept.since) < kept.limit);
         let newest = idle.last()?;
+        let max_idle = match usage {
+            ConnectionUse::Repeatable => Duration::MAX,
+            ConnectionUse::AtMostOnce => newest.at_most_once_limit,
+            ConnectionUse::IdleAtMost(max_idle) => max_idle,
+        };
         if now.since(newest.since) > max_idle {
             return None;
         }
@@ -170,6 +189,10 @@
             connection,
             since: now,
             limit,
+            at_most_once_limit: match idle_limit {
+                Some(_) => limit,
+                None => MAX_UNANNOUNCED_IDLE_TIME,
+            },
         });
     }
 
--- a/wagtaildoor_front/src/engine_placement.rs
+++ b/wagtaildoor_front/src/engine_placement.rs
@@ -75,6 +75,8 @@
     pub domain: u64,
     /// Version of the weights that it serves the model with; 0 if it does not serve the model.
     pub weights: WeightsVersion,
+    /// Time since a newer version was first wanted; zero if there is none.
+    pub outdated_for: Duration,
     /// Pending prefill work in tokens, counted as in [`EngineChoice::prefill_tokens`].
     pub prefill_tokens: f64,
     /// Waiting requests of other hosts, whose prompt lengths are unknown.
@@ -85,7 +87,7 @@
     pub slots: f64,
     /// Recent failure rate, from 0 to 1.
     pub failure_rate: f64,
-    /// Whether the engine recently rejected a request for lack of capacity, or is loading weights.
+    /// Whether the engine recently rejected a request for lack of capacity.
     pub is_full: bool,
     /// Rollout wave in which its weights change, starting from 1; 0 if it has the newest weights.
     pub rollout_wave: u32,
@@ -134,8 +136,6 @@
     pub answer_tokens: u64,
     /// Newest version of the weights that the operator wants.
     pub wanted: WeightsVersion,
-    /// Time since that version was first wanted.
-    pub wanted_age: Duration,
 }
 
 /// A prompt prefix that other requests may share.
@@ -243,7 +243,7 @@
 ) -> bool {
     let start_delay = Duration::from_secs_f64(cost_ms.max(0.0) * START_DELAY_FACTOR / 1000.0);
     candidate.weights >= request.wanted
-        || request.wanted_age + start_delay < policy.old_weights_limit
+        || candidate.outdated_for + start_delay < policy.old_weights_limit
 }
 
 /// Estimated cost of an engine for a prompt, in milliseconds.
@@ -273,7 +273,7 @@
     if candidate.rollout_wave > 0 && request.answer_tokens >= LONG_RESPONSE_TOKENS {
         cost += policy.next_load_ms / f64::from(candidate.rollout_wave);
     }
-    if candidate.weights < request.wanted && request.wanted_age > policy.old_weights_free {
+    if candidate.weights < request.wanted && candidate.outdated_for > policy.old_weights_free {
         cost += policy.old_weights_ms;
     }
     cost
--- a/wagtaildoor_front/src/front.rs
+++ b/wagtaildoor_front/src/front.rs
@@ -29,27 +29,24 @@
         self,
         BlockStore, //
     },
-    control_store::GroupMember,
+    control_store::{
+        ControlStream,
+        GroupMember, //
+    },
     endpoint_directory::EndpointDirectory,
     front_metrics::FrontMetrics,
     front_settings::FrontSettings,
     hint_queue::HintQueue,
+    load_times::LoadTimes,
     peer_hosts::PeerHosts,
+    peer_rotation::PeerRotation,
     prefix_index::PrefixIndex,
     record_mirror::RecordMirror,
     retry_allowance::RetryAllowance,
-    route_table::RouteTable, //
+    route_table::RouteTable,
+    wanted_weights::WantedWeights, //
 };
 
-/// Weights version that the operator requested for a model.
-#[derive(Clone, Copy, Debug, Eq, PartialEq)]
-pub struct WantedWeights {
-    /// Requested version.
-    pub version: WeightsVersion,
-    /// Time when this host learned of the version.
-    pub since: BootInstant,
-}
-
 /// State of one host. All its tasks run on one thread.
 #[derive(Debug)]
 pub struct Front {
@@ -61,8 +58,8 @@
     pub metrics: FrontMetrics,
     /// Configuration in force; `None` until the first one was read.
     routes: RefCell<Option<Rc<RouteTable>>>,
-    /// Requested weights version of each model.
-    wanted: RefCell<HashMap<ModelId, WantedWeights>>,
+    /// Requested weights versions of each model.
+    wanted: RefCell<HashMap<ModelId, Rc<WantedWeights>>>,
     /// Known endpoints.
     pub endpoints: RefCell<EndpointDirectory>,
     /// Whether the list of endpoints was read completely.
@@ -77,10 +74,14 @@
     pub block_stores: RefCell<Vec<Rc<BlockStore>>>,
     /// Prompt prefixes that engines and block stores hold.
     pub homes: RefCell<PrefixIndex>,
+    /// Times that engines took to load weights.
+    pub load_times: RefCell<LoadTimes>,
     /// Allowance for sends after the first one of each request.
     pub retries: RefCell<RetryAllowance>,
     /// All known hosts, including this one.
     pub peers: RefCell<PeerHosts>,
+    /// Order in which hosts are asked for the records of each stream.
+    pub peer_rotations: RefCell<HashMap<ControlStream, PeerRotation>>,
     /// Limits catching up from a peer to one fetch at a time.
     pub peer_fetch_permits: Arc<Semaphore>,
     /// Notified when a read of the store timed out or failed.
@@ -101,6 +102,7 @@
     /// Creates the state of a host that has read nothing yet.
     pub fn new(settings: FrontSettings, log: Logger, metrics: FrontMetrics) -> Rc<Self> {
         let retries = RetryAllowance::new(settings.retries);
+        let load_times = LoadTimes::new(settings.rollout.load_time);
         Rc::new(Self {
             settings,
             log,
@@ -114,8 +116,10 @@
             hints: RefCell::new(HintQueue::default()),
             block_stores: RefCell::new(Vec::new()),
             homes: RefCell::new(PrefixIndex::default()),
+            load_times: RefCell::new(load_times),
             retries: RefCell::new(retries),
             peers: RefCell::new(PeerHosts::default()),
+            peer_rotations: RefCell::new(HashMap::new()),
             peer_fetch_permits: Arc::new(Semaphore::new(1)),
             store_read_failed: Notify::new(),
             started: BootInstant::now(),
@@ -147,17 +151,17 @@
         is_newer
     }
 
-    /// Requested weights version of a model, if there is one.
-    pub fn wanted_weights(&self, model: &str) -> Option<WantedWeights> {
-        self.wanted.borrow().get(model).copied()
+    /// Requested weights of a model, if there are any.
+    pub fn wanted_weights(&self, model: &str) -> Option<Rc<WantedWeights>> {
+        self.wanted.borrow().get(model).cloned()
     }
 
-    /// Requested weights versions of all models.
-    pub fn all_wanted_weights(&self) -> Vec<(ModelId, WantedWeights)> {
+    /// Requested weights of all models.
+    pub fn all_wanted_weights(&self) -> Vec<(ModelId, Rc<WantedWeights>)> {
         let wanted = self.wanted.borrow();
         wanted
             .iter()
-            .map(|(model, want)| (model.clone(), *want))
+            .map(|(model, want)| (model.clone(), want.clone()))
             .collect()
     }
 
@@ -171,11 +175,14 @@
         since: BootInstant,
     ) -> bool {
         let mut wanted = self.wanted.borrow_mut();
-        let is_newer = wanted.get(model).is_none_or(|want| version > want.version);
-        if is_newer {
-            wanted.insert(model.clone(), WantedWeights { version, since });
+        match wanted.get_mut(model) {
+            Some(known) => Rc::make_mut(known).add(version, since),
+            None => {
+                let first = Rc::new(WantedWeights::new(version, since));
+                wanted.insert(model.clone(), first);
+                true
+            }
         }
-        is_newer
     }
 
     /// This host as a member of the group.
--- a/wagtaildoor_front/src/front_metrics.rs
+++ b/wagtaildoor_front/src/front_metrics.rs
@@ -27,6 +27,8 @@
     store_calls: Counter<u64>,
     /// Orders to engines by verdict.
     orders: Counter<u64>,
+    /// Time that an engine took to load weights, in seconds.
+    load: Histogram<f64>,
     /// Time to the first part of a response, in seconds.
     first_part: Histogram<f64>,
     /// Time to the end of a response, in seconds.
@@ -42,6 +44,8 @@
             sends: registry.counter("front_sends", "Sends to endpoints by result"),
             store_calls: registry.counter("front_store_calls", "Calls to the store by result"),
             orders: registry.counter("front_orders", "Orders to engines by verdict"),
+            load: registry
+                .duration_histogram("front_weights_load", "Time to load weights of an engine"),
             first_part: registry
                 .duration_histogram("front_first_part", "Time to the first part of an answer"),
             whole: registry.duration_histogram("front_whole", "Time to the end of an answer"),
@@ -74,6 +78,11 @@
         self.store_calls.add(1, &[KeyValue::new("result", result)]);
     }
 
+    /// Records how long an engine took to load weights.
+    pub fn record_load(&self, took: Duration) {
+        self.load.record(took.as_secs_f64(), &[]);
+    }
+
     /// Counts a load order to an engine by its verdict.
     pub fn record_order(&self, verdict: &'static str) {
         self.orders.add(1, &[KeyValue::new("verdict", verdict)]);
--- a/wagtaildoor_front/src/front_settings.rs
+++ b/wagtaildoor_front/src/front_settings.rs
@@ -65,7 +65,7 @@
 pub struct RolloutPolicy {
     /// Largest fraction of a service's engines that load weights concurrently, from 0 to 1.
     pub max_loading_share: f64,
-    /// Time that an engine needs to load weights.
+    /// Assumed time that an engine needs to load weights, until a load was seen.
     pub load_time: Duration,
     /// Time after an order within which the engine must be seen with the new weights.
     pub confirm_timeout: Duration,
--- a/wagtaildoor_front/src/peer_link.rs
+++ b/wagtaildoor_front/src/peer_link.rs
@@ -54,9 +54,12 @@
     },
     endpoint::EndpointKey,
     endpoint_connection,
+    engine_loads::{
+        self,
+        LoadEvidence, //
+    },
     front::Front,
     peer_hosts::HintTarget,
-    prefix_hash,
     wire_codec::WireCodec, //
 };
 
@@ -264,10 +267,11 @@
     }
     for seen in &hint.weights {
         if let Some(endpoint) = endpoints.get_by_key(seen.endpoint) {
+            let (model, version) = (&seen.model, seen.version);
             if seen.is_loading {
-                endpoint.load.borrow_mut().mark_full(now);
-            } else {
-                endpoint.record_weights(&seen.model, seen.version);
+                engine_loads::note_load(front, endpoint, model, version, now);
+            } else if version >= endpoint.weights(model) {
+                engine_loads::record_weights(front, endpoint, model, version, LoadEvidence::Hint);
             }
         }
     }
@@ -309,16 +313,17 @@
     }
 }
 
-/// Fetches the missing records of a stream from a random peer.
+/// Fetches the missing records of a stream from the next peer of its rotation.
 pub async fn fetch_records<C: WireCodec>(front: &Front, stream: ControlStream) {
-    let peers = peer_addresses(front);
-    if peers.is_empty() {
-        return;
-    }
     let random_value = BootInstant::now().since(BootInstant::ZERO).as_nanos() as u64;
-    let index =
-        prefix_hash::combine_hashes(random_value, peers.len() as u64) as usize % peers.len();
-    fetch_records_from::<C>(front, stream, peers[index]).await;
+    let peer = {
+        let mut rotations = front.peer_rotations.borrow_mut();
+        let rotation = rotations.entry(stream).or_default();
+        rotation.next_address(&peer_addresses(front), random_value)
+    };
+    if let Some(peer) = peer {
+        fetch_records_from::<C>(front, stream, peer).await;
+    }
 }
 
 /// Fetches the missing records of a stream from a given peer and applies them.
--- a/wagtaildoor_front/src/request_placement.rs
+++ b/wagtaildoor_front/src/request_placement.rs
@@ -2,7 +2,8 @@
 
 use std::{
     net::SocketAddr,
-    rc::Rc, //
+    rc::Rc,
+    time::Duration, //
 };
 
 use wagtaildoor::{
@@ -20,6 +21,7 @@
         Endpoint,
         EndpointKey, //
     },
+    engine_loads,
     engine_placement::{
         self,
         BlockSource,
@@ -36,6 +38,7 @@
     },
     prefix_hash,
     service_config::ServiceKind,
+    wanted_weights::WantedWeights,
     weights_rollout,
     wire_codec::PromptHead,
 };
@@ -108,6 +111,19 @@
     placements.next()
 }
 
+/// Whether an engine that could take the request is loading weights, so that waiting may help.
+pub fn is_load_in_progress(front: &Front, query: &PlacementQuery<'_>, now: BootInstant) -> bool {
+    let Some(prompt) = query.prompt else {
+        return false;
+    };
+    let directory = front.endpoints.borrow();
+    let services = query.services.iter();
+    let mut engines = services.flat_map(|service| directory.service_endpoints(service));
+    engines.any(|engine| {
+        is_usable(engine, u32::MAX, query.tried) && engine.is_loading(&prompt.model, now)
+    })
+}
+
 /// Whether the endpoints of a service are engines.
 fn is_engine(front: &Front, service: &ServiceId) -> bool {
     front.routes().is_some_and(|table| {
@@ -148,21 +164,21 @@
     let mut candidates: Vec<EngineCandidate> = endpoints
         .iter()
         .map(|endpoint| {
-            let usable = is_usable(endpoint, share, query.tried);
+            let usable =
+                is_usable(endpoint, share, query.tried) && !endpoint.is_loading(&prompt.model, now);
             engine_candidate(front, endpoint, &prompt.model, usable, now)
         })
         .collect();
     let wanted = front.wanted_weights(&prompt.model);
-    if let Some(wanted) = wanted {
-        assign_load_waves(front, &mut candidates, wanted.version);
+    if let Some(wanted) = &wanted {
+        assign_load_waves(front, &mut candidates, &prompt.model, wanted, now);
     }
     let prefixes = shared_prefixes(prompt, query.isolated, &candidates);
     let demand = PromptRequest {
         prefixes: &prefixes,
         tokens: prompt.tokens as f64,
         answer_tokens: prompt.answer_tokens,
-        wanted: wanted.map_or(0, |wanted| wanted.version),
-        wanted_age: wanted.map_or(std::time::Duration::ZERO, |wanted| now.since(wanted.since)),
+        wanted: wanted.as_ref().map_or(0, |wanted| wanted.version),
     };
     let stores = front.block_stores.borrow();
     let stores: Vec<&Rc<BlockStore>> = stores.iter().filter(|store| store.is_up()).collect();
@@ -212,6 +228,7 @@
         is_same_domain: endpoint.domain == front.settings.domain,
         domain: prefix_hash::text_hash(&endpoint.domain),
         weights: endpoint.weights(model),
+        outdated_for: Duration::ZERO,
         prefill_tokens: load.total_prefill_tokens(now),
         waiting: load.others_waiting(now),
         requests: load.estimated_requests(now),
@@ -223,13 +240,29 @@
     }
 }
 
-/// Assigns the rollout wave of each engine with old weights; all hosts compute the same order.
-fn assign_load_waves(front: &Front, candidates: &mut [EngineCandidate], wanted: WeightsVersion) {
-    let wave_size =
-        weights_rollout::max_concurrent_loads(candidates.len(), &front.settings.rollout);
-    let behind = candidates.iter_mut().filter(|c| c.weights < wanted);
+/// Assigns the age and the rollout wave of old weights; all hosts compute the same order.
+fn assign_load_waves(
+    front: &Front,
+    candidates: &mut [EngineCandidate],
+    model: &str,
+    wanted: &WantedWeights,
+    now: BootInstant,
+) {
+    let engines = candidates.len();
+    let behind = candidates.iter_mut().filter(|c| c.weights < wanted.version);
     let mut behind: Vec<&mut EngineCandidate> = behind.collect();
-    behind.sort_by_key(|candidate| weights_rollout::rollout_rank(candidate.key, wanted));
+    if behind.is_empty() {
+        return;
+    }
+    for candidate in &mut behind {
+        let outdated_since = wanted.outdated_since(candidate.weights);
+        candidate.outdated_for = outdated_since.map_or(Duration::ZERO, |since| now.since(since));
+    }
+    let outdated = behind.iter().map(|candidate| candidate.outdated_for);
+    let wave_size = engine_loads::concurrent_loads(front, model, engines, outdated);
+    behind.sort_by_key(|candidate| {
+        weights_rollout::rollout_rank(candidate.key, candidate.weights, wanted.version)
+    });
     for (position, candidate) in behind.into_iter().enumerate() {
         candidate.rollout_wave = 1 + (position / wave_size) as u32;
     }
--- a/wagtaildoor_front/src/stream_relay.rs
+++ b/wagtaildoor_front/src/stream_relay.rs
@@ -21,6 +21,10 @@
     },
     endpoint::RequestGuard,
     endpoint_connection::EndpointConnection,
+    engine_loads::{
+        self,
+        LoadEvidence, //
+    },
     event_splitter::EventSplitter,
     wire_codec::{
         AnswerHead,
@@ -180,10 +184,9 @@
         return;
     };
     if let Some(weights) = C::parse_event_weights(data) {
-        source
-            .guard
-            .endpoint()
-            .record_weights(&prompt.model, weights);
+        let endpoint = source.guard.endpoint();
+        let evidence = LoadEvidence::Response;
+        engine_loads::record_weights(&request.front, endpoint, &prompt.model, weights, evidence);
     }
 }
 
--- a/wagtaildoor_front/src/weights_rollout.rs
+++ b/wagtaildoor_front/src/weights_rollout.rs
@@ -28,10 +28,14 @@
         self,
         CallError, //
     },
+    engine_loads::{
+        self,
+        LoadEvidence, //
+    },
     front::Front,
-    front_settings::RolloutPolicy,
     prefix_hash,
     shard_leases::ShardLeases,
+    wanted_weights::WantedWeights,
     wire_codec::{
         EngineReport,
         OrderVerdict,
@@ -43,9 +47,15 @@
 const SCAN_INTERVAL: Duration = Duration::from_millis(40);
 const REPORT_TIMEOUT: Duration = Duration::from_millis(350);
 const ORDER_TIMEOUT: Duration = Duration::from_millis(450);
-/// Time in which an engine should load its weights once it is its turn: a report, an order, and a
-/// load that is slowed down by others.
-const TURN_TIMEOUT: Duration = Duration::from_millis(1_200);
+/// Time in which an engine should begin to load once it is its turn: a report, an order, and a hint
+/// that tells of it.
+const TURN_TIMEOUT: Duration = Duration::from_millis(700);
+/// Share of the expected load time after which the engine's report is requested for the first time.
+const FIRST_LOAD_POLL: f64 = 0.7;
+/// Number of requests for the report in the expected load time.
+const LOAD_POLLS: u32 = 8;
+const MIN_LOAD_POLL_INTERVAL: Duration = Duration::from_millis(40);
+const MAX_LOAD_POLL_INTERVAL: Duration = Duration::from_millis(200);
 /// Delay before an engine is contacted again.
 const RETRY_DELAY: Duration = Duration::from_millis(200);
 
@@ -87,6 +97,10 @@
     pub weights: WeightsVersion,
     /// Version in the engine's own record.
     pub published_weights: WeightsVersion,
+    /// Whether the engine is believed to be loading weights.
+    pub is_loading: bool,
+    /// Whether a load has lasted as long as expected, so that the next engine may begin.
+    pub is_load_due: bool,
     /// Whether this host holds the lease of the engine's shard.
     pub is_own: bool,
 }
@@ -101,7 +115,8 @@
     ///
     /// All hosts sort the outdated engines alike, and the first `at_once` of them have their turn.
     /// This limits the concurrent loads although the orders come from several hosts. The turn of an
-    /// engine that does not load in time expires, and the next engine gets a turn.
+    /// engine that does not begin in time expires, and the next engine gets a turn. Engines whose
+    /// turn has expired get their orders when fewer than `at_once` are loading.
     pub fn next_orders(
         &mut self,
         engines: &[RolloutEngine],
@@ -118,19 +133,31 @@
         self.turns.retain(|key, _| known(key));
         let mut behind: Vec<&RolloutEngine> = engines
             .iter()
-            .filter(|engine| engine.weights < wanted && !self.has_turn_expired(engine.key, now))
+            .filter(|engine| engine.weights < wanted && !self.has_turn_expired(engine, now))
             .collect();
-        behind.sort_by_key(|engine| rollout_rank(engine.key, wanted));
+        behind.sort_by_key(|engine| rollout_rank(engine.key, engine.weights, wanted));
+        let about_done = engines.iter().filter(|engine| engine.is_load_due).count();
+        let at_once = at_once + about_done;
         let turns: Vec<&RolloutEngine> = behind.into_iter().take(at_once).collect();
         for engine in &turns {
             self.turns.entry(engine.key).or_insert(now);
         }
+        let is_due = |engine: &&RolloutEngine| {
+            engine.is_own && !engine.is_loading && self.is_due(engine.key, wanted, now)
+        };
+        let on_time = turns.into_iter().filter(is_due).map(|engine| engine.key);
+        let mut due: Vec<EndpointKey> = on_time.collect();
+        let loading = engines.iter().filter(|engine| engine.is_loading).count();
         let late = engines
             .iter()
-            .filter(|engine| engine.weights < wanted && self.has_turn_expired(engine.key, now));
-        let due = turns.into_iter().chain(late).filter(|engine| engine.is_own);
-        let due = due.map(|engine| engine.key);
-        due.filter(|key| self.is_due(*key, wanted, now)).collect()
+            .filter(|engine| engine.weights < wanted && self.has_turn_expired(engine, now));
+        let late_limit = at_once.saturating_sub(loading + due.len());
+        due.extend(
+            late.filter(is_due)
+                .take(late_limit)
+                .map(|engine| engine.key),
+        );
+        due
     }
 
     /// Removes and returns the engines whose record does not show the ordered version in time.
@@ -159,10 +186,10 @@
         unconfirmed
     }
 
-    /// Whether an engine's turn has lasted so long that the next engine may load as well.
-    fn has_turn_expired(&self, key: EndpointKey, now: BootInstant) -> bool {
-        let turn = self.turns.get(&key);
-        turn.is_some_and(|&since| now.since(since) > TURN_TIMEOUT)
+    /// Whether an engine did not begin to load in its turn, so that the next one may as well.
+    fn has_turn_expired(&self, engine: &RolloutEngine, now: BootInstant) -> bool {
+        let turn = self.turns.get(&engine.key);
+        !engine.is_loading && turn.is_some_and(|&since| now.since(since) > TURN_TIMEOUT)
     }
 
     /// Whether an engine may be sent an order now.
@@ -176,15 +203,14 @@
     }
 }
 
-/// Sort key for the order in which all hosts update the engines to a version.
-pub fn rollout_rank(engine: EndpointKey, wanted: WeightsVersion) -> u64 {
-    prefix_hash::combine_hashes(wanted, engine)
-}
-
-/// Number of a service's engines that may load at the same time, at least 1.
-pub fn max_concurrent_loads(engines: usize, policy: &RolloutPolicy) -> usize {
-    let share = (engines as f64 * policy.max_loading_share).floor() as usize;
-    share.max(1)
+/// Sort key for the order in which all hosts update the engines to a version. Those with the oldest
+/// weights come first, since their time limit ends first.
+pub fn rollout_rank(
+    engine: EndpointKey,
+    weights: WeightsVersion,
+    wanted: WeightsVersion,
+) -> (WeightsVersion, u64) {
+    (weights, prefix_hash::combine_hashes(wanted, engine))
 }
 
 /// Rolls out weights to the engines of this host's shards until the process ends.
@@ -197,7 +223,7 @@
             continue;
         }
         for (model, wanted) in front.all_wanted_weights() {
-            order_next_engines::<C>(&front, &leases, &tracker, &model, wanted.version, now);
+            order_next_engines::<C>(&front, &leases, &tracker, &model, &wanted, now);
         }
     }
 }
@@ -208,7 +234,7 @@
     leases: &Rc<ShardLeases>,
     tracker: &Rc<RefCell<OrderTracker>>,
     model: &ModelId,
-    wanted: WeightsVersion,
+    wanted: &WantedWeights,
     now: BootInstant,
 ) {
     let directory = front.endpoints.borrow();
@@ -218,12 +244,15 @@
             e.is_accepting_requests() && !e.health.borrow().is_down() && e.weights(model) > 0
         })
         .collect();
+    let expected = front.load_times.borrow().expected(model);
     let engines: Vec<RolloutEngine> = serving
         .iter()
         .map(|endpoint| RolloutEngine {
             key: endpoint.key,
             weights: endpoint.weights(model),
             published_weights: endpoint.published_weights(model),
+            is_loading: endpoint.is_loading(model, now),
+            is_load_due: endpoint.load_age(now).is_some_and(|age| age >= expected),
             is_own: leases.fencing_token_for(endpoint.key, now).is_some(),
         })
         .collect();
@@ -232,12 +261,17 @@
         if let Some(endpoint) = directory.get_by_key(key) {
             let described = endpoint.published_weights(model);
             slog::warn!(front.log, "weights not confirmed"; "endpoint" => &*endpoint.id,
-                "wanted" => wanted, "described" => described);
+                "wanted" => wanted.version, "described" => described);
             endpoint.overwrite_weights(model, described);
         }
     }
-    let limit = max_concurrent_loads(serving.len(), &front.settings.rollout);
-    for key in orders.next_orders(&engines, wanted, limit, now) {
+    let behind = engines
+        .iter()
+        .filter(|engine| engine.weights < wanted.version);
+    let outdated = behind.filter_map(|engine| wanted.outdated_since(engine.weights));
+    let outdated = outdated.map(|since| now.since(since));
+    let limit = engine_loads::concurrent_loads(front, model, engines.len(), outdated);
+    for key in orders.next_orders(&engines, wanted.version, limit, now) {
         let Some(endpoint) = directory.get_by_key(key).cloned() else {
             continue;
         };
@@ -248,7 +282,7 @@
             tracker: tracker.clone(),
             endpoint,
             model: model.clone(),
-            version: wanted,
+            version: wanted.version,
         };
         task::spawn_local(order.run::<C>());
     }
@@ -269,10 +303,7 @@
     /// Requests the engine's report, and sends an order if the engine is outdated and not busy.
     async fn run<C: WireCodec>(self) {
         let state = match self.fetch_report::<C>().await {
-            Some(report) if report.weights_of(&self.model) >= self.version => {
-                self.mark_weights_loaded();
-                self.loading_state(BootInstant::now())
-            }
+            Some(report) if report.weights_of(&self.model) >= self.version => self.loaded_state(),
             Some(report) if report.busy => self.retry_state(),
             Some(report) => self.send_order::<C>(&report).await,
             None => self.retry_state(),
@@ -285,7 +316,7 @@
     /// Requests the engine's report; `None` if the call fails or the report cannot be parsed.
     async fn fetch_report<C: WireCodec>(&self) -> Option<EngineReport> {
         let call = C::build_report_call(&self.endpoint.id);
-        match endpoint_call::call(&self.endpoint, call, REPORT_TIMEOUT).await {
+        match endpoint_call::fetch(&self.endpoint, call, REPORT_TIMEOUT).await {
             Ok((status, body)) if status.is_success() => C::parse_report(&body),
             Ok((status, _)) => {
                 self.log_verdict("no report", &status.to_string());
@@ -312,66 +343,70 @@
             orders_before: report.orders,
         };
         let call = C::build_order_call(&self.endpoint.id, &order);
-        self.endpoint
-            .load
-            .borrow_mut()
-            .mark_full(BootInstant::now());
-        self.front
-            .hints
-            .borrow_mut()
-            .push_weights(key, &self.model, self.version, true);
+        engine_loads::begin_load(&self.front, &self.endpoint, &self.model, self.version);
         let answer = endpoint_call::call(&self.endpoint, call, ORDER_TIMEOUT).await;
-        let now = BootInstant::now();
-        match answer.map(|(status, _)| C::parse_order_verdict(status)) {
+        let (verdict, detail) = match answer.map(|(status, _)| C::parse_order_verdict(status)) {
             Ok(OrderVerdict::Accepted) => {
                 self.log_verdict("accepted", "");
-                task::spawn_local(confirm_after_load(
-                    self.front.clone(),
-                    self.endpoint.clone(),
-                    self.model.clone(),
-                    self.version,
-                ));
-                self.loading_state(now + self.front.settings.rollout.load_time)
+                return self.await_load::<C>().await;
             }
             Ok(OrderVerdict::AlreadyHolds) => {
                 self.log_verdict("already_holds", "");
-                self.mark_weights_loaded();
-                self.loading_state(now)
-            }
-            Ok(OrderVerdict::Busy) => {
-                self.log_verdict("busy", "");
-                self.retry_state()
-            }
-            Ok(OrderVerdict::Fenced) => {
-                self.log_verdict("fenced", "");
-                self.retry_state()
-            }
-            Ok(OrderVerdict::Refused) => {
-                self.log_verdict("refused", "");
-                self.retry_state()
+                return self.loaded_state();
             }
-            Err(CallError::NotSent(reason)) => {
-                self.log_verdict("not_sent", &reason);
-                self.retry_state()
+            Ok(OrderVerdict::Busy) => ("busy", "".into()),
+            Ok(OrderVerdict::Fenced) => ("fenced", "".into()),
+            Ok(OrderVerdict::Refused) => ("refused", "".into()),
+            Err(CallError::NotSent(reason)) => ("not_sent", reason),
+            Err(CallError::AnswerLost(reason)) => ("answer_lost", reason),
+        };
+        self.log_verdict(verdict, &detail);
+        engine_loads::cancel_load(&self.front, &self.endpoint, &self.model);
+        self.retry_state()
+    }
+
+    /// Waits until the engine is seen with the new weights. A response or a hint may show them
+    /// before the engine's report does, which lags behind.
+    async fn await_load<C: WireCodec>(&self) -> OrderState {
+        let since = BootInstant::now();
+        let (expected, overdue_after) = {
+            let times = self.front.load_times.borrow();
+            let model = &*self.model;
+            (times.expected(model), times.overdue_after(model))
+        };
+        let interval = expected / LOAD_POLLS;
+        let interval = interval.clamp(MIN_LOAD_POLL_INTERVAL, MAX_LOAD_POLL_INTERVAL);
+        time::sleep(expected.mul_f64(FIRST_LOAD_POLL)).await;
+        while since.elapsed() < overdue_after {
+            if self.endpoint.weights(&self.model) >= self.version {
+                return self.confirmed_state();
             }
-            Err(CallError::AnswerLost(reason)) => {
-                self.log_verdict("answer_lost", &reason);
-                self.retry_state()
+            let report = self.fetch_report::<C>().await;
+            if report.is_some_and(|report| report.weights_of(&self.model) >= self.version) {
+                return self.loaded_state();
             }
+            time::sleep(interval).await;
         }
+        self.log_verdict("overdue", "");
+        engine_loads::cancel_load(&self.front, &self.endpoint, &self.model);
+        self.retry_state()
     }
 
-    /// Marks the weights as loaded, and queues the change for the other hosts.
-    fn mark_weights_loaded(&self) {
-        share_weights(&self.front, &self.endpoint, &self.model, self.version);
+    /// Records that the engine reported the new weights.
+    fn loaded_state(&self) -> OrderState {
+        let evidence = LoadEvidence::Report;
+        let (front, endpoint) = (&self.front, &self.endpoint);
+        engine_loads::record_weights(front, endpoint, &self.model, self.version, evidence);
+        self.confirmed_state()
     }
 
-    /// State of an engine whose load should be done at a given time.
-    fn loading_state(&self, done: BootInstant) -> OrderState {
+    /// State of an engine that has loaded the weights. Its record must show them, too.
+    fn confirmed_state(&self) -> OrderState {
+        let now = BootInstant::now();
         OrderState::Loading {
             version: self.version,
-            done,
-            confirm_by: done + self.front.settings.rollout.confirm_timeout,
+            done: now,
+            confirm_by: now + self.front.settings.rollout.confirm_timeout,
         }
     }
 
@@ -389,24 +424,6 @@
     }
 }
 
-/// Marks weights as loaded after the load time. The engine's next record must confirm it.
-async fn confirm_after_load(
-    front: Rc<Front>,
-    endpoint: Rc<Endpoint>,
-    model: ModelId,
-    version: WeightsVersion,
-) {
-    time::sleep(front.settings.rollout.load_time).await;
-    share_weights(&front, &endpoint, &model, version);
-}
-
-/// Marks weights as loaded by an engine, and queues the change for the other hosts.
-fn share_weights(front: &Front, endpoint: &Endpoint, model: &ModelId, version: WeightsVersion) {
-    endpoint.record_weights(model, version);
-    let mut hints = front.hints.borrow_mut();
-    hints.push_weights(endpoint.key, model, version, false);
-}
-
 impl EngineReport {
     /// Version of a model's weights; 0 if the engine does not serve the model.
     pub fn weights_of(&self, model: &str) -> WeightsVersion {
--- a/wagtaildoor_front/tests/engine_placement.rs
+++ b/wagtaildoor_front/tests/engine_placement.rs
@@ -56,6 +56,7 @@
         is_same_domain: key <= 2,
         domain: u64::from(key > 2),
         weights: 1,
+        outdated_for: Duration::ZERO,
         prefill_tokens: 0.0,
         waiting: 0.0,
         requests: 0.0,
@@ -121,10 +122,16 @@
             tokens: SHARED_TOKENS + self.own_tokens,
             answer_tokens: self.answer_tokens,
             wanted: self.wanted,
-            wanted_age: self.wanted_age,
         };
+        let mut engines = engines.to_vec();
+        for engine in engines
+            .iter_mut()
+            .filter(|engine| engine.weights < self.wanted)
+        {
+            engine.outdated_for = self.wanted_age;
+        }
         let input = PlacementInput {
-            engines,
+            engines: &engines,
             stores: &[StoreCandidate { key: STORE }],
             prefix_index,
             now: NOW,
--- a/wagtaildoor_front/tests/weights_rollout.rs
+++ b/wagtaildoor_front/tests/weights_rollout.rs
@@ -22,6 +22,8 @@
             key: key as u64,
             weights,
             published_weights: weights,
+            is_loading: false,
+            is_load_due: false,
             is_own,
         })
         .collect()
@@ -132,3 +134,123 @@
     assert!(tracker.next_orders(&engines, 2, 4, at(199)).is_empty());
     assert_eq!(tracker.next_orders(&engines, 2, 4, at(200)), [0]);
 }
+
+/// Engines of one host, by the time in milliseconds at which their load ends, if they load.
+struct SlowLoads {
+    tracker: OrderTracker,
+    /// Weights of each engine.
+    weights: Vec<u64>,
+    /// Start and version of the load of each engine.
+    loads: Vec<Option<(u64, u64)>>,
+    load_ms: u64,
+    expected_ms: u64,
+}
+
+impl SlowLoads {
+    fn new(engines: usize, load_ms: u64) -> Self {
+        Self {
+            tracker: OrderTracker::default(),
+            weights: vec![1; engines],
+            loads: vec![None; engines],
+            load_ms,
+            expected_ms: load_ms,
+        }
+    }
+
+    /// Ends the loads that are over, and starts those that the tracker wants.
+    fn step(&mut self, wanted: u64, ms: u64) {
+        let is_over = |load: &(u64, u64)| ms >= load.0 + self.load_ms;
+        for (engine, load) in self.loads.iter_mut().enumerate() {
+            if let Some((_, version)) = load.take_if(|load| is_over(load)) {
+                self.weights[engine] = version;
+                let done = OrderState::Loading {
+                    version,
+                    done: at(ms),
+                    confirm_by: at(ms + 2_600),
+                };
+                self.tracker.set_state(engine as u64, done);
+            }
+        }
+        let states = self.weights.iter().zip(&self.loads).enumerate();
+        let engines: Vec<RolloutEngine> = states
+            .map(|(key, (&weights, load))| RolloutEngine {
+                key: key as u64,
+                weights,
+                published_weights: weights,
+                is_loading: load.is_some(),
+                is_load_due: load.is_some_and(|load| ms >= load.0 + self.expected_ms),
+                is_own: true,
+            })
+            .collect();
+        for key in self.tracker.next_orders(&engines, wanted, 2, at(ms)) {
+            assert!(
+                self.loads[key as usize].is_none(),
+                "engine {key} is loading"
+            );
+            self.loads[key as usize] = Some((ms, wanted));
+            self.tracker.set_state(key, OrderState::Calling);
+        }
+    }
+
+    fn loading(&self) -> usize {
+        self.loads.iter().flatten().count()
+    }
+}
+
+#[test]
+fn slow_loads_keep_their_turn_until_they_end() {
+    let mut loads = SlowLoads::new(12, 1_500);
+    let mut ms = 0;
+    while loads.weights.contains(&1) {
+        loads.step(2, ms);
+        assert!(loads.loading() <= 2, "{} loads at {ms} ms", loads.loading());
+        ms += 40;
+    }
+    assert!(ms <= 9_500, "{ms} ms");
+}
+
+#[test]
+fn the_next_load_begins_when_one_is_due_though_nobody_saw_its_end() {
+    let mut loads = SlowLoads::new(4, 900);
+    loads.expected_ms = 700;
+    loads.step(2, 0);
+    loads.step(2, 699);
+    assert_eq!(loads.loading(), 2);
+    loads.step(2, 700);
+    assert_eq!(loads.loading(), 4);
+}
+
+/// Versions are named every two seconds, faster than the fleet can load them. Without an order by
+/// age, an engine that is last each time never loads at all.
+#[test]
+fn the_engines_with_the_oldest_weights_load_first() {
+    let mut loads = SlowLoads::new(12, 900);
+    for ms in (0..7_000).step_by(40) {
+        loads.step(2 + ms / 2_000, ms);
+    }
+    let oldest = loads.weights.iter().filter(|&&weights| weights == 1);
+    assert_eq!(oldest.count(), 0, "{:?}", loads.weights);
+}
+
+#[test]
+fn a_newer_version_waits_until_the_load_in_progress_has_ended() {
+    let mut loads = SlowLoads::new(2, 600);
+    loads.step(2, 0);
+    loads.step(3, 200);
+    assert_eq!(loads.loads, [Some((0, 2)), Some((0, 2))]);
+    loads.step(3, 600);
+    assert_eq!(loads.loads, [Some((600, 3)), Some((600, 3))]);
+}
+
+#[test]
+fn engines_that_were_not_reached_in_their_turn_are_not_ordered_all_at_once() {
+    let mut tracker = OrderTracker::default();
+    let mut engines = engines(&[(1, false); 12]);
+    for ms in (0..9_000).step_by(40) {
+        assert!(tracker.next_orders(&engines, 2, 2, at(ms)).is_empty());
+    }
+    for engine in &mut engines {
+        engine.is_own = true;
+    }
+    assert_eq!(tracker.next_orders(&engines, 2, 2, at(9_000)).len(), 2);
+}
