Reuse idle connections for requests that run once; distrust them where one broke

Change: where a connection breaks, or an endpoint cannot be reached, idle connections to that failure domain carry such requests only if they were used since.

--- a/wagtaildoor_front/src/caller_request/request_send.rs
+++ b/wagtaildoor_front/src/caller_request/request_send.rs
@@ -95,24 +95,35 @@
                         return Err(SendFailure::NotSent(reason));
                     }
                 }
-                Err(ExchangeError::AnswerLost(reason)) => return Err(SendFailure::Lost(reason)),
+                Err(ExchangeError::AnswerLost(reason)) => {
+                    let mut links = self.front.broken_links.borrow_mut();
+                    links.record(&endpoint.domain, BootInstant::now());
+                    return Err(SendFailure::Lost(reason));
+                }
             }
         }
     }
 
     /// Takes an idle connection to the endpoint or opens a new one.
     async fn acquire_connection(&self, placement: &RequestPlacement) -> Result<EndpointConnection> {
+        let endpoint = &placement.endpoint;
         let usage = match self.route.kind.is_repeatable() {
             true => ConnectionUse::Repeatable,
-            false => ConnectionUse::AtMostOnce,
+            false => {
+                let links = self.front.broken_links.borrow();
+                ConnectionUse::AtMostOnce(links.trusted_since(&endpoint.domain))
+            }
         };
-        let endpoint = &placement.endpoint;
         if let Some(idle) = endpoint.connections.take_idle(usage, BootInstant::now()) {
             return Ok(idle);
         }
         endpoint.connections.connect().await.map_err(|error| {
             let now = BootInstant::now();
             endpoint.health.borrow_mut().mark_unreachable(now);
+            self.front
+                .broken_links
+                .borrow_mut()
+                .record(&endpoint.domain, now);
             slog::warn!(self.front.log, "endpoint unreachable";
                 "endpoint" => &*endpoint.id, "error" => %error);
             SendFailure::NotSent(error.to_string().into())
--- a/wagtaildoor_front/src/endpoint_connection.rs
+++ b/wagtaildoor_front/src/endpoint_connection.rs
@@ -96,8 +96,9 @@
 pub enum ConnectionUse {
     /// The request may be sent again if its connection was closed meanwhile.
     Repeatable,
-    /// The request must not run twice.
-    AtMostOnce,
+    /// The request must not run twice. The connection must have been idle only since after the
+    /// given time.
+    AtMostOnce(BootInstant),
     /// The connection must not have been idle for longer.
     IdleAtMost(Duration),
 }
@@ -140,12 +141,15 @@
         let mut idle = self.idle.borrow_mut();
         idle.retain(|kept| kept.connection.is_usable() && now.since(kept.since) < kept.limit);
         let newest = idle.last()?;
-        let max_idle = match usage {
-            ConnectionUse::Repeatable => Duration::MAX,
-            ConnectionUse::AtMostOnce => newest.at_most_once_limit,
-            ConnectionUse::IdleAtMost(max_idle) => max_idle,
+        let idle_time = now.since(newest.since);
+        let is_trusted = match usage {
+            ConnectionUse::Repeatable => true,
+            ConnectionUse::AtMostOnce(trusted_since) => {
+                newest.since > trusted_since && idle_time <= newest.at_most_once_limit
+            }
+            ConnectionUse::IdleAtMost(max_idle) => idle_time <= max_idle,
         };
-        if now.since(newest.since) > max_idle {
+        if !is_trusted {
             return None;
         }
         idle.pop().map(|kept| kept.connection)
--- a/wagtaildoor_front/src/endpoint_monitor.rs
+++ b/wagtaildoor_front/src/endpoint_monitor.rs
@@ -51,6 +51,8 @@
         }
         Err(error) => {
             endpoint.health.borrow_mut().mark_unreachable(now);
+            let mut links = front.broken_links.borrow_mut();
+            links.record(&endpoint.domain, now);
             endpoint.connections.close_idle();
             if !was_down {
                 slog::warn!(front.log, "endpoint silent"; "endpoint" => &*endpoint.id,
--- a/wagtaildoor_front/src/front.rs
+++ b/wagtaildoor_front/src/front.rs
@@ -29,6 +29,7 @@
         self,
         BlockStore, //
     },
+    broken_links::BrokenLinks,
     control_store::{
         ControlStream,
         GroupMember, //
@@ -74,6 +75,8 @@
     pub block_stores: RefCell<Vec<Rc<BlockStore>>>,
     /// Prompt prefixes that engines and block stores hold.
     pub homes: RefCell<PrefixIndex>,
+    /// Failure domains to which connections broke.
+    pub broken_links: RefCell<BrokenLinks>,
     /// Times that engines took to load weights.
     pub load_times: RefCell<LoadTimes>,
     /// Allowance for sends after the first one of each request.
@@ -116,6 +119,7 @@
             hints: RefCell::new(HintQueue::default()),
             block_stores: RefCell::new(Vec::new()),
             homes: RefCell::new(PrefixIndex::default()),
+            broken_links: RefCell::new(BrokenLinks::default()),
             load_times: RefCell::new(load_times),
             retries: RefCell::new(retries),
             peers: RefCell::new(PeerHosts::default()),
--- a/wagtaildoor_front/src/lib.rs
+++ b/wagtaildoor_front/src/lib.rs
@@ -1,6 +1,7 @@
 //! Transparent front: forwards callers' requests to endpoints unchanged, and decides where to.
 
 pub mod block_store;
+pub mod broken_links;
 pub mod caller_request;
 pub mod caller_server;
 pub mod control_follower;
