Tell other hosts again of prefix holders that are in use

Cause: a host told the others of a holder once; they saw no later use and took it for evicted after 2.5 s as a source and after 15 s altogether. With 38 hosts each sees one use in 38, so shared parts were read again although an engine held them.

Change: a holder in use is told again after a second.

--- a/wagtaildoor_front/src/peer_link.rs
+++ b/wagtaildoor_front/src/peer_link.rs
@@ -256,7 +256,7 @@
     record_peers(front, &hint, sender);
     let mut homes = front.homes.borrow_mut();
     for placed in &hint.placed {
-        homes.record_holder(placed.prefix, placed.endpoint, placed.is_read, now);
+        homes.record_hint(placed.prefix, placed.endpoint, placed.is_read, now);
     }
     let endpoints = front.endpoints.borrow();
     for work in &hint.work {
--- a/wagtaildoor_front/src/prefix_index.rs
+++ b/wagtaildoor_front/src/prefix_index.rs
@@ -19,6 +19,9 @@
 const MAX_HOLDERS: usize = 6;
 /// Time since the last use after which a holder is assumed to have evicted a prefix.
 const HOLDER_TTL: Duration = Duration::from_secs(15);
+/// Interval at which the other hosts are told again of a holder that is in use. Each host sees only
+/// a small part of all uses, and takes a holder without known uses for one that evicted the prefix.
+const HINT_INTERVAL: Duration = Duration::from_secs(1);
 
 /// An engine or a store that holds a prefix.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
@@ -29,6 +32,8 @@
     pub last_used: BootInstant,
     /// Whether the prefill of the prefix is done; if not, a request that will do it was sent.
     pub is_read: bool,
+    /// When a host last told the others of the holder.
+    pub hinted_at: BootInstant,
 }
 
 /// Known holders of prompt prefixes.
@@ -59,6 +64,35 @@
         is_read: bool,
         now: BootInstant,
     ) -> bool {
+        let previous = self.update_holder(prefix, endpoint, is_read, now);
+        let is_news = previous.is_none_or(|holder| {
+            is_read && !holder.is_read || now.since(holder.hinted_at) >= HINT_INTERVAL
+        });
+        if let Some(previous) = previous.filter(|_| !is_news) {
+            self.set_hinted_at(prefix, previous.hinted_at);
+        }
+        is_news
+    }
+
+    /// Records what another host told of a holder.
+    pub fn record_hint(
+        &mut self,
+        prefix: PrefixId,
+        endpoint: EndpointKey,
+        is_read: bool,
+        now: BootInstant,
+    ) {
+        self.update_holder(prefix, endpoint, is_read, now);
+    }
+
+    /// Replaces a holder's entry by one of now. Returns the earlier entry if it still counted.
+    fn update_holder(
+        &mut self,
+        prefix: PrefixId,
+        endpoint: EndpointKey,
+        is_read: bool,
+        now: BootInstant,
+    ) -> Option<PrefixHolder> {
         let holders = self.holders.touch(prefix);
         let previous = holders.iter().position(|h| h.endpoint == endpoint);
         let previous = previous.map(|index| holders.remove(index));
@@ -71,8 +105,17 @@
             endpoint,
             last_used: now,
             is_read: is_read || fresh.is_some_and(|holder| holder.is_read),
+            hinted_at: now,
         });
-        fresh.is_none_or(|holder| is_read && !holder.is_read)
+        fresh
+    }
+
+    /// Restores the time of the last hint about the most recently used holder.
+    fn set_hinted_at(&mut self, prefix: PrefixId, hinted_at: BootInstant) {
+        let holders = self.holders.get_mut(prefix);
+        if let Some(newest) = holders.and_then(|holders| holders.last_mut()) {
+            newest.hinted_at = hinted_at;
+        }
     }
 
     /// Removes a holder whose prefill of the prefix is not done, since the request failed.
