Keep requests in line before busy engines; refuse at once what cannot start in time

Cause: with more asked than the engines can do, all of it was sent. Queues at the engines grew past the callers' patience, prompts were read for callers who had left, and evicted prefixes were read again.

Change: a request goes to an engine only if the work there that is at least as urgent would be done in half of the target time. Else it waits in line in the front, by urgency, those that can be on time first, and is refused when it comes if the line would take longer than it may wait. Retry-After follows from the line and is spread. The speed of the engines is learned from times to the first part, the age of a caller's first attempt from its deadline.

--- a/wagtaildoor_front/src/caller_request.rs
+++ b/wagtaildoor_front/src/caller_request.rs
@@ -65,6 +65,7 @@
 
 mod caller_refusal;
 mod connection_headers;
+mod engine_wait;
 mod request_admission;
 mod request_send;
 mod response_read;
@@ -78,11 +79,6 @@
 /// accepted, because the balancer may not have another host for them yet.
 const LONG_REQUEST_ACCEPT_TIME: Duration = Duration::from_millis(2_500);
 
-/// Interval between checks whether an engine has finished loading weights.
-const LOAD_POLL_INTERVAL: Duration = Duration::from_millis(20);
-/// Part of a request's time, as a divisor, that it may wait for an engine that is loading weights.
-const MAX_LOAD_WAIT_DIVISOR: u32 = 4;
-
 /// A caller request and the state of its attempts.
 pub struct CallerRequest<C> {
     /// Shared state of this host.
@@ -110,6 +106,10 @@
     sends: u32,
     /// Number of endpoints that ran the request or may have run it.
     possible_runs: u32,
+    /// Time between the caller's first attempt and the arrival of this one, as far as it is known.
+    age_at_arrival: Duration,
+    /// When the caller should return if the request is refused; `None` if there is no estimate.
+    retry_after: Option<Duration>,
     /// Error response from an endpoint, returned if no other endpoint does better.
     failure: Option<Response<ResponseBody>>,
     /// Selects the wire format.
@@ -176,6 +176,10 @@
         C::strip_caller_headers(&mut headers);
         let time = admitted.head.deadline;
         let time = time.unwrap_or(front.settings.times.default_deadline);
+        let age_at_arrival = front
+            .caller_deadlines
+            .borrow_mut()
+            .record(&admitted.route.id, time);
         let time = admitted.route.timeout.map_or(time, |limit| limit.min(time));
         let target = parts.uri.path_and_query().cloned();
         Self {
@@ -193,6 +197,8 @@
             delivered_sends: 0,
             sends: 0,
             possible_runs: 0,
+            age_at_arrival,
+            retry_after: None,
             failure: None,
             codec: PhantomData,
         }
@@ -213,7 +219,9 @@
         let started = match time::timeout_at(deadline, self.send_until_answered(None)).await {
             Ok(Ok(Some(started))) => started,
             Ok(Ok(None)) => return self.respond_with_failure(),
-            Ok(Err(error)) => return caller_refusal::refuse(&mut self.log, &error, None),
+            Ok(Err(error)) => {
+                return caller_refusal::refuse(&mut self.log, &error, self.retry_after);
+            }
             Err(_) => return self.respond_at_deadline(),
         };
         if self.route.kind.is_stream() && started.response.status() == StatusCode::OK {
@@ -230,14 +238,10 @@
         resume_after: Option<u64>,
     ) -> Result<Option<StartedResponse>> {
         loop {
-            let now = BootInstant::now();
-            let Some(placement) = self.choose_endpoint(now) else {
-                if self.may_wait_for_load(now) {
-                    time::sleep(LOAD_POLL_INTERVAL).await;
-                    continue;
-                }
+            let Some(placement) = self.await_placement(resume_after.is_some()).await? else {
                 return self.no_endpoint_outcome();
             };
+            let now = BootInstant::now();
             if !self.try_acquire_send(&placement.endpoint.service.clone(), now) {
                 return self.no_endpoint_outcome();
             }
@@ -314,12 +318,9 @@
         self.with_query(|query| request_placement::choose_endpoint(&self.front, query, now))
     }
 
-    /// Whether to wait for an engine that is loading weights, since no other can take the request.
-    fn may_wait_for_load(&self, now: BootInstant) -> bool {
-        let arrived = self.log.arrived();
-        let limit = self.deadline.saturating_duration_since(arrived) / MAX_LOAD_WAIT_DIVISOR;
+    /// Whether an engine that could take the request is loading weights.
+    fn is_load_in_progress(&self, now: BootInstant) -> bool {
         self.sends < MAX_SENDS
-            && arrived.elapsed() < limit
             && self
                 .with_query(|query| request_placement::is_load_in_progress(&self.front, query, now))
     }
--- /dev/null
+++ b/wagtaildoor_front/src/caller_request/engine_wait.rs
@@ -0,0 +1,221 @@
+//! Keeps a request in line while no engine can begin with it soon, or refuses it.
+
+use std::time::Duration;
+
+use tokio::time::{
+    self,
+    Instant, //
+};
+use wagtaildoor::{
+    boot_clock::BootInstant,
+    error::{
+        ErrorKind,
+        RequestError, //
+    },
+    ids::ServiceId,
+};
+
+use crate::{
+    admission_queue::{
+        self,
+        WaitTerms,
+        WaitTicket, //
+    },
+    caller_request::{
+        CallerRequest,
+        Result, //
+    },
+    prefix_hash,
+    request_placement::RequestPlacement,
+    wire_codec::WireCodec,
+};
+
+/// Interval at which a waiting request looks for an engine.
+const LINE_POLL_INTERVAL: Duration = Duration::from_millis(15);
+/// Interval between checks whether an engine has finished loading weights.
+const LOAD_POLL_INTERVAL: Duration = Duration::from_millis(20);
+/// Part of a request's time, as a divisor, that it may wait for an engine that is loading weights.
+const MAX_LOAD_WAIT_DIVISOR: u32 = 4;
+/// Longest queue at an engine that still takes the request, as a share of its target time for the
+/// first part.
+const ENGINE_QUEUE_SHARE: f64 = 0.5;
+/// The same for requests that are late already.
+const LATE_ENGINE_QUEUE_SHARE: f64 = 0.3;
+/// Waiting is given up when less than this share of the caller's patience is left.
+const MIN_TIME_LEFT: f64 = 0.15;
+/// Shortest time after which a refused caller is asked to return.
+const MIN_RETRY_AFTER: Duration = Duration::from_millis(400);
+/// Part of the time that a caller has left, as a divisor, after which it is asked to return at the
+/// earliest.
+const RETRY_AFTER_DIVISOR: u32 = 8;
+/// Part of the time that a caller has left, as a divisor, up to which it waits before it returns.
+const MAX_RETRY_AFTER_DIVISOR: u32 = 3;
+/// Largest random extension of the time after which callers return, as a share of it.
+const RETRY_AFTER_SPREAD: f64 = 0.5;
+
+impl<C: WireCodec> CallerRequest<C> {
+    /// Chooses an endpoint. While the engines have no room, the request waits in line; it is refused
+    /// at once if the line is too long for it. A resumed stream does not wait. `None` if there is no
+    /// endpoint.
+    pub(super) async fn await_placement(
+        &mut self,
+        is_resumed: bool,
+    ) -> Result<Option<RequestPlacement>> {
+        let mut ticket: Option<WaitTicket> = None;
+        let waits_since = Instant::now();
+        loop {
+            let now = BootInstant::now();
+            let may_choose = match &ticket {
+                Some(ticket) => ticket.is_at_head(),
+                None => is_resumed || self.is_first_in_line(),
+            };
+            if may_choose {
+                let Some(placement) = self.choose_endpoint(now) else {
+                    if self.may_wait_for_load(now) {
+                        time::sleep(LOAD_POLL_INTERVAL).await;
+                        continue;
+                    }
+                    return Ok(None);
+                };
+                if is_resumed || self.has_room(&placement) {
+                    if placement.engine.is_some() {
+                        let mut line = self.front.admission_queue.borrow_mut();
+                        let tokens = placement.prefill_tokens as f64;
+                        let urgency = self.wait_terms().urgency;
+                        line.record_admission(&placement.endpoint.service, urgency, tokens, now);
+                    }
+                    if ticket.is_some() {
+                        let waited = waits_since.elapsed();
+                        self.front.metrics.record_admission("waited", waited);
+                        let waited_ms = waited.as_millis();
+                        self.log
+                            .add_decision(format_args!("waited {waited_ms} ms in line"));
+                    }
+                    return Ok(Some(placement));
+                }
+            }
+            if ticket.is_none() {
+                ticket = Some(self.join_line(now)?);
+            }
+            let patience = self.route.caller_patience;
+            if self.wait_terms().left < patience.mul_f64(MIN_TIME_LEFT) {
+                return Err(self.refuse_busy(now));
+            }
+            time::sleep(LINE_POLL_INTERVAL).await;
+        }
+    }
+
+    /// Whether nobody waits for the service that the request would go to first.
+    fn is_first_in_line(&self) -> bool {
+        let services = self.target_services();
+        let line = self.front.admission_queue.borrow();
+        services
+            .first()
+            .is_none_or(|service| line.is_empty(service))
+    }
+
+    /// Whether the queue of the chosen engine is short enough. Plain endpoints always have room.
+    fn has_room(&self, placement: &RequestPlacement) -> bool {
+        let Some(engine) = &placement.engine else {
+            return true;
+        };
+        let service = &placement.endpoint.service;
+        let terms = self.wait_terms();
+        let line = self.front.admission_queue.borrow();
+        let queued_tokens = engine.queued_tokens * line.urgent_share(service, terms.urgency);
+        let speed = self.front.prefill_speeds.borrow().tokens_per_ms(service);
+        let share = match terms.is_on_time() {
+            true => ENGINE_QUEUE_SHARE,
+            false => LATE_ENGINE_QUEUE_SHARE,
+        };
+        queued_tokens <= speed * terms.target.as_secs_f64() * 1000.0 * share
+    }
+
+    /// Takes a place in line, or refuses the request.
+    fn join_line(&mut self, now: BootInstant) -> Result<WaitTicket> {
+        let terms = self.wait_terms();
+        let Some(service) = self.first_service() else {
+            return Err(self.refuse_busy(now));
+        };
+        let capacity = self.capacity_share(&service, now);
+        let mut line = self.front.admission_queue.borrow_mut();
+        line.set_capacity(&service, capacity);
+        drop(line);
+        match admission_queue::join(&self.front.admission_queue, &service, &terms, now) {
+            Some(ticket) => Ok(ticket),
+            None => Err(self.refuse_busy(now)),
+        }
+    }
+
+    /// This host's part of what the engines of a service can read, in tokens per millisecond.
+    fn capacity_share(&self, service: &ServiceId, now: BootInstant) -> f64 {
+        let directory = self.front.endpoints.borrow();
+        let engines = directory.service_endpoints(service).iter();
+        let model = self.head.prompt.as_ref().map(|prompt| &*prompt.model);
+        let usable = engines.filter(|engine| {
+            engine.is_accepting_requests()
+                && !engine.health.borrow().is_down()
+                && !model.is_some_and(|model| engine.is_loading(model, now))
+        });
+        let speed = self.front.prefill_speeds.borrow().tokens_per_ms(service);
+        usable.count() as f64 * speed / self.front.host_count() as f64
+    }
+
+    fn first_service(&self) -> Option<ServiceId> {
+        self.target_services().first().copied().cloned()
+    }
+
+    /// How long the request may still wait.
+    fn wait_terms(&self) -> WaitTerms {
+        let account = self.account.as_ref();
+        let held = self.log.arrived().elapsed();
+        let deadline = self.deadline.saturating_duration_since(Instant::now());
+        WaitTerms {
+            urgency: account
+                .and_then(|account| account.urgency)
+                .unwrap_or(self.route.urgency),
+            age: self.age_at_arrival + held,
+            target: self.route.first_answer_target,
+            left: self
+                .route
+                .caller_patience
+                .saturating_sub(held)
+                .min(deadline),
+        }
+    }
+
+    /// Error for a request that the engines cannot begin in time, and the time for its return.
+    fn refuse_busy(&mut self, now: BootInstant) -> RequestError {
+        if self.possible_runs > 0 || self.failure.is_some() {
+            let detail = "an earlier try failed, and the engines are too busy for another one";
+            return RequestError::new(ErrorKind::EndpointFailed, detail);
+        }
+        let service = self.first_service().unwrap_or_else(|| "".into());
+        let (waiting, clear) = {
+            let line = self.front.admission_queue.borrow();
+            (line.waiting(&service), line.time_to_clear(&service, now))
+        };
+        let speed = self.front.prefill_speeds.borrow().tokens_per_ms(&service);
+        let left = self.deadline.saturating_duration_since(Instant::now());
+        let draw = prefix_hash::text_hash(self.head.attempt.as_deref().unwrap_or_default());
+        let spread = 1.0 + draw as f64 / u64::MAX as f64 * RETRY_AFTER_SPREAD;
+        let after = clear.max(left / RETRY_AFTER_DIVISOR).max(MIN_RETRY_AFTER);
+        let after = after.mul_f64(spread).min(left / MAX_RETRY_AFTER_DIVISOR);
+        self.retry_after = Some(after);
+        self.front
+            .metrics
+            .record_admission("refused", self.log.arrived().elapsed());
+        let detail = format!(
+            "the engines are busy: {waiting} wait, {} ms until all are sent, {speed:.0} tokens/ms",
+            clear.as_millis()
+        );
+        RequestError::new(ErrorKind::Overloaded, detail)
+    }
+
+    /// Whether to wait for an engine that is loading weights, since no other can take the request.
+    fn may_wait_for_load(&self, now: BootInstant) -> bool {
+        let arrived = self.log.arrived();
+        let limit = self.deadline.saturating_duration_since(arrived) / MAX_LOAD_WAIT_DIVISOR;
+        arrived.elapsed() < limit && self.is_load_in_progress(now)
+    }
+}
--- a/wagtaildoor_front/src/caller_request/request_send.rs
+++ b/wagtaildoor_front/src/caller_request/request_send.rs
@@ -74,6 +74,7 @@
             let reused = connection.is_reused();
             let request = self.build_request(placement, resume_after);
             self.delivered_sends += 1;
+            let sent_at = Instant::now();
             match self
                 .exchange(placement, &mut connection, &guard, request)
                 .await
@@ -87,6 +88,9 @@
                             .borrow_mut()
                             .mark_load_changed(endpoint.key);
                     }
+                    if resume_after.is_none() {
+                        self.record_prefill_speed(placement, sent_at.elapsed(), &response);
+                    }
                     return self.check_response_head(placement, guard, connection, response, now);
                 }
                 Err(ExchangeError::NotSent(reason)) => {
@@ -104,6 +108,24 @@
         }
     }
 
+    /// Learns from the time to the first part of a successful response.
+    fn record_prefill_speed(
+        &self,
+        placement: &RequestPlacement,
+        took: Duration,
+        response: &Response<Incoming>,
+    ) {
+        if let Some(engine) = placement
+            .engine
+            .as_ref()
+            .filter(|_| response.status().is_success())
+        {
+            let tokens = engine.queued_tokens + placement.prefill_tokens as f64;
+            let mut speeds = self.front.prefill_speeds.borrow_mut();
+            speeds.record(&placement.endpoint.service, tokens, took);
+        }
+    }
+
     /// Takes an idle connection to the endpoint or opens a new one.
     async fn acquire_connection(&self, placement: &RequestPlacement) -> Result<EndpointConnection> {
         let endpoint = &placement.endpoint;
--- a/wagtaildoor_front/src/engine_placement.rs
+++ b/wagtaildoor_front/src/engine_placement.rs
@@ -161,6 +161,8 @@
     /// Expected prefill work, in tokens at the start of a prompt. Later tokens count for more,
     /// since each attends to all tokens before it.
     pub prefill_tokens: u64,
+    /// Work that the engine has before it, in tokens.
+    pub queued_tokens: f64,
     /// Estimated cost, in milliseconds.
     pub cost_ms: f64,
 }
@@ -207,6 +209,7 @@
                 source: work.source,
                 copy_to: None,
                 prefill_tokens: work.prefill_work as u64,
+                queued_tokens: queued_tokens(candidate, policy),
                 cost_ms,
             });
         }
@@ -246,6 +249,11 @@
         || candidate.outdated_for + start_delay < policy.old_weights_limit
 }
 
+/// Work that an engine has to do before a new request, in tokens.
+fn queued_tokens(candidate: &EngineCandidate, policy: &EnginePolicy) -> f64 {
+    candidate.prefill_tokens + candidate.waiting * policy.queued_request_tokens
+}
+
 /// Estimated cost of an engine for a prompt, in milliseconds.
 fn cost_ms(
     candidate: &EngineCandidate,
@@ -253,8 +261,8 @@
     work: &PromptWork,
     policy: &EnginePolicy,
 ) -> f64 {
-    let queued = candidate.prefill_tokens + candidate.waiting * policy.queued_request_tokens;
-    let mut cost = (queued + work.prefill_work) / policy.prefill_tokens_per_ms;
+    let queued_tokens = queued_tokens(candidate, policy);
+    let mut cost = (queued_tokens + work.prefill_work) / policy.prefill_tokens_per_ms;
     cost += candidate.requests * policy.running_ms;
     cost += (candidate.requests + 1.0 - candidate.slots).max(0.0) * policy.over_slots_ms;
     cost += candidate.failure_rate * policy.failure_ms;
--- a/wagtaildoor_front/src/front.rs
+++ b/wagtaildoor_front/src/front.rs
@@ -25,11 +25,13 @@
 };
 
 use crate::{
+    admission_queue::AdmissionQueue,
     block_store::{
         self,
         BlockStore, //
     },
     broken_links::BrokenLinks,
+    caller_deadlines::CallerDeadlines,
     control_store::{
         ControlStream,
         GroupMember, //
@@ -41,6 +43,7 @@
     load_times::LoadTimes,
     peer_hosts::PeerHosts,
     peer_rotation::PeerRotation,
+    prefill_speeds::PrefillSpeeds,
     prefix_index::PrefixIndex,
     record_mirror::RecordMirror,
     retry_allowance::RetryAllowance,
@@ -75,6 +78,12 @@
     pub block_stores: RefCell<Vec<Rc<BlockStore>>>,
     /// Prompt prefixes that engines and block stores hold.
     pub homes: RefCell<PrefixIndex>,
+    /// Requests that wait until an engine has room.
+    pub admission_queue: Rc<RefCell<AdmissionQueue>>,
+    /// Longest deadlines of callers.
+    pub caller_deadlines: RefCell<CallerDeadlines>,
+    /// Prefill speeds of the engines.
+    pub prefill_speeds: RefCell<PrefillSpeeds>,
     /// Failure domains to which connections broke.
     pub broken_links: RefCell<BrokenLinks>,
     /// Times that engines took to load weights.
@@ -105,6 +114,7 @@
     /// Creates the state of a host that has read nothing yet.
     pub fn new(settings: FrontSettings, log: Logger, metrics: FrontMetrics) -> Rc<Self> {
         let retries = RetryAllowance::new(settings.retries);
+        let prefill_speeds = PrefillSpeeds::new(settings.engines.prefill_tokens_per_ms);
         let load_times = LoadTimes::new(settings.rollout.load_time);
         Rc::new(Self {
             settings,
@@ -119,6 +129,9 @@
             hints: RefCell::new(HintQueue::default()),
             block_stores: RefCell::new(Vec::new()),
             homes: RefCell::new(PrefixIndex::default()),
+            admission_queue: Rc::default(),
+            caller_deadlines: RefCell::new(CallerDeadlines::default()),
+            prefill_speeds: RefCell::new(prefill_speeds),
             broken_links: RefCell::new(BrokenLinks::default()),
             load_times: RefCell::new(load_times),
             retries: RefCell::new(retries),
@@ -150,6 +163,8 @@
         if is_newer {
             let mut stores = self.block_stores.borrow_mut();
             *stores = block_store::configured_stores(&table, &stores);
+            let mut deadlines = self.caller_deadlines.borrow_mut();
+            deadlines.retain(|route| table.has_route(route));
             *routes = Some(Rc::new(table));
         }
         is_newer
--- a/wagtaildoor_front/src/front_metrics.rs
+++ b/wagtaildoor_front/src/front_metrics.rs
@@ -27,6 +27,8 @@
     store_calls: Counter<u64>,
     /// Orders to engines by verdict.
     orders: Counter<u64>,
+    /// Time in line by result, in seconds.
+    admissions: Histogram<f64>,
     /// Time that an engine took to load weights, in seconds.
     load: Histogram<f64>,
     /// Time to the first part of a response, in seconds.
@@ -44,6 +46,8 @@
             sends: registry.counter("front_sends", "Sends to endpoints by result"),
             store_calls: registry.counter("front_store_calls", "Calls to the store by result"),
             orders: registry.counter("front_orders", "Orders to engines by verdict"),
+            admissions: registry
+                .duration_histogram("front_admission_wait", "Time in line by result"),
             load: registry
                 .duration_histogram("front_weights_load", "Time to load weights of an engine"),
             first_part: registry
@@ -78,6 +82,12 @@
         self.store_calls.add(1, &[KeyValue::new("result", result)]);
     }
 
+    /// Records how long a request stood in line, until it was sent or refused.
+    pub fn record_admission(&self, result: &'static str, waited: Duration) {
+        let labels = [KeyValue::new("result", result)];
+        self.admissions.record(waited.as_secs_f64(), &labels);
+    }
+
     /// Records how long an engine took to load weights.
     pub fn record_load(&self, took: Duration) {
         self.load.record(took.as_secs_f64(), &[]);
--- a/wagtaildoor_front/src/lib.rs
+++ b/wagtaildoor_front/src/lib.rs
@@ -1,7 +1,9 @@
 //! Transparent front: forwards callers' requests to endpoints unchanged, and decides where to.
 
+pub mod admission_queue;
 pub mod block_store;
 pub mod broken_links;
+pub mod caller_deadlines;
 pub mod caller_request;
 pub mod caller_server;
 pub mod control_follower;
@@ -26,6 +28,7 @@
 pub mod peer_link;
 pub mod peer_rotation;
 pub mod plain_placement;
+pub mod prefill_speeds;
 pub mod prefix_hash;
 pub mod prefix_index;
 pub mod record_mirror;
--- a/wagtaildoor_front/src/request_placement.rs
+++ b/wagtaildoor_front/src/request_placement.rs
@@ -91,6 +91,8 @@
     pub source: Option<SocketAddr>,
     /// Block store that receives a copy of the blocks.
     pub copy_to: Option<Rc<BlockStore>>,
+    /// Work that the engine has before this request, in tokens.
+    pub queued_tokens: f64,
     /// Prefixes that the engine holds after it has prefilled the prompt.
     pub prefixes: Vec<SharedPrefix>,
 }
@@ -207,6 +209,7 @@
             cache_salt: prefix_hash::cache_salt(&prompt.model, choice.weights, query.isolated),
             source,
             copy_to,
+            queued_tokens: choice.queued_tokens,
             prefixes: chain.map_or_else(Vec::new, |(_, chain)| chain),
         }),
         cost_ms: choice.cost_ms,
--- a/wagtaildoor_front/src/route_table.rs
+++ b/wagtaildoor_front/src/route_table.rs
@@ -5,7 +5,10 @@
     rc::Rc, //
 };
 
-use wagtaildoor::ids::ServiceId;
+use wagtaildoor::ids::{
+    RouteId,
+    ServiceId, //
+};
 
 use crate::{
     prefix_hash,
@@ -101,6 +104,11 @@
         self.services.get(id)
     }
 
+    /// Whether a route is configured.
+    pub fn has_route(&self, id: &RouteId) -> bool {
+        self.routes.values().flatten().any(|route| route.id == *id)
+    }
+
     /// All services, in no particular order.
     pub fn services(&self) -> impl Iterator<Item = &ServiceRule> {
         self.services.values()
--- a/wagtaildoor_front/src/service_config.rs
+++ b/wagtaildoor_front/src/service_config.rs
@@ -77,6 +77,8 @@
     pub first_answer_target: Duration,
     /// Target for the longest gap between events of a stream.
     pub event_gap_target: Duration,
+    /// Time after which a caller leaves if no part of the response has come.
+    pub caller_patience: Duration,
     /// Urgency of requests; 0 is the most urgent.
     pub urgency: u8,
     /// Services for the requests, with their weights.
--- a/wagtaildoor_front/src/stream_relay.rs
+++ b/wagtaildoor_front/src/stream_relay.rs
@@ -103,9 +103,11 @@
             .log
             .add_decision(format_args!("broke off: {reason}"));
         endpoint.health.borrow_mut().record_outcome(true, now);
-        let mut links = request.front.broken_links.borrow_mut();
-        links.record(&endpoint.domain, now);
-        drop(links);
+        request
+            .front
+            .broken_links
+            .borrow_mut()
+            .record(&endpoint.domain, now);
         request.front.metrics.record_send("broke_off");
         request.record_broken_response(endpoint.key);
         let last_id = events.last_id().or(request.head.resume_after);
--- a/wagtaildoor_front/tests/route_table.rs
+++ b/wagtaildoor_front/tests/route_table.rs
@@ -32,6 +32,7 @@
         attempts: 2,
         timeout: Some(Duration::from_secs(1)),
         first_answer_target: Duration::from_millis(150),
+        caller_patience: Duration::from_secs(2),
         event_gap_target: Duration::from_millis(250),
         urgency: 1,
         targets: targets.collect(),
