Give up events without end and streams that only trickle; bound buffered answers

Cause (read, then shown by tests): a stream whose bytes never completed an event was buffered without bound until the deadline, and a byte now and then kept it alive; buffered answers of up to 8 MB each had no bound together.

Change: an event of 1 MB counts as endless, a resumable stream without a complete event in three quarters of its caller's patience is resumed elsewhere, and buffered answers share 32 MB.

--- a/wagtaildoor_front/src/caller_request/response_read.rs
+++ b/wagtaildoor_front/src/caller_request/response_read.rs
@@ -1,10 +1,12 @@
 //! Passes endpoint responses to the caller, either buffered completely or as a stream.
 
-use http::Response;
-use http_body_util::{
-    BodyExt,
-    Limited, //
+use bytes::{
+    Bytes,
+    BytesMut, //
 };
+use http::Response;
+use http_body_util::BodyExt;
+use hyper::body::Incoming;
 use tokio::{
     task,
     time, //
@@ -13,6 +15,7 @@
 use wagtaildoor_daemon::response_body::ResponseBody;
 
 use crate::{
+    buffer_budget::BufferBudget,
     caller_request::{
         caller_refusal,
         connection_headers,
@@ -28,6 +31,27 @@
 /// Number of stream parts queued for a slow caller before reading from the endpoint pauses.
 const RELAY_QUEUE_PARTS: usize = 32;
 
+/// Reads a complete body. Fails if it ends early, or grows beyond its limit or the host's budget.
+async fn collect_body(
+    mut body: Incoming,
+    budget: &BufferBudget,
+) -> std::result::Result<Bytes, Box<str>> {
+    let mut share = budget.start_share();
+    let mut collected = BytesMut::new();
+    while let Some(frame) = body.frame().await {
+        let frame = frame.map_err(|error| error.to_string())?;
+        let data = frame.into_data().unwrap_or_default();
+        if collected.len() + data.len() > MAX_BUFFERED_RESPONSE_BYTES {
+            return Err("the body is too large".into());
+        }
+        if !share.try_grow(data.len()) {
+            return Err("no memory left for the body".into());
+        }
+        collected.extend_from_slice(&data);
+    }
+    Ok(collected.freeze())
+}
+
 impl<C: WireCodec> CallerRequest<C> {
     /// Buffers the complete response and returns it; retries if the response breaks off.
     pub(super) async fn respond_buffered(
@@ -75,10 +99,9 @@
         started: StartedResponse,
     ) -> std::result::Result<Response<ResponseBody>, Box<str>> {
         let (parts, body) = started.response.into_parts();
-        let limited = Limited::new(body, MAX_BUFFERED_RESPONSE_BYTES);
         let silence = started.guard.endpoint().health.borrow().silence_token();
         let body = tokio::select! {
-            body = limited.collect() => body.map_err(|error| error.to_string())?,
+            body = collect_body(body, &self.front.buffer_budget) => body?,
             () = silence.cancelled() => return Err("endpoint is silent".into()),
         };
         let now = BootInstant::now();
@@ -95,7 +118,7 @@
         }
         Ok(connection_headers::caller_response(
             parts,
-            ResponseBody::full(body.to_bytes()),
+            ResponseBody::full(body),
         ))
     }
 
--- a/wagtaildoor_front/src/event_splitter.rs
+++ b/wagtaildoor_front/src/event_splitter.rs
@@ -5,6 +5,9 @@
     BytesMut, //
 };
 
+/// Size of an event from which on the stream counts as broken, in bytes.
+const MAX_EVENT_BYTES: usize = 1 << 20;
+
 /// Splits an endpoint's stream so that only complete events are forwarded to the caller.
 #[derive(Debug, Default)]
 pub struct EventSplitter {
@@ -47,6 +50,11 @@
         self.partial.freeze()
     }
 
+    /// Whether an event is larger than any sound one, so that it may have no end.
+    pub fn is_oversized(&self) -> bool {
+        self.partial.len() >= MAX_EVENT_BYTES
+    }
+
     /// Whether the stream ended within an event so far.
     pub fn has_partial_event(&self) -> bool {
         !self.partial.is_empty()
--- a/wagtaildoor_front/src/front.rs
+++ b/wagtaildoor_front/src/front.rs
@@ -31,6 +31,7 @@
         BlockStore, //
     },
     broken_links::BrokenLinks,
+    buffer_budget::BufferBudget,
     caller_deadlines::CallerDeadlines,
     control_store::{
         ControlStream,
@@ -80,6 +81,8 @@
     pub homes: RefCell<PrefixIndex>,
     /// Requests that wait until an engine has room.
     pub admission_queue: Rc<RefCell<AdmissionQueue>>,
+    /// Memory of buffered responses.
+    pub buffer_budget: BufferBudget,
     /// Longest deadlines of callers.
     pub caller_deadlines: RefCell<CallerDeadlines>,
     /// Prefill speeds of the engines.
@@ -130,6 +133,7 @@
             block_stores: RefCell::new(Vec::new()),
             homes: RefCell::new(PrefixIndex::default()),
             admission_queue: Rc::default(),
+            buffer_budget: BufferBudget::default(),
             caller_deadlines: RefCell::new(CallerDeadlines::default()),
             prefill_speeds: RefCell::new(prefill_speeds),
             broken_links: RefCell::new(BrokenLinks::default()),
--- a/wagtaildoor_front/src/lib.rs
+++ b/wagtaildoor_front/src/lib.rs
@@ -3,6 +3,7 @@
 pub mod admission_queue;
 pub mod block_store;
 pub mod broken_links;
+pub mod buffer_budget;
 pub mod caller_deadlines;
 pub mod caller_request;
 pub mod caller_server;
--- a/wagtaildoor_front/src/stream_relay.rs
+++ b/wagtaildoor_front/src/stream_relay.rs
@@ -32,6 +32,10 @@
     },
 };
 
+/// Share of the caller's patience after which a stream without complete events is resumed elsewhere.
+/// Bytes that complete no event do not count as progress.
+const STALL_SHARE: f64 = 0.75;
+
 /// A response stream from an endpoint.
 pub struct StreamSource {
     /// Counts the request in the endpoint's load until dropped.
@@ -140,6 +144,8 @@
 ) -> SourceEnd {
     let silence = source.guard.endpoint().health.borrow().silence_token();
     let can_resume = request.may_resume();
+    let stall_timeout = request.route.caller_patience.mul_f64(STALL_SHARE);
+    let mut stalled_at = time::Instant::now() + stall_timeout;
     loop {
         let frame = tokio::select! {
             biased;
@@ -149,18 +155,25 @@
             () = silence.cancelled(), if can_resume => {
                 return SourceEnd::Broken("endpoint is silent".into());
             }
+            () = time::sleep_until(stalled_at), if can_resume => {
+                return SourceEnd::Broken("no complete event in time".into());
+            }
         };
         let data = match frame {
             Some(Ok(frame)) => frame.into_data().unwrap_or_default(),
             Some(Err(error)) => return SourceEnd::Broken(error.to_string().into()),
             None => return send_remainder(events, parts).await,
         };
+        if events.is_oversized() {
+            return SourceEnd::Broken("an event has no end".into());
+        }
         source.guard.record_data(BootInstant::now());
         record_weights(request, source, &data);
         let complete = events.push(data);
         if complete.is_empty() {
             continue;
         }
+        stalled_at = time::Instant::now() + stall_timeout;
         request.log.record_first_part();
         if parts.send(Ok(complete)).await.is_err() {
             return SourceEnd::CallerLeft;
