Count the age of weights that are read after a pause from its start

Cause: a host that stood still from 6.4 to 11.4 s read a version named at 7.2 s, took it for new, and sent to engines on old weights until 7.9 s after it was named (bound 6 s).

Change: each host notices by its clock that it stood still; what it reads in the next two seconds counts as named when the pause began.

--- a/wagtaildoor_front/src/control_follower.rs
+++ b/wagtaildoor_front/src/control_follower.rs
@@ -364,7 +364,8 @@
         PageSource::Snapshot | PageSource::Peer if is_starting => {
             front.started - front.settings.times.initial_weights_age
         }
-        _ => now,
+        // Records bear no time: one that is read after a pause may have been written as it began.
+        _ => front.pauses.recent_pause(now).unwrap_or(now),
     }
 }
 
--- a/wagtaildoor_front/src/endpoint_monitor.rs
+++ b/wagtaildoor_front/src/endpoint_monitor.rs
@@ -23,6 +23,7 @@
     loop {
         time::sleep(SCAN_INTERVAL).await;
         let now = BootInstant::now();
+        front.pauses.tick(now);
         for id in front.endpoints.borrow_mut().expire_missing(now) {
             slog::info!(front.log, "endpoint gone"; "endpoint" => &*id, "by" => "outage");
         }
--- a/wagtaildoor_front/src/front.rs
+++ b/wagtaildoor_front/src/front.rs
@@ -42,6 +42,7 @@
     front_settings::FrontSettings,
     hint_queue::HintQueue,
     load_times::LoadTimes,
+    pause_monitor::PauseMonitor,
     peer_hosts::PeerHosts,
     peer_rotation::PeerRotation,
     prefill_speeds::PrefillSpeeds,
@@ -101,6 +102,8 @@
     pub peer_fetch_permits: Arc<Semaphore>,
     /// Notified when a read of the store timed out or failed.
     pub store_read_failed: Notify,
+    /// Times at which the process stood still.
+    pub pauses: PauseMonitor,
     /// Time when the process started.
     pub started: BootInstant,
     /// Number of requests in progress.
@@ -143,6 +146,7 @@
             peer_rotations: RefCell::new(HashMap::new()),
             peer_fetch_permits: Arc::new(Semaphore::new(1)),
             store_read_failed: Notify::new(),
+            pauses: PauseMonitor::new(BootInstant::now()),
             started: BootInstant::now(),
             in_flight: Cell::new(0),
             stopping_since: Cell::new(None),
--- a/wagtaildoor_front/src/lib.rs
+++ b/wagtaildoor_front/src/lib.rs
@@ -25,6 +25,7 @@
 pub mod front_settings;
 pub mod hint_queue;
 pub mod load_times;
+pub mod pause_monitor;
 pub mod peer_hosts;
 pub mod peer_link;
 pub mod peer_rotation;
