Fetch lists from hosts of the own domain first; send fewer lists of hosts in large groups

Change: hosts of the own failure domain are asked before others. The interval of such lists, and the time after which a silent host is doubted, grow with the number of hosts.

--- a/wagtaildoor_front/src/peer_hosts.rs
+++ b/wagtaildoor_front/src/peer_hosts.rs
@@ -10,11 +10,17 @@
 
 use crate::control_store::GroupMember;
 
-/// Time after which a host is removed that is neither listed nor sends datagrams.
+/// Time after which a host is removed that is neither listed nor sends datagrams; as long as three
+/// datagrams take in the largest groups.
 const FORGET_TIMEOUT: Duration = Duration::from_secs(12);
-/// Time after its last datagram for which a host counts as alive. Hosts send one each second, and
-/// two may be lost.
+/// Time after its last datagram for which a host counts as alive in a small group. Hosts send one
+/// each second there, and two may be lost.
 const CONFIRMATION_TIMEOUT: Duration = Duration::from_secs(3);
+/// Number of hosts for which each host sends a datagram every second. In larger groups, hosts send
+/// them less often, so that the number that each receives stays bounded.
+const HOSTS_PER_SIZE_FACTOR: usize = 100;
+/// Largest factor by which that interval grows.
+const MAX_SIZE_FACTOR: u32 = 4;
 
 /// A known host.
 #[derive(Clone, Debug, Eq, PartialEq)]
@@ -76,7 +82,9 @@
 
     /// Hosts that may be named to others: those that are listed or sent a datagram recently.
     pub fn confirmed_members(&self, now: BootInstant) -> impl Iterator<Item = &GroupMember> {
-        let hosts = self.hosts.iter().filter(move |host| host.is_confirmed(now));
+        let timeout = CONFIRMATION_TIMEOUT * self.size_factor();
+        let hosts = self.hosts.iter();
+        let hosts = hosts.filter(move |host| host.is_confirmed(now, timeout));
         hosts.map(|host| &host.member)
     }
 
@@ -102,9 +110,10 @@
                 others.entry(&host.member.domain).or_default().push(host);
             }
         }
+        let timeout = CONFIRMATION_TIMEOUT * self.size_factor();
         for hosts in others.values_mut() {
-            if hosts.iter().any(|host| host.is_confirmed(now)) {
-                hosts.retain(|host| host.is_confirmed(now));
+            if hosts.iter().any(|host| host.is_confirmed(now, timeout)) {
+                hosts.retain(|host| host.is_confirmed(now, timeout));
             }
             targets.push(HintTarget {
                 address: hosts[round % hosts.len()].member.address,
@@ -114,6 +123,14 @@
         targets
     }
 
+    /// Factor by which intervals between datagrams are longer than in a small group.
+    pub fn size_factor(&self) -> u32 {
+        let factor = 1 + self.hosts.len() / HOSTS_PER_SIZE_FACTOR;
+        u32::try_from(factor)
+            .unwrap_or(MAX_SIZE_FACTOR)
+            .min(MAX_SIZE_FACTOR)
+    }
+
     /// All known hosts, including this one if it is listed.
     pub fn members(&self) -> impl Iterator<Item = &GroupMember> {
         self.hosts.iter().map(|host| &host.member)
@@ -165,10 +182,10 @@
 
 impl PeerHost {
     /// Whether the host is listed or sent a datagram recently.
-    fn is_confirmed(&self, now: BootInstant) -> bool {
+    fn is_confirmed(&self, now: BootInstant, timeout: Duration) -> bool {
         let is_active = self
             .last_datagram_at
-            .is_some_and(|at| now.since(at) < CONFIRMATION_TIMEOUT);
+            .is_some_and(|at| now.since(at) < timeout);
         self.is_listed || is_active
     }
 }
--- a/wagtaildoor_front/src/peer_link.rs
+++ b/wagtaildoor_front/src/peer_link.rs
@@ -65,7 +65,8 @@
 
 /// Interval over which hints are collected into one datagram.
 const HINT_INTERVAL: Duration = Duration::from_millis(25);
-/// Number of hint intervals after which a datagram lists some hosts and is sent even without hints.
+/// Number of hint intervals after which a datagram lists some hosts and is sent even without hints,
+/// in a small group of hosts.
 const HOST_LIST_INTERVALS: u32 = 40;
 /// Number of hosts listed in such a datagram.
 const HOSTS_PER_HINT: usize = 3;
@@ -98,7 +99,7 @@
     loop {
         time::sleep(HINT_INTERVAL).await;
         intervals += 1;
-        let lists_hosts = intervals >= HOST_LIST_INTERVALS;
+        let lists_hosts = intervals >= HOST_LIST_INTERVALS * front.peers.borrow().size_factor();
         if front.hints.borrow().is_empty() && !lists_hosts {
             continue;
         }
@@ -319,7 +320,8 @@
     let peer = {
         let mut rotations = front.peer_rotations.borrow_mut();
         let rotation = rotations.entry(stream).or_default();
-        rotation.next_address(&peer_addresses(front), random_value)
+        let (near, far) = peer_addresses(front);
+        rotation.next_address(&near, &far, random_value)
     };
     if let Some(peer) = peer {
         fetch_records_from::<C>(front, stream, peer).await;
@@ -451,17 +453,22 @@
     }
 }
 
-/// Addresses of the other hosts in the group, or of the seeds while no host is known.
-fn peer_addresses(front: &Front) -> Vec<SocketAddr> {
+/// Addresses of the other hosts, first those of the own failure domain, then the others. The seeds
+/// while no host is known.
+fn peer_addresses(front: &Front) -> (Vec<SocketAddr>, Vec<SocketAddr>) {
     let own = front.settings.peers;
     let known = front.peers.borrow();
-    let mut peers: Vec<SocketAddr> = known
-        .addresses()
-        .filter(|&address| address != own)
-        .collect();
-    if peers.is_empty() {
+    let others = known.members().filter(|member| member.address != own);
+    let (near, far): (Vec<&GroupMember>, Vec<&GroupMember>) =
+        others.partition(|member| member.domain == front.settings.domain);
+    if near.is_empty() && far.is_empty() {
         let seeds = front.settings.seeds.iter().copied();
-        peers = seeds.filter(|&address| address != own).collect();
+        return (
+            seeds.filter(|&address| address != own).collect(),
+            Vec::new(),
+        );
     }
-    peers
+    let addresses =
+        |members: Vec<&GroupMember>| members.iter().map(|member| member.address).collect();
+    (addresses(near), addresses(far))
 }
--- a/wagtaildoor_front/tests/peer_hosts.rs
+++ b/wagtaildoor_front/tests/peer_hosts.rs
@@ -144,3 +144,15 @@
     assert_eq!(targets(&peers, &own, 0, at(1)), [(2, false)]);
     assert_eq!(peers.confirmed_members(at(1)).count(), 0);
 }
+
+#[test]
+fn hosts_of_a_large_group_send_and_expect_datagrams_less_often() {
+    let mut peers = PeerHosts::default();
+    let members = (0..=255).map(|last| host(&format!("h{last}"), last));
+    for member in members {
+        peers.record_contact(&member, at(0));
+    }
+    assert_eq!(peers.size_factor(), 3);
+    assert_eq!(peers.confirmed_members(at(8)).count(), 256);
+    assert_eq!(peers.confirmed_members(at(9)).count(), 0);
+}
