--- a/wagtaildoor_front/src/prefill_speeds.rs
+++ b/wagtaildoor_front/src/prefill_speeds.rs
@@ -16,22 +16,25 @@
 const MIN_SAMPLES: usize = 6;
 /// Work below which the time to the first part says little about the speed, in tokens.
 const MIN_SAMPLE_TOKENS: f64 = 1_500.0;
+/// Rank of the speed among the samples, from 0 to 1. Most samples are slowed down by prefixes that the
+/// engine did not hold, or by waits for memory.
+const SPEED_RANK: f64 = 0.75;
 /// Number of new samples after which the speed is computed again.
 const UPDATE_INTERVAL: usize = 8;
 
-/// Samples of one service, and their median.
+/// Samples of one service, and the speed that follows from them.
 #[derive(Debug, Default)]
 struct SpeedSamples {
     /// Speeds in tokens per millisecond, the newest last.
     recent: VecDeque<f64>,
-    /// Samples since the median was computed.
+    /// Samples since the speed was computed.
     added: usize,
-    median: Option<f64>,
+    speed: Option<f64>,
 }
 
 /// Speeds by service, learned from the times to the first part of responses.
 ///
-/// They include what slows an engine besides prefill, and prefixes that it turned out not to hold.
+/// They include what slows all of an engine's work besides prefill.
 #[derive(Debug)]
 pub struct PrefillSpeeds {
     /// Assumed speed of a service with few samples, in tokens per millisecond.
@@ -65,26 +68,27 @@
         }
         samples.recent.push_back(tokens / took_ms);
         samples.added += 1;
-        if samples.added >= UPDATE_INTERVAL || samples.median.is_none() {
+        if samples.added >= UPDATE_INTERVAL || samples.speed.is_none() {
             samples.added = 0;
-            samples.median = median_of(&samples.recent);
+            samples.speed = speed_of(&samples.recent);
         }
     }
 
     /// Speed of the engines of a service, in tokens per millisecond.
     pub fn tokens_per_ms(&self, service: &str) -> f64 {
         let samples = self.services.get(service);
-        let learned = samples.and_then(|samples| samples.median);
+        let learned = samples.and_then(|samples| samples.speed);
         learned.unwrap_or(self.initial)
     }
 }
 
-/// Median of enough samples.
-fn median_of(recent: &VecDeque<f64>) -> Option<f64> {
+/// Speed by enough samples; `None` if there are few.
+fn speed_of(recent: &VecDeque<f64>) -> Option<f64> {
     if recent.len() < MIN_SAMPLES {
         return None;
     }
     let mut sorted: Vec<f64> = recent.iter().copied().collect();
     sorted.sort_by(f64::total_cmp);
-    Some(sorted[sorted.len() / 2])
+    let index = ((sorted.len() - 1) as f64 * SPEED_RANK).round() as usize;
+    Some(sorted[index])
 }
