--- a/wagtaildoor/src/schema.rs
+++ b/wagtaildoor/src/schema.rs
@@ -2592,7 +2592,7 @@
     ///Time after an order within which an engine must report the new weights, in milliseconds; two heartbeats.
     #[serde(default = "defaults::default_u64::<u64, 2600>")]
     pub confirm_ms: u64,
-    ///Time that an engine takes to load weights, in milliseconds; from the engines' data sheet.
+    ///Time that an engine is assumed to take to load weights until a load was seen, in milliseconds.
     #[serde(default = "defaults::default_u64::<u64, 300>")]
     pub load_ms: u64,
 }
