--- a/wagtaildoor_front/src/weights_rollout.rs
+++ b/wagtaildoor_front/src/weights_rollout.rs
@@ -62,7 +62,7 @@
 /// Progress of this host's last order to an engine.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum OrderState {
-    /// A report or an order is in flight.
+    /// A report or an order is in flight, or an accepted order is being carried out.
     Calling,
     /// The engine is loading weights, or has confirmed that it holds them.
     Loading {
