--- a/wagtaildoor/src/account_limit.rs
+++ b/wagtaildoor/src/account_limit.rs
@@ -30,7 +30,6 @@
     buckets: HashMap<AccountId, TokenBucket>,
 }
 
-/// Token bucket of one account.
 #[derive(Clone, Copy, Debug)]
 struct TokenBucket {
     /// Requests that may be sent now.
--- a/wagtaildoor/src/breaker.rs
+++ b/wagtaildoor/src/breaker.rs
@@ -14,7 +14,6 @@
 /// Request limit at which the next success closes the breaker.
 const FULL_RECOVERY_LIMIT: u32 = 32;
 
-/// State of a breaker.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 enum BreakerState {
     /// Requests are not limited; holds the number of consecutive failures.
--- a/wagtaildoor/src/claim_ledger.rs
+++ b/wagtaildoor/src/claim_ledger.rs
@@ -6,10 +6,7 @@
 };
 
 use crate::{
-    claim_key::{
-        self,
-        KeyError, //
-    },
+    claim_key,
     claim_policy::ClaimPolicy,
     ids::{
         AccountId,
@@ -32,6 +29,15 @@
     },
 };
 
+use key_state::{
+    ExclusionReason,
+    KeyPhase,
+    KeyState,
+    OpenClaim, //
+};
+
+mod key_state;
+
 /// Version of the claim batches that this release writes and reads.
 pub const BATCH_VERSION: u32 = 1;
 
@@ -42,69 +48,6 @@
     key: RequestKey,
 }
 
-/// The claim that currently holds a key.
-#[derive(Clone, Debug)]
-struct OpenClaim {
-    start: ClaimStart,
-    /// Log time of the claim record.
-    claimed_ms: u64,
-}
-
-/// Progress of a key.
-#[derive(Clone, Debug, Default)]
-enum KeyPhase {
-    /// No attempt holds the key.
-    #[default]
-    Free,
-    /// An attempt holds the key and has no recorded outcome.
-    Open(OpenClaim),
-    /// The request ran and its outcome is recorded.
-    Done {
-        /// Hash of template and body. Empty if the claim was not read.
-        body_hash: Box<str>,
-        /// The recorded outcome.
-        outcome: ClaimOutcome,
-    },
-    /// The request was settled as having run, without a recorded answer.
-    Settled {
-        /// Hash of template and body.
-        body_hash: Box<str>,
-        /// The attempt that is considered to have run.
-        attempt: AttemptId,
-    },
-}
-
-/// Reason why an attempt can no longer claim the key.
-#[derive(Clone, Copy, Debug, Eq, PartialEq)]
-enum ExclusionReason {
-    /// The attempt released its claim.
-    Released,
-    /// Another attempt held the key.
-    Lost,
-    /// The key was too old, too new or malformed when the claim reached the log.
-    Expired(KeyError),
-    /// The attempt was settled as not run.
-    Settled,
-    /// The attempt ran although another attempt held the key.
-    Conflict,
-}
-
-/// An attempt that can no longer claim the key.
-#[derive(Clone, Debug)]
-struct ExcludedAttempt {
-    attempt: AttemptId,
-    reason: ExclusionReason,
-}
-
-#[derive(Clone, Debug, Default)]
-struct KeyState {
-    phase: KeyPhase,
-    /// Attempts that can no longer claim the key, even if their records arrive later.
-    excluded: Vec<ExcludedAttempt>,
-    /// Log time of the newest record of the key.
-    updated_ms: u64,
-}
-
 /// A claim without a recorded outcome.
 #[derive(Clone, Debug, PartialEq, serde::Deserialize, serde::Serialize)]
 pub struct UnresolvedClaim {
@@ -124,7 +67,7 @@
     pub claimed_ms: u64,
 }
 
-/// One update of a key.
+/// Note that a record changed a key, which may expire once all its records have.
 #[derive(Clone, Debug)]
 struct KeyUpdate {
     /// Log time of the record.
@@ -432,62 +375,6 @@
     }
 }
 
-impl KeyState {
-    /// Excludes an attempt from claiming the key.
-    fn exclude_attempt(&mut self, attempt: &AttemptId, reason: ExclusionReason) {
-        self.excluded
-            .retain(|excluded| excluded.attempt != *attempt);
-        self.excluded.push(ExcludedAttempt {
-            attempt: attempt.clone(),
-            reason,
-        });
-    }
-
-    /// Why an attempt is excluded from the key; `None` if it is not.
-    fn exclusion_reason(&self, attempt: &AttemptId) -> Option<ExclusionReason> {
-        let excluded = self
-            .excluded
-            .iter()
-            .find(|excluded| excluded.attempt == *attempt);
-        excluded.map(|excluded| excluded.reason)
-    }
-
-    /// Verdict for an excluded attempt.
-    fn excluded_verdict(&self, start: &ClaimStart, reason: ExclusionReason) -> ClaimVerdict {
-        if let ExclusionReason::Expired(fault) = reason {
-            return ClaimVerdict::Expired(fault.to_string().into());
-        }
-        let refused_verdict = || ClaimVerdict::Refused("the attempt has given its claim up".into());
-        self.phase_verdict(start).unwrap_or_else(refused_verdict)
-    }
-
-    /// Verdict that follows from the phase of the key; `None` if the key is free.
-    fn phase_verdict(&self, start: &ClaimStart) -> Option<ClaimVerdict> {
-        let has_other_body = |hash: &str| !hash.is_empty() && *hash != *start.body_hash;
-        match &self.phase {
-            KeyPhase::Free => None,
-            KeyPhase::Open(open) => {
-                let holder = open.start.attempt.clone();
-                Some(if holder == start.attempt {
-                    ClaimVerdict::Won(open.claimed_ms)
-                } else if has_other_body(&open.start.body_hash) {
-                    ClaimVerdict::Mismatch(holder)
-                } else {
-                    ClaimVerdict::Busy(holder)
-                })
-            }
-            KeyPhase::Done { body_hash, outcome } if has_other_body(body_hash) => {
-                Some(ClaimVerdict::Mismatch(outcome.attempt.clone()))
-            }
-            KeyPhase::Done { outcome, .. } => Some(ClaimVerdict::Done(outcome.clone())),
-            KeyPhase::Settled { body_hash, attempt } if has_other_body(body_hash) => {
-                Some(ClaimVerdict::Mismatch(attempt.clone()))
-            }
-            KeyPhase::Settled { attempt, .. } => Some(ClaimVerdict::Settled(attempt.clone())),
-        }
-    }
-}
-
 impl From<&OpenClaim> for UnresolvedClaim {
     fn from(open: &OpenClaim) -> Self {
         let start = open.start.clone();
--- a/wagtaildoor/src/claim_run.rs
+++ b/wagtaildoor/src/claim_run.rs
@@ -116,7 +116,7 @@
     pub body: Box<str>,
 }
 
-/// Result of a dispatch.
+/// What became of a request that was sent to an endpoint.
 #[derive(Clone, Debug)]
 pub enum DispatchResult {
     /// The endpoint responded.
--- a/wagtaildoor/src/claim_service.rs
+++ b/wagtaildoor/src/claim_service.rs
@@ -53,7 +53,7 @@
     Decided(ClaimVerdict),
     /// Another attempt holds the key, but its outcome may still arrive.
     Busy(ClaimVerdict),
-    /// The claim was queued.
+    /// The claim now waits to be appended to the log.
     Queued,
     /// No progress since the last call.
     Pending,
--- a/wagtaildoor/src/config_chain.rs
+++ b/wagtaildoor/src/config_chain.rs
@@ -102,7 +102,7 @@
         }
     }
 
-    /// Head of the chain.
+    /// Sequence number, hash and offset of the newest record held.
     pub fn head(&self) -> &ConfigHead {
         &self.head
     }
--- a/wagtaildoor/src/config_change.rs
+++ b/wagtaildoor/src/config_change.rs
@@ -79,7 +79,7 @@
     },
 }
 
-/// Creates an empty configuration.
+/// Configuration before the first record of the chain: no accounts, pools or templates.
 pub fn empty() -> Configuration {
     Configuration {
         accounts: Vec::new(),
--- a/wagtaildoor/src/datagram_transport.rs
+++ b/wagtaildoor/src/datagram_transport.rs
@@ -14,7 +14,7 @@
 /// Result of sending or receiving a datagram.
 pub type Result<T> = io::Result<T>;
 
-/// A received datagram.
+/// Bytes of one datagram, and where they came from.
 #[derive(Clone, Debug, PartialEq)]
 pub struct ReceivedDatagram {
     /// Source address.
--- a/wagtaildoor/src/endpoint_slot.rs
+++ b/wagtaildoor/src/endpoint_slot.rs
@@ -38,7 +38,6 @@
     Outdated,
 }
 
-/// State of one endpoint.
 #[derive(Clone, Debug)]
 pub(crate) struct EndpointSlot {
     pub id: EndpointId,
--- a/wagtaildoor/src/endpoint_table.rs
+++ b/wagtaildoor/src/endpoint_table.rs
@@ -32,13 +32,12 @@
 pub struct EndpointChange {
     /// Kind of the timeline event.
     pub kind: EventKind,
-    /// Endpoint that changed.
+    /// Endpoint whose listing, health or load is no longer what it was.
     pub endpoint: EndpointId,
     /// Cause of the change, as a sentence.
     pub detail: Box<str>,
 }
 
-/// State of one endpoint.
 struct EndpointEntry {
     /// Latest entry in the platform's list.
     listed: ListedEndpoint,
--- a/wagtaildoor/src/endpoint_watch.rs
+++ b/wagtaildoor/src/endpoint_watch.rs
@@ -64,7 +64,7 @@
 /// Cache events buffered for a slow receiver, in messages.
 const CACHE_EVENT_CAPACITY: usize = 4096;
 
-/// Settings of an endpoint watch.
+/// Who polls the endpoints, and how often.
 #[derive(Clone, Debug)]
 pub struct WatchSettings {
     /// Id of this host.
--- a/wagtaildoor/src/fair_queue.rs
+++ b/wagtaildoor/src/fair_queue.rs
@@ -72,7 +72,6 @@
     len: usize,
 }
 
-/// Queue of one account in one class.
 #[derive(Debug)]
 struct AccountQueue<T> {
     /// Share relative to other accounts, at least 1.
@@ -82,7 +81,6 @@
     items: BTreeMap<QueuePosition, QueuedItem<T>>,
 }
 
-/// A queued item.
 #[derive(Debug)]
 struct QueuedItem<T> {
     cost: u64,
--- a/wagtaildoor/src/frame.rs
+++ b/wagtaildoor/src/frame.rs
@@ -48,7 +48,7 @@
     Empty,
 }
 
-/// Serializes a message into a frame.
+/// Serializes a message as postcard, after a byte with the version of the frames.
 pub fn encode<M: Serialize>(message: &M) -> Result<Bytes> {
     let head = vec![FRAME_VERSION];
     let frame = postcard::to_extend(message, head).map_err(FrameError::Malformed)?;
--- a/wagtaildoor/src/load_view.rs
+++ b/wagtaildoor/src/load_view.rs
@@ -69,7 +69,7 @@
     unshared_tokens: u64,
 }
 
-/// Load of one endpoint.
+/// Requests that run and wait at an endpoint, from its reports and from own sends since.
 #[derive(Clone, Debug)]
 pub struct EndpointLoad {
     /// Requests in the batch, from the last report.
--- a/wagtaildoor/src/membership/task.rs
+++ b/wagtaildoor/src/membership/task.rs
@@ -145,7 +145,6 @@
 /// A probe that has not been acknowledged yet.
 struct PendingProbe {
     number: u64,
-    /// Probed host.
     host: HostId,
     /// When to request indirect probes; `None` once they were requested.
     indirect_probe_at: Option<Instant>,
--- a/wagtaildoor/src/placement.rs
+++ b/wagtaildoor/src/placement.rs
@@ -39,7 +39,7 @@
     pub exclude: &'a [EndpointId],
 }
 
-/// Result of a placement.
+/// Endpoint for the next attempt, and why it was preferred.
 #[derive(Clone, Debug)]
 pub struct PlacementChoice {
     /// Chosen endpoint.
@@ -48,7 +48,7 @@
     pub address: SocketAddr,
     /// Last known start of the endpoint; empty before its first report.
     pub boot_id: BootId,
-    /// Reason for the choice.
+    /// What decided between this endpoint and the others, for explanations.
     pub reason: PlacementReason,
     /// Expected wait before the prefill starts.
     pub expected_wait: Duration,
--- a/wagtaildoor/src/rollout.rs
+++ b/wagtaildoor/src/rollout.rs
@@ -25,7 +25,7 @@
 /// State of a replica, as last read from it.
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub struct RolloutReplica {
-    /// Endpoint of the replica.
+    /// Endpoint that serves as this replica.
     pub endpoint: EndpointId,
     /// Failure domain of the replica.
     pub domain: DomainId,
@@ -35,7 +35,7 @@
     pub loading: WeightsVersion,
 }
 
-/// State of a rollout.
+/// How far a rollout has come, as operators see it.
 #[derive(Clone, Debug)]
 pub struct RolloutView {
     /// Weights in force in the published configuration.
--- a/wagtaildoor/src/rumour_queue.rs
+++ b/wagtaildoor/src/rumour_queue.rs
@@ -23,7 +23,7 @@
         self.send_counts.insert(host, 0);
     }
 
-    /// Removes a host from the queue.
+    /// Stops passing on what is queued about a host.
     pub fn remove(&mut self, host: &str) {
         self.send_counts.remove(host);
     }
--- a/wagtaildoor/src/settings/fault.rs
+++ b/wagtaildoor/src/settings/fault.rs
@@ -14,7 +14,7 @@
 /// One fault in a settings file.
 #[derive(Clone, Debug, Eq, PartialEq, Serialize)]
 pub struct SettingsFault {
-    /// File that has the fault.
+    /// Path of the settings file.
     pub file: Box<str>,
     /// Section; `None` if the fault is in the file as a whole.
     pub section: Option<Box<str>>,
--- a/wagtaildoor/src/settings/ini_file.rs
+++ b/wagtaildoor/src/settings/ini_file.rs
@@ -20,7 +20,7 @@
 pub const ID_DESCRIPTION: &str =
     "1 to 64 letters, digits, dots, hyphens and underscores, the first a letter or digit";
 
-/// A key and its value.
+/// One line `key = value`.
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub struct IniKey {
     /// Name, without surrounding blanks.
@@ -29,7 +29,7 @@
     pub value: Box<str>,
 }
 
-/// A section and its keys.
+/// Lines below a `[name]`, in the order of the file.
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub struct IniSection {
     /// Name, without surrounding blanks.
--- a/wagtaildoor/src/table_state.rs
+++ b/wagtaildoor/src/table_state.rs
@@ -56,7 +56,6 @@
 /// Maximum number of prefixes tracked.
 const MAX_PREFIXES: usize = 100_000;
 
-/// State of one pool.
 #[derive(Debug)]
 pub(crate) struct PoolMembers {
     /// Live endpoints.
--- a/wagtaildoor/src/template_file.rs
+++ b/wagtaildoor/src/template_file.rs
@@ -39,7 +39,6 @@
 mod pool;
 mod template;
 
-/// JSON schema of the configuration.
 const SCHEMA: &str = include_str!("../../schema/configuration.json");
 
 /// Name of the file with the client accounts.
--- a/wagtaildoor/src/timeline/merge.rs
+++ b/wagtaildoor/src/timeline/merge.rs
@@ -50,7 +50,7 @@
 /// Column of one process in a timeline.
 #[derive(Clone, Debug, Eq, Ord, PartialEq, PartialOrd)]
 pub struct ProcessLane {
-    /// Host of the process.
+    /// Host on which the process wrote its events.
     pub host: Box<str>,
     /// Name of the program.
     pub process: Box<str>,
--- a/wagtaildoor_bench/src/orders.rs
+++ b/wagtaildoor_bench/src/orders.rs
@@ -51,7 +51,6 @@
     Unknown,
 }
 
-/// Order with its outcome.
 #[derive(Clone, Debug)]
 struct OrderRecord {
     /// Idempotency key.
@@ -75,7 +74,6 @@
     template: Box<str>,
     /// Total number of orders.
     orders: u32,
-    /// Orders per second.
     per_second: u32,
     /// Every this many orders, one is sent to two hosts at once; 0 turns this off.
     duplicate_every: u32,
--- a/wagtaildoor_bench/src/policy/deciders.rs
+++ b/wagtaildoor_bench/src/policy/deciders.rs
@@ -65,7 +65,7 @@
 pub struct AnswerHead {
     /// Index of the engine.
     pub engine: usize,
-    /// Boot id of the engine.
+    /// Identifies the engine's start.
     pub boot_id: BootId,
     /// Number of requests queued at the engine.
     pub queued: u32,
@@ -78,7 +78,7 @@
 pub struct EngineReport {
     /// Index of the engine.
     pub engine: usize,
-    /// Boot id of the engine.
+    /// Identifies the engine's start.
     pub boot_id: BootId,
     /// Number of requests in the batch.
     pub running: u32,
--- a/wagtaildoor_bench/src/policy/deployment.rs
+++ b/wagtaildoor_bench/src/policy/deployment.rs
@@ -135,7 +135,7 @@
     pub herd_restart: bool,
 }
 
-/// Fault plan with a name.
+/// Fault plan and its name in reports.
 #[derive(Clone, Copy, Debug)]
 pub struct NamedFault {
     /// Name in tables and plots.
--- a/wagtaildoor_bench/src/policy/engine_model.rs
+++ b/wagtaildoor_bench/src/policy/engine_model.rs
@@ -55,7 +55,7 @@
 pub struct PrefillStart {
     /// Prompt tokens found in the cache.
     pub cached_tokens: u64,
-    /// Duration of the prefill.
+    /// Simulated time that the prefill takes.
     pub duration: SimMicros,
     /// Work that is prefilled.
     pub job: EngineJob,
--- a/wagtaildoor_bench/src/policy/report.rs
+++ b/wagtaildoor_bench/src/policy/report.rs
@@ -44,7 +44,6 @@
 struct PlotColumn {
     /// Part of the file name.
     name: &'static str,
-    /// Title of the plot.
     title: &'static str,
     /// Extracts the plotted value.
     value: fn(&RunMetrics) -> f64,
--- a/wagtaildoor_bench/src/policy/run_event.rs
+++ b/wagtaildoor_bench/src/policy/run_event.rs
@@ -60,7 +60,7 @@
         /// Engine state sent with the token.
         head: AnswerHead,
     },
-    /// A host receives the end of an answer.
+    /// The last token of an answer reaches the host that sent the request.
     Answered {
         /// Index of the request.
         request: usize,
@@ -94,7 +94,7 @@
     Restart,
 }
 
-/// Progress of a request.
+/// What hosts and engines have done for a request so far.
 #[derive(Clone, Debug, Default)]
 pub struct RequestProgress {
     /// Number of attempts so far.
--- a/wagtaildoor_bench/src/policy/simulation.rs
+++ b/wagtaildoor_bench/src/policy/simulation.rs
@@ -4,20 +4,15 @@
 
 use rand::{
     rngs::StdRng,
-    Rng,
     SeedableRng, //
 };
-use wagtaildoor::{
-    retry_budget::AttemptBudget,
-    schema::PrefixNews, //
-};
+use wagtaildoor::retry_budget::AttemptBudget;
 
 use super::{
     deciders::{
         AnswerHead,
         Decider,
-        DecisionInput,
-        EngineReport, //
+        DecisionInput, //
     },
     deployment::{
         DeploymentShape,
@@ -40,20 +35,16 @@
     },
 };
 
+mod engine_events;
+
 /// One-way network delay within a failure domain.
 const SAME_DOMAIN_DELAY: SimMicros = 100;
 /// One-way network delay between failure domains.
 const CROSS_DOMAIN_DELAY: SimMicros = 1_000;
 /// Interval between load reports of an engine.
 const REPORT_INTERVAL: SimMicros = SECOND;
-/// Delay of a load report until it reaches the entries.
-const REPORT_DELAY: SimMicros = SECOND / 2;
-/// Delay of a load report under the load lag fault.
-const REPORT_FAULT_DELAY: SimMicros = 5 * SECOND;
 /// Interval at which engines publish cache events.
 const CACHE_EVENT_INTERVAL: SimMicros = SECOND / 4;
-/// Delay of a cache event until it reaches the entries.
-const CACHE_EVENT_DELAY: SimMicros = SECOND;
 /// Interval between crashes under the crash fault.
 const CRASH_INTERVAL: SimMicros = 20 * SECOND;
 /// Time from a crash to the engine's restart.
@@ -443,67 +434,6 @@
         self.dispatch(number, now);
     }
 
-    /// Sends the load reports of all running engines.
-    fn send_reports(&mut self, now: SimMicros) {
-        let age = match self.faults.load_lag {
-            true => REPORT_FAULT_DELAY,
-            false => REPORT_DELAY,
-        };
-        for (number, engine) in self.engines.iter().enumerate() {
-            if engine.is_up {
-                let report = EngineReport {
-                    engine: number,
-                    boot_id: engine.boot_id(),
-                    running: engine.running(),
-                    queued: engine.queued(),
-                    age,
-                };
-                self.events
-                    .push(now + age, RunEvent::ReportReceived(report));
-            }
-        }
-    }
-
-    /// Publishes pending cache events, some of which are lost under the event loss fault.
-    fn publish_cache_events(&mut self, now: SimMicros) {
-        for (number, engine) in self.engines.iter_mut().enumerate() {
-            let boot_id = engine.boot_id();
-            for change in engine.drain_changes() {
-                if self.rng.random_bool(self.faults.event_loss) {
-                    self.has_gap[number] = true;
-                    continue;
-                }
-                let news = PrefixNews {
-                    endpoint: format!("e{number}").into(),
-                    boot_id: boot_id.clone(),
-                    kind: change.kind,
-                    blocks: change.blocks,
-                    gap: std::mem::take(&mut self.has_gap[number]),
-                };
-                self.events
-                    .push(now + CACHE_EVENT_DELAY, RunEvent::CacheEvent(news));
-            }
-        }
-    }
-
-    /// Crashes an engine and fails its work.
-    fn crash_engine(&mut self, engine: usize, now: SimMicros) {
-        for job in self.engines[engine].crash() {
-            self.send_failure(engine, &job, now);
-        }
-    }
-
-    /// Restarts all entries with empty state; requests in flight continue.
-    fn restart_entries(&mut self, now: SimMicros) {
-        for host in 0..self.deciders.len() {
-            self.deciders[host] = (self.start)(host, now);
-            self.budgets[host] = AttemptBudget::new(RETRY_PERCENT);
-        }
-        for progress in &mut self.progress {
-            progress.is_forgotten = progress.attempts > 0;
-        }
-    }
-
     /// One-way network delay between a host and an engine.
     fn network_delay(&self, host: usize, engine: usize) -> SimMicros {
         let is_same_domain = self.shape.host_domains[host] == self.shape.endpoint_domains[engine];
--- a/wagtaildoor_entry/src/request_scope.rs
+++ b/wagtaildoor_entry/src/request_scope.rs
@@ -80,7 +80,7 @@
         }
     }
 
-    /// Creates the timeline of this request for an account.
+    /// Starts recording the steps of this request under an account.
     pub fn timeline(&self, account: &Account) -> RequestTimeline {
         RequestTimeline::new(&self.state.recorder, &self.request, &account.id)
     }
--- a/wagtaildoor_entry/src/service_run.rs
+++ b/wagtaildoor_entry/src/service_run.rs
@@ -187,7 +187,7 @@
         self.context.choose_endpoint(&[], 0, exclude)
     }
 
-    /// Builds the call for one attempt.
+    /// Call to the chosen endpoint, under the id of one attempt.
     pub fn service_call(&self, choice: &PlacementChoice, attempt: Box<str>) -> ServiceCall {
         ServiceCall {
             address: choice.address,
--- a/wagtaildoor_fakes/src/fake_engine/event_log.rs
+++ b/wagtaildoor_fakes/src/fake_engine/event_log.rs
@@ -39,7 +39,7 @@
     event: CacheEvent,
 }
 
-/// A page of events.
+/// Some of the events, and where to read on.
 #[derive(Clone, Debug, PartialEq)]
 pub struct EventPage {
     /// Sequence number at which the next page starts.
--- a/wagtaildoor_fakes/src/fake_list.rs
+++ b/wagtaildoor_fakes/src/fake_list.rs
@@ -41,7 +41,7 @@
 #[display("the list is unavailable")]
 pub struct ListOutage;
 
-/// Result of a read of the list.
+/// Result of reading the list, which fails during an outage.
 pub type Result<T> = std::result::Result<T, ListOutage>;
 
 /// The list with its recent versions; clones share it.
@@ -59,7 +59,6 @@
     versions: VecDeque<ListVersion>,
 }
 
-/// One version of the list.
 #[derive(Clone, Debug)]
 struct ListVersion {
     /// Time at which this version replaced the previous one.
--- a/wagtaildoor_fakes/src/fake_network.rs
+++ b/wagtaildoor_fakes/src/fake_network.rs
@@ -164,7 +164,7 @@
     }
 }
 
-/// A port of the network.
+/// Sends and receives the datagrams of one address.
 pub struct FakePort {
     address: SocketAddr,
     network: FakeNetwork,
--- a/wagtaildoor_fakes/src/fake_service.rs
+++ b/wagtaildoor_fakes/src/fake_service.rs
@@ -54,7 +54,7 @@
     pub crash: bool,
 }
 
-/// A call to the service.
+/// What a caller sent to the service, and on whose behalf.
 #[derive(Clone, Debug)]
 pub struct ServiceCall {
     /// Requested path.
@@ -65,11 +65,11 @@
     pub request: RequestId,
     /// Attempt that the call belongs to.
     pub attempt: AttemptId,
-    /// JSON body of the call.
+    /// Parameters, as JSON.
     pub body: serde_json::Value,
 }
 
-/// Response to a call.
+/// Receipt for the attempt that asked for it.
 #[derive(Clone, Debug, PartialEq)]
 pub struct ServiceResponse {
     /// Request that the response belongs to.
--- a/wagtaildoor_fakes/src/http_kv.rs
+++ b/wagtaildoor_fakes/src/http_kv.rs
@@ -36,7 +36,6 @@
     store.get(block).map(Vec::from)
 }
 
-/// Stores a block.
 #[put("/kv/<block>", data = "<content>")]
 fn put_block(block: u64, content: Vec<u8>, store: &State<FakeKv>) -> Status {
     store.put(block, content.into());
--- a/wagtaildoor_fakes/src/http_list.rs
+++ b/wagtaildoor_fakes/src/http_list.rs
@@ -39,7 +39,7 @@
         .mount("/weights", routes![begin_load])
 }
 
-/// Returns the list as of the configured lag; 503 during an outage.
+/// Returns the list as it was one configured lag ago, or 503 during an outage.
 #[get("/")]
 fn read(list: &State<FakeList>) -> Result<Json<PlatformList>, Status> {
     list.read()
@@ -57,7 +57,6 @@
     Status::Ok
 }
 
-/// Removes an endpoint.
 #[delete("/endpoints/<id>")]
 fn remove_endpoint(id: &str, list: &State<FakeList>) {
     list.remove_endpoint(id);
@@ -73,7 +72,6 @@
     Status::Ok
 }
 
-/// Removes a host.
 #[delete("/hosts/<id>")]
 fn remove_host(id: &str, list: &State<FakeList>) {
     list.remove_host(id);
--- a/wagtaildoor_fakes/src/http_log.rs
+++ b/wagtaildoor_fakes/src/http_log.rs
@@ -117,7 +117,6 @@
     }
 }
 
-/// Health check.
 #[get("/health")]
 fn health() -> &'static str {
     "good"
--- a/wagtaildoor_fakes/src/http_server.rs
+++ b/wagtaildoor_fakes/src/http_server.rs
@@ -60,7 +60,7 @@
 }
 
 impl ServerHandle {
-    /// Waits until the server has ended.
+    /// Returns when the server's task has ended, with its error if it failed.
     pub async fn wait_until_ended(mut self) -> Result<()> {
         let result = (&mut self.task).await;
         result.unwrap_or_else(|error| Err(ServerError::Failed(error.to_string().into())))
--- a/wagtaildoor_front/src/block_store.rs
+++ b/wagtaildoor_front/src/block_store.rs
@@ -32,7 +32,7 @@
 pub struct BlockStore {
     /// Hash of the address; used like an engine's key.
     pub key: EndpointKey,
-    /// Address of the store.
+    /// Address for sending and fetching blocks.
     pub address: SocketAddr,
     /// Connections to the store; one is kept open to detect its loss.
     connections: ConnectionPool,
--- /dev/null
+++ b/wagtaildoor_front/src/caller_request/request_outcome.rs
@@ -0,0 +1,93 @@
+//! What a caller gets when no endpoint gave a sound response.
+
+use http::Response;
+use wagtaildoor::error::{
+    ErrorKind,
+    RequestError, //
+};
+use wagtaildoor_daemon::response_body::ResponseBody;
+
+use crate::{
+    caller_request::{
+        caller_refusal,
+        CallerRequest,
+        Result,
+        StartedResponse, //
+    },
+    wire_codec::WireCodec,
+};
+
+impl<C: WireCodec> CallerRequest<C> {
+    /// Result when no further endpoint can be tried.
+    pub(super) fn no_endpoint_outcome<T>(&mut self) -> Result<Option<T>> {
+        if self.failure.is_some() {
+            return Ok(None);
+        }
+        Err(if self.possible_runs == 0 {
+            let kind = if self.sends == 0 {
+                ErrorKind::NoEndpoint
+            } else {
+                ErrorKind::Overloaded
+            };
+            RequestError::new(kind, "no endpoint can take the request now")
+        } else if self.route.kind.is_repeatable() {
+            RequestError::new(ErrorKind::EndpointFailed, "no endpoint gave an answer")
+        } else {
+            let detail = "the request was sent, but its answer was lost";
+            RequestError::new(ErrorKind::OutcomeUnknown, detail)
+        })
+    }
+
+    /// Responds at the deadline; prefers a stored error response of an endpoint.
+    pub(super) fn respond_at_deadline(mut self) -> Response<ResponseBody> {
+        if self.failure.is_some() {
+            return self.respond_with_failure();
+        }
+        let error = self.deadline_error();
+        caller_refusal::refuse(&mut self.log, &error, None)
+    }
+
+    /// Error at the deadline, by whether an endpoint was reached.
+    fn deadline_error(&self) -> RequestError {
+        if self.delivered_sends == 0 {
+            let detail = "no endpoint could be reached before the deadline";
+            RequestError::new(ErrorKind::DeadlineUnreachable, detail)
+        } else {
+            let detail = "no answer came before the deadline";
+            RequestError::new(ErrorKind::DeadlinePassed, detail)
+        }
+    }
+
+    /// Whether to retry after an error response of an endpoint.
+    pub(super) fn should_try_another(&self, started: &StartedResponse) -> bool {
+        started.response.status().is_server_error()
+            && self.route.kind.is_repeatable()
+            && self.possible_runs + 1 < self.route.attempts
+            && self.failure.is_none()
+    }
+
+    /// Stores an error response in case no other endpoint does better.
+    pub(super) async fn store_failure(&mut self, started: StartedResponse) {
+        let endpoint = started.guard.endpoint().clone();
+        let status = started.response.status();
+        self.log
+            .add_decision(format_args!("failed: status {status}"));
+        self.possible_runs += 1;
+        self.tried.push(endpoint.key);
+        self.failure = self.read_response(started).await.ok();
+    }
+
+    /// Responds with the stored error response of an endpoint.
+    pub(super) fn respond_with_failure(mut self) -> Response<ResponseBody> {
+        match self.failure.take() {
+            Some(response) => {
+                self.log.set_outcome("failure_relayed");
+                response
+            }
+            None => {
+                let error = RequestError::new(ErrorKind::EndpointFailed, "no endpoint answered");
+                caller_refusal::refuse(&mut self.log, &error, None)
+            }
+        }
+    }
+}
--- a/wagtaildoor_front/src/control_follower.rs
+++ b/wagtaildoor_front/src/control_follower.rs
@@ -79,7 +79,6 @@
     retry_delay: Duration,
 }
 
-/// Result of one read.
 enum ReadOutcome {
     /// Part of a snapshot, already applied; more parts follow.
     Part,
--- a/wagtaildoor_front/src/endpoint_call.rs
+++ b/wagtaildoor_front/src/endpoint_call.rs
@@ -36,7 +36,7 @@
 /// Reason why a call yielded no response.
 #[derive(Clone, Debug, Eq, PartialEq, derive_more::Display, derive_more::Error)]
 pub enum CallError {
-    /// The call was not sent.
+    /// No byte of the call went out, so that it was not executed.
     #[display("not sent: {_0}")]
     NotSent(#[error(not(source))] Box<str>),
     /// The call may have been executed or may still be running.
--- a/wagtaildoor_front/src/endpoint_connection.rs
+++ b/wagtaildoor_front/src/endpoint_connection.rs
@@ -200,7 +200,7 @@
         });
     }
 
-    /// Closes all idle connections.
+    /// Closes the connections that no request uses; those in use stay open.
     pub fn close_idle(&self) {
         self.idle.borrow_mut().clear();
     }
--- a/wagtaildoor_front/src/endpoint_health.rs
+++ b/wagtaildoor_front/src/endpoint_health.rs
@@ -20,7 +20,7 @@
 /// Half-life of the failure rate while no outcomes arrive.
 const FAILURE_HALF_LIFE: Duration = Duration::from_secs(4);
 
-/// Health of one endpoint.
+/// Signs of life and failures of an endpoint, as seen on this host's connections.
 #[derive(Debug)]
 pub struct EndpointHealth {
     last_activity_at: BootInstant,
@@ -88,7 +88,7 @@
         self.connect_backoff = MIN_CONNECT_BACKOFF;
     }
 
-    /// Records that a response has ended.
+    /// Removes a response from those whose silence would be noticed.
     pub fn record_response_end(&mut self) {
         self.open_responses = self.open_responses.saturating_sub(1);
     }
--- a/wagtaildoor_front/src/endpoint_load.rs
+++ b/wagtaildoor_front/src/endpoint_load.rs
@@ -17,7 +17,7 @@
 /// Time for which an endpoint counts as full after it rejected a request for lack of capacity.
 const FULL_DURATION: Duration = Duration::from_millis(300);
 
-/// Load of one endpoint.
+/// Requests and prefill work at an endpoint: exact for this host, estimated for the others.
 #[derive(Clone, Debug)]
 pub struct EndpointLoad {
     /// Requests that the endpoint processes concurrently, at least 1.
--- a/wagtaildoor_front/src/engine_placement.rs
+++ b/wagtaildoor_front/src/engine_placement.rs
@@ -98,7 +98,7 @@
 /// A reachable store of cached blocks.
 #[derive(Clone, Debug, PartialEq)]
 pub struct StoreCandidate {
-    /// Key of the store.
+    /// Key under which the prefix index lists the store as a holder.
     pub key: EndpointKey,
 }
 
--- a/wagtaildoor_front/src/front_metrics.rs
+++ b/wagtaildoor_front/src/front_metrics.rs
@@ -57,7 +57,7 @@
         })
     }
 
-    /// Renders all metrics as text.
+    /// Renders all metrics in the Prometheus text format.
     pub fn render_text(&self) -> String {
         self.registry.encode_text()
     }
--- a/wagtaildoor_front/src/service_config.rs
+++ b/wagtaildoor_front/src/service_config.rs
@@ -107,7 +107,7 @@
     pub kind: ServiceKind,
 }
 
-/// Kind of a service.
+/// What the endpoints of a service run.
 #[derive(Clone, Debug, PartialEq)]
 pub enum ServiceKind {
     /// Endpoints without a model.
@@ -136,7 +136,7 @@
 /// Properties of a block store.
 #[derive(Clone, Debug, PartialEq)]
 pub struct BlockStoreRule {
-    /// Address of the store.
+    /// Address for sending and fetching blocks.
     pub address: SocketAddr,
     /// Failure domain of the store.
     pub domain: DomainId,
--- a/wagtaildoor_front/src/wire_codec.rs
+++ b/wagtaildoor_front/src/wire_codec.rs
@@ -52,7 +52,7 @@
     pub parts: Vec<PromptPart>,
 }
 
-/// One part of a prompt.
+/// A stretch of a prompt that engines cache as a unit, after the parts before it.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub struct PromptPart {
     /// Hash of the content's id.
@@ -169,7 +169,7 @@
 /// A request that the front itself makes to an endpoint.
 #[derive(Clone, Debug)]
 pub struct EndpointCall {
-    /// HTTP method of the call.
+    /// HTTP method, which depends on what is asked of the endpoint.
     pub method: http::Method,
     /// Request path of the call.
     pub path: Box<str>,
--- a/wagtaildoor_keeper/src/entry_calls.rs
+++ b/wagtaildoor_keeper/src/entry_calls.rs
@@ -25,7 +25,7 @@
 }
 
 impl KeeperCallHandler {
-    /// Creates a handler on the state of this keeper.
+    /// Creates a handler that answers from this keeper's state.
     pub fn new(state: Arc<KeeperState>) -> Self {
         Self { state }
     }
--- a/wagtaildoor_keeper/src/server.rs
+++ b/wagtaildoor_keeper/src/server.rs
@@ -107,7 +107,7 @@
     Secret {
         /// Path of the file.
         file: Box<str>,
-        /// Error of the read.
+        /// Why the file could not be read.
         error: std::io::Error,
     },
     /// The secret of the peers is not valid.
--- a/wtd/src/cli.rs
+++ b/wtd/src/cli.rs
@@ -1,4 +1,4 @@
-//! Command line definition.
+//! Commands and options of `wtd`, for parsing, completions and the manual pages.
 
 use std::path::PathBuf;
 
--- a/wtd/src/client.rs
+++ b/wtd/src/client.rs
@@ -41,10 +41,10 @@
     pub value: String,
 }
 
-/// Response of one process.
+/// What a process answered, or why there is no answer.
 #[derive(Clone, Debug)]
 pub struct ProcessResponse<T> {
-    /// Address of the process.
+    /// Address that was asked.
     pub address: SocketAddr,
     /// Decoded response body, or the reason why the request failed.
     pub result: std::result::Result<T, Box<str>>,
--- a/wtd/src/exit.rs
+++ b/wtd/src/exit.rs
@@ -98,7 +98,7 @@
 }
 
 impl ToolError {
-    /// Returns the exit kind for this error.
+    /// Exit kind that scripts see for this error.
     pub fn exit_kind(&self) -> ExitKind {
         match self {
             ToolError::Faults(_) | ToolError::File { .. } => ExitKind::Faults,
