Count weights as old until the store has shown the end of the operator's stream

Callers of a host that had just started could be answered on replaced weights later than allowed: the host takes its first copy of the stream from a peer, and the peer may have stood still.

The first read after such a copy does not wait, so it shows whether anything is missing. Until the store has shown the stream's end, weights are backdated to the start.

--- a/wagtaildoor_front/src/control_follower.rs
+++ b/wagtaildoor_front/src/control_follower.rs
@@ -97,7 +97,7 @@
     loop {
         follower.resume_from_mirror(&front);
         let store_failure = front.store_read_failed.notified();
-        let is_long_poll = follower.is_long_poll();
+        let is_long_poll = follower.is_long_poll(&front);
         let result = tokio::select! {
             result = follower.read::<C, S>(&front, &store) => result,
             // The store may have dropped a long poll without closing the connection.
@@ -179,7 +179,8 @@
         }
     }
 
-    /// Reads the next records. Long-polls only while the store responds.
+    /// Reads the next records. Long-polls only while the store responds, and once the end of the
+    /// stream was reached: what a long poll then returns was written during the poll.
     async fn read<C: WireCodec, S: ControlStore>(
         &mut self,
         front: &Front,
@@ -188,7 +189,7 @@
         let Some(from) = self.cursor else {
             return self.read_snapshot::<C, S>(front, store).await;
         };
-        let wait = match self.is_long_poll() {
+        let wait = match self.is_long_poll(front) {
             true => front.settings.times.operator_poll_timeout,
             false => Duration::ZERO,
         };
@@ -213,8 +214,11 @@
     }
 
     /// Whether a read waits on the server until records arrive.
-    fn is_long_poll(&self) -> bool {
-        self.stream == ControlStream::Operator && self.cursor.is_some() && !self.is_store_lost
+    fn is_long_poll(&self, front: &Front) -> bool {
+        self.stream == ControlStream::Operator
+            && self.cursor.is_some()
+            && !self.is_store_lost
+            && front.is_operator_current.get()
     }
 
     /// Resets the retry delay, and detects the end of an outage.
@@ -280,6 +284,9 @@
     apply_records::<C>(front, stream, &page.records, source, is_after_outage);
     front.mirror.borrow_mut().advance(stream, page.next);
     if stream != ControlStream::Endpoints {
+        if source != PageSource::Peer && !page.has_more {
+            front.is_operator_current.set(true);
+        }
         return;
     }
     if !page.has_more {
@@ -324,7 +331,7 @@
     match update {
         ControlUpdate::Config(config) => apply_config(front, record, *config),
         ControlUpdate::WantedWeights { model, version } => {
-            if front.update_wanted_weights(&model, version, wanted_since(front, source, now)) {
+            if front.update_wanted_weights(&model, version, wanted_since(front, now)) {
                 slog::info!(front.log, "weights wanted"; "model" => &*model,
                     "version" => version, "offset" => record.offset);
             }
@@ -355,17 +362,16 @@
 
 /// Time from which weights found in a page count as wanted.
 ///
-/// Records carry no timestamp, and those read at startup may be old. Their weights are therefore
-/// backdated, so that older weights are used only briefly after a start.
-fn wanted_since(front: &Front, source: PageSource, now: BootInstant) -> BootInstant {
+/// Records carry no timestamp, and those read at startup may be old, also those that follow a peer's
+/// copy. Until the store has shown the stream's end, weights are therefore backdated, so that older
+/// weights are used only briefly after a start.
+fn wanted_since(front: &Front, now: BootInstant) -> BootInstant {
     let is_starting = now.since(front.started) < STARTUP_PERIOD;
-    match source {
-        PageSource::Snapshot | PageSource::Peer if is_starting => {
-            front.started - front.settings.times.initial_weights_age
-        }
-        // Records bear no time: one that is read after a pause may have been written as it began.
-        _ => front.pauses.recent_pause(now).unwrap_or(now),
+    if is_starting && !front.is_operator_current.get() {
+        return front.started - front.settings.times.initial_weights_age;
     }
+    // Records bear no time: one that is read after a pause may have been written as it began.
+    front.pauses.recent_pause(now).unwrap_or(now)
 }
 
 fn apply_config(front: &Front, record: &ControlRecord, config: ServiceConfig) {
--- a/wagtaildoor_front/src/front.rs
+++ b/wagtaildoor_front/src/front.rs
@@ -68,6 +68,8 @@
     wanted: RefCell<HashMap<ModelId, Rc<WantedWeights>>>,
     /// Known endpoints.
     pub endpoints: RefCell<EndpointDirectory>,
+    /// Whether the operator's stream was read up to its end from the store.
+    pub is_operator_current: Cell<bool>,
     /// Whether the list of endpoints was read completely.
     pub is_list_read: Cell<bool>,
     /// Time when the list of endpoints was last read from the store or a peer.
@@ -129,6 +131,7 @@
             routes: RefCell::new(None),
             wanted: RefCell::new(HashMap::new()),
             endpoints: RefCell::new(EndpointDirectory::default()),
+            is_operator_current: Cell::new(false),
             is_list_read: Cell::new(false),
             list_read_at: Cell::new(None),
             mirror: RefCell::new(RecordMirror::default()),
--- a/wagtaildoor_front/tests/control_follower.rs
+++ b/wagtaildoor_front/tests/control_follower.rs
@@ -286,6 +286,25 @@
     assert_eq!(front.wanted_weights("m").expect("wanted").version, 3);
 }
 
+/// Guards against VERSION: a host that starts takes an old copy of the stream from a peer that had
+/// stood still, reads newer weights in its first own read, and takes them for just named.
+#[test]
+fn weights_missing_from_a_peers_copy_are_as_old_as_the_start() {
+    let front = new_host();
+    let age = || front.wanted_weights("m").expect("wanted").since.elapsed();
+    let copied = vec![record(1, "weights", Some(2))];
+    apply(&front, ControlStream::Operator, copied, PageSource::Peer);
+    let missed = vec![record(2, "weights", Some(3))];
+    apply(&front, ControlStream::Operator, missed, PageSource::Changes);
+    assert!(age() >= AGE_AT_START);
+    let named = vec![record(3, "weights", Some(4))];
+    apply(&front, ControlStream::Operator, named, PageSource::Peer);
+    assert!(
+        age() < Duration::from_secs(1),
+        "the host had read up to the end"
+    );
+}
+
 #[test]
 fn a_snapshot_does_not_remove_endpoints_with_newer_records() {
     let front = new_host();
