Log which prompt parts and which end of an engine an answer broke off with

A host now tries to connect to the engine of a broken answer: an engine that has ended refuses at once. The line names the shared parts, the age of the answer and whether the engine has ended; the engine is taken out of use at once instead of after its silence.

--- a/wagtaildoor/src/ids.rs
+++ b/wagtaildoor/src/ids.rs
@@ -22,6 +22,8 @@
 pub type ModelId = Box<str>;
 /// Offset of a record in a stream of the log, starting at 1.
 pub type LogOffset = u64;
+/// Hash of the id of a prompt part.
+pub type PartId = u64;
 /// Name of a pool of endpoints.
 pub type PoolId = Box<str>;
 /// Hash of a sequence of prompt levels.
--- a/wagtaildoor_front/src/caller_request.rs
+++ b/wagtaildoor_front/src/caller_request.rs
@@ -38,10 +38,15 @@
 use crate::{
     caller_request::request_admission::AdmittedRequest,
     endpoint::{
+        Endpoint,
         EndpointKey,
         RequestGuard, //
     },
     endpoint_connection::EndpointConnection,
+    engine_crash::{
+        self,
+        BrokenAnswer, //
+    },
     front::Front,
     prefix_hash,
     request_log::RequestLog,
@@ -127,6 +132,8 @@
     pub response: Response<Incoming>,
     /// Fields parsed from the response headers.
     pub head: AnswerHead,
+    /// When the head arrived.
+    pub begun_at: BootInstant,
 }
 
 /// Reason why a send yielded no response.
@@ -294,6 +301,23 @@
         self.possible_runs += 1;
     }
 
+    /// Whether the engine of an answer that broke off has ended; false for plain requests.
+    pub(crate) async fn has_engine_ended(
+        &self,
+        endpoint: &Endpoint,
+        begun_at: BootInstant,
+    ) -> bool {
+        let Some(prompt) = &self.head.prompt else {
+            return false;
+        };
+        let answer = BrokenAnswer {
+            attempt: self.head.attempt.as_ref(),
+            prompt,
+            begun_at,
+        };
+        engine_crash::inspect_engine(&self.front, endpoint, &answer).await
+    }
+
     /// Whether the request can be accepted. After SIGTERM it must end within the grace period,
     /// except in the first [`LONG_REQUEST_ACCEPT_TIME`].
     fn fits_in_grace(&self, now: BootInstant) -> bool {
--- a/wagtaildoor_front/src/caller_request/request_send.rs
+++ b/wagtaildoor_front/src/caller_request/request_send.rs
@@ -242,6 +242,7 @@
             connection,
             response,
             head,
+            begun_at: now,
         })
     }
 
--- a/wagtaildoor_front/src/caller_request/response_read.rs
+++ b/wagtaildoor_front/src/caller_request/response_read.rs
@@ -60,6 +60,7 @@
     ) -> Response<ResponseBody> {
         loop {
             let endpoint = started.guard.endpoint().clone();
+            let begun_at = started.begun_at;
             let deadline = self.deadline;
             let reason = match time::timeout_at(deadline, self.read_response(started)).await {
                 Ok(Ok(response)) => {
@@ -79,6 +80,7 @@
                 .health
                 .borrow_mut()
                 .record_outcome(true, BootInstant::now());
+            self.has_engine_ended(&endpoint, begun_at).await;
             self.record_broken_response(endpoint.key);
             let next = match self.may_run_again() {
                 true => time::timeout_at(deadline, self.send_until_answered(None)).await,
@@ -132,6 +134,7 @@
             connection: started.connection,
             body: incoming,
             head: started.head,
+            begun_at: started.begun_at,
         };
         task::spawn_local(stream_relay::relay(self, stream, sender));
         response
--- a/wagtaildoor_front/src/lib.rs
+++ b/wagtaildoor_front/src/lib.rs
@@ -16,6 +16,7 @@
 pub mod endpoint_health;
 pub mod endpoint_load;
 pub mod endpoint_monitor;
+pub mod engine_crash;
 pub mod engine_loads;
 pub mod engine_placement;
 pub mod event_splitter;
--- a/wagtaildoor_front/src/stream_relay.rs
+++ b/wagtaildoor_front/src/stream_relay.rs
@@ -46,6 +46,8 @@
     pub body: Incoming,
     /// Fields parsed from the response headers.
     pub head: AnswerHead,
+    /// When the head arrived.
+    pub begun_at: BootInstant,
 }
 
 impl From<StartedResponse> for StreamSource {
@@ -55,6 +57,7 @@
             connection: started.connection,
             body: started.response.into_body(),
             head: started.head,
+            begun_at: started.begun_at,
         }
     }
 }
@@ -115,8 +118,10 @@
         request.front.metrics.record_send("broke_off");
         request.record_broken_response(endpoint.key);
         let last_id = events.last_id().or(request.head.resume_after);
+        let begun_at = source.begun_at;
         // Close the old connection first so that its engine stops before another one continues.
         drop(source);
+        request.has_engine_ended(&endpoint, begun_at).await;
         let next = match request.may_resume() {
             true => resume(&mut request, last_id, &parts).await,
             false => None,
--- a/wagtaildoor_front/src/wire_codec.rs
+++ b/wagtaildoor_front/src/wire_codec.rs
@@ -15,6 +15,7 @@
     AttemptId,
     EndpointId,
     ModelId,
+    PartId,
     WeightsVersion, //
 };
 
@@ -56,7 +57,7 @@
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub struct PromptPart {
     /// Hash of the content's id.
-    pub id: u64,
+    pub id: PartId,
     /// Length of the part, in tokens.
     pub tokens: u64,
 }
