--- a/wagtaildoor/src/ids.rs
+++ b/wagtaildoor/src/ids.rs
@@ -12,6 +12,8 @@
 pub type DomainId = Box<str>;
 /// Name of an endpoint.
 pub type EndpointId = Box<str>;
+/// Hash of an engine's id and the time of its start.
+pub type EngineStart = u64;
 /// Fencing token of a lease: the offset of the log record that granted it.
 pub type FencingToken = u64;
 /// Name of an entry host.
--- a/wagtaildoor/src/lib.rs
+++ b/wagtaildoor/src/lib.rs
@@ -22,6 +22,7 @@
 pub mod config_checkpoint;
 pub mod config_follower;
 pub mod config_publisher;
+pub mod crash_ledger;
 pub mod datagram_transport;
 pub mod drain_gate;
 pub mod endpoint_probe;
