Block prompt parts that crash engines, on all hosts

Cause: nothing remembered under which prompts an engine had ended. A request, its resumption and its repeat were placed anew, on the next engine.

A host whose answer breaks off when its engine has ended adds the shared parts of the prompt to the ledger of crashes. A request with a blocked part is refused at once (503, prompt_blocked, not run), repeats and resumptions too; one that waits at an engine for its first byte is withdrawn from it.

--- a/wagtaildoor/src/crash_ledger.rs
+++ b/wagtaildoor/src/crash_ledger.rs
@@ -16,8 +16,11 @@
     },
 };
 
-/// Number of engines that must have crashed under a part before it is blocked.
-const MIN_CRASHES: usize = 3;
+/// Number of engines that must have crashed before the first event of an answer to a part, so that
+/// it is blocked.
+const MIN_FIRST_EVENT_CRASHES: usize = 3;
+/// Number of engines that must have crashed under a part in all, so that it is blocked.
+const MIN_CRASHES: usize = 5;
 /// Time for which a complete answer shows that the parts of its prompt are sound.
 const SOUND_TIME: Duration = Duration::from_secs(15);
 /// Time after a part's last crash at which its evidence expires.
@@ -38,6 +41,9 @@
     pub engine: EngineStart,
     /// Number of the part's crashes that the host knew of when it sent the request.
     pub known_crashes: u32,
+    /// Whether the engine crashed before the first event of the answer was complete. Engines that end
+    /// for another cause seldom do.
+    pub in_first_event: bool,
 }
 
 /// What a report adds to the ledger.
@@ -54,16 +60,16 @@
 /// Crashes that one part was involved in.
 #[derive(Debug)]
 struct SuspectPart {
-    /// Engines that crashed, with the number of crashes known when each request was sent.
-    crashes: BTreeMap<EngineStart, u32>,
+    /// Reports by the engine that crashed.
+    crashes: BTreeMap<EngineStart, CrashReport>,
     /// When the last crash was reported.
     last_crash: BootInstant,
 }
 
 /// Evidence of all hosts against prompt parts, as far as it has reached this one.
 ///
-/// A part is blocked once enough engines have crashed under it and none of its prompts was answered.
-/// At least one of these requests must have been sent after an earlier crash, so that engines that
+/// A part is blocked once enough engines have crashed just after an answer to it began, and none of
+/// its prompts was answered. At least one of these requests must have been sent after an earlier crash, so that engines that
 /// crash together blame no part. A crash that another part explains as well blames only prompts that
 /// hold both.
 #[derive(Debug, Default)]
@@ -76,7 +82,11 @@
 impl SuspectPart {
     /// Whether the crashes alone are enough for a block.
     fn is_incriminated(&self) -> bool {
-        self.crashes.len() >= MIN_CRASHES && self.crashes.values().any(|&known| known > 0)
+        let reports = || self.crashes.values();
+        let in_first_event = reports().filter(|report| report.in_first_event).count();
+        let is_repeated = reports().any(|report| report.known_crashes > 0);
+        is_repeated
+            && (in_first_event >= MIN_FIRST_EVENT_CRASHES || self.crashes.len() >= MIN_CRASHES)
     }
 
     /// Whether this part was involved in all crashes of another one.
@@ -99,10 +109,13 @@
             crashes: BTreeMap::new(),
             last_crash: now,
         });
-        if suspect.crashes.contains_key(&report.engine) || suspect.crashes.len() >= MAX_CRASHES {
+        let known = suspect.crashes.get(&report.engine);
+        let is_stronger = |known: &CrashReport| report.in_first_event && !known.in_first_event;
+        let is_news = known.map_or(suspect.crashes.len() < MAX_CRASHES, is_stronger);
+        if !is_news {
             return ReportVerdict::Known;
         }
-        suspect.crashes.insert(report.engine, report.known_crashes);
+        suspect.crashes.insert(report.engine, *report);
         suspect.last_crash = now;
         ReportVerdict::Added
     }
--- a/wagtaildoor/src/error.rs
+++ b/wagtaildoor/src/error.rs
@@ -83,6 +83,9 @@
     /// This entry has no configuration yet.
     #[display("not_configured")]
     NotConfigured,
+    /// Engines crashed under a part of the prompt.
+    #[display("prompt_blocked")]
+    PromptBlocked,
     /// The endpoint refused the request and reported that it did not run.
     #[display("endpoint_refused")]
     EndpointRefused,
@@ -123,7 +126,7 @@
 
 impl ErrorKind {
     /// All kinds, in the order of the documentation.
-    pub const ALL: [ErrorKind; 26] = [
+    pub const ALL: [ErrorKind; 27] = [
         ErrorKind::BadRequest,
         ErrorKind::BodyTooLarge,
         ErrorKind::BodyTimeout,
@@ -144,6 +147,7 @@
         ErrorKind::NoEndpoint,
         ErrorKind::PlatformUnavailable,
         ErrorKind::NotConfigured,
+        ErrorKind::PromptBlocked,
         ErrorKind::EndpointRefused,
         ErrorKind::EndpointFailed,
         ErrorKind::StreamBroken,
@@ -176,6 +180,7 @@
             ErrorKind::NoEndpoint => (503, NotRun, RETRY_SOON),
             ErrorKind::PlatformUnavailable => (503, Unknown, RETRY_LATER),
             ErrorKind::NotConfigured => (503, NotRun, RETRY_SOON),
+            ErrorKind::PromptBlocked => (503, NotRun, RETRY_LATER),
             ErrorKind::EndpointRefused => (502, NotRun, RETRY_SOON),
             ErrorKind::EndpointFailed => (502, Unknown, RETRY_SOON),
             ErrorKind::StreamBroken => (502, Unknown, RETRY_SOON),
--- a/wagtaildoor/src/schema.rs
+++ b/wagtaildoor/src/schema.rs
@@ -1317,6 +1317,8 @@
     Operator,
     #[serde(rename = "endpoints")]
     Endpoints,
+    #[serde(rename = "crash_reports")]
+    CrashReports,
 }
 impl ::std::convert::From<&Self> for FrontStream {
     fn from(value: &FrontStream) -> Self {
@@ -1328,6 +1330,7 @@
         match *self {
             Self::Operator => f.write_str("operator"),
             Self::Endpoints => f.write_str("endpoints"),
+            Self::CrashReports => f.write_str("crash_reports"),
         }
     }
 }
@@ -1337,6 +1340,7 @@
         match value {
             "operator" => Ok(Self::Operator),
             "endpoints" => Ok(Self::Endpoints),
+            "crash_reports" => Ok(Self::CrashReports),
             _ => Err("invalid value".into()),
         }
     }
--- a/wagtaildoor/tests/crash_ledger.rs
+++ b/wagtaildoor/tests/crash_ledger.rs
@@ -33,6 +33,7 @@
         part,
         engine,
         known_crashes: known,
+        in_first_event: true,
     };
     ledger.record_crash(&report, at(ms));
 }
@@ -50,6 +51,26 @@
     assert_eq!(ledger.blocked_part(&[TEMPLATE, RARE], at(2_000)), None);
 }
 
+/// Guards against refusing sound prompts that were in progress on engines that ended one by one.
+#[test]
+fn crashes_after_the_first_event_weigh_less() {
+    let mut ledger = CrashLedger::default();
+    for engine in 0..5 {
+        assert_eq!(ledger.blocked_part(&[RARE], at(engine)), None);
+        let report = CrashReport {
+            part: RARE,
+            engine,
+            known_crashes: engine as u32,
+            in_first_event: false,
+        };
+        assert_eq!(
+            ledger.record_crash(&report, at(engine)),
+            ReportVerdict::Added
+        );
+    }
+    assert_eq!(ledger.blocked_part(&[RARE], at(5)), Some(RARE));
+}
+
 #[test]
 fn one_crash_counts_once_however_many_hosts_report_it() {
     let mut ledger = CrashLedger::default();
@@ -57,6 +78,7 @@
         part: BAD,
         engine: 1,
         known_crashes: 1,
+        in_first_event: true,
     };
     assert_eq!(ledger.record_crash(&report, at(0)), ReportVerdict::Added);
     for _ in 0..5 {
@@ -89,6 +111,7 @@
         part: RARE,
         engine: 9,
         known_crashes: 3,
+        in_first_event: true,
     };
     let verdict = ledger.record_crash(&report, at(1_000));
     assert_eq!(verdict, ReportVerdict::Contradicted);
--- a/wagtaildoor_front/src/caller_request.rs
+++ b/wagtaildoor_front/src/caller_request.rs
@@ -30,6 +30,7 @@
     },
     ids::{
         EndpointId,
+        PartId,
         ServiceId, //
     },
 };
@@ -45,7 +46,8 @@
     endpoint_connection::EndpointConnection,
     engine_crash::{
         self,
-        BrokenAnswer, //
+        BrokenAnswer,
+        SharedPart, //
     },
     front::Front,
     prefix_hash,
@@ -68,6 +70,7 @@
     },
 };
 
+mod blocked_prompt;
 mod caller_refusal;
 mod connection_headers;
 mod engine_wait;
@@ -100,6 +103,10 @@
     /// Headers that are forwarded to the endpoint.
     headers: HeaderMap,
     body: Bytes,
+    /// Parts of the prompt that other prompts may hold, too.
+    parts: Box<[PartId]>,
+    /// The same parts with their crashes that were known at the last send.
+    sent_parts: Box<[SharedPart]>,
     /// Earliest of the caller's deadline and the route's timeout.
     pub(crate) deadline: Instant,
     /// Log line of the request.
@@ -144,6 +151,8 @@
     Refused(AnswerHead),
     /// The endpoint may have run the request.
     Lost(Box<str>),
+    /// The request was withdrawn from the endpoint, since a part of its prompt was blocked.
+    Blocked,
 }
 
 /// Handles a caller request. Errors are returned as error responses.
@@ -172,12 +181,12 @@
     /// Prepares an admitted request for forwarding.
     fn new(
         front: Rc<Front>,
-        parts: request::Parts,
+        head: request::Parts,
         admitted: AdmittedRequest,
         body: Bytes,
         log: RequestLog,
     ) -> Self {
-        let mut headers = parts.headers;
+        let mut headers = head.headers;
         connection_headers::strip_connection_headers(&mut headers);
         headers.remove(header::CONTENT_LENGTH);
         headers.remove(header::EXPECT);
@@ -189,17 +198,20 @@
             .borrow_mut()
             .record(&admitted.route.id, time);
         let time = admitted.route.timeout.map_or(time, |limit| limit.min(time));
-        let target = parts.uri.path_and_query().cloned();
+        let target = head.uri.path_and_query().cloned();
+        let parts = engine_crash::shared_parts(admitted.head.prompt.as_ref());
         Self {
             deadline: log.arrived() + time,
             front,
             head: admitted.head,
             route: admitted.route,
             account: admitted.account,
-            method: parts.method,
+            method: head.method,
             target: target.unwrap_or_else(|| PathAndQuery::from_static("/")),
             headers,
             body,
+            parts,
+            sent_parts: Box::default(),
             log,
             tried: Vec::new(),
             delivered_sends: 0,
@@ -286,6 +298,15 @@
                         return self.no_endpoint_outcome();
                     }
                 }
+                Err(SendFailure::Blocked) => {
+                    self.front.metrics.record_send("withdrawn");
+                    self.undo_placement(&placement);
+                    self.possible_runs += 1;
+                    self.check_parts(BootInstant::now())?;
+                    if !self.may_run_again() {
+                        return self.no_endpoint_outcome();
+                    }
+                }
             }
         }
     }
@@ -306,14 +327,16 @@
         &self,
         endpoint: &Endpoint,
         begun_at: BootInstant,
+        in_first_event: bool,
     ) -> bool {
-        let Some(prompt) = &self.head.prompt else {
+        if self.head.prompt.is_none() {
             return false;
-        };
+        }
         let answer = BrokenAnswer {
             attempt: self.head.attempt.as_ref(),
-            prompt,
+            parts: &self.sent_parts,
             begun_at,
+            in_first_event,
         };
         engine_crash::inspect_engine(&self.front, endpoint, &answer).await
     }
--- a/wagtaildoor_front/src/caller_request/caller_refusal.rs
+++ b/wagtaildoor_front/src/caller_request/caller_refusal.rs
@@ -55,6 +55,7 @@
         ErrorKind::DeadlineUnreachable => "deadline_unreachable",
         ErrorKind::NoEndpoint => "no_endpoint",
         ErrorKind::NotConfigured => "not_configured",
+        ErrorKind::PromptBlocked => "prompt_blocked",
         ErrorKind::EndpointFailed => "endpoint_failed",
         ErrorKind::DeadlinePassed => "deadline_passed",
         ErrorKind::OutcomeUnknown => "outcome_unknown",
--- a/wagtaildoor_front/src/caller_request/engine_wait.rs
+++ b/wagtaildoor_front/src/caller_request/engine_wait.rs
@@ -65,6 +65,7 @@
         let waits_since = Instant::now();
         loop {
             let now = BootInstant::now();
+            self.check_parts(now)?;
             let may_choose = match &ticket {
                 Some(ticket) => ticket.is_at_head(),
                 None => is_resumed || self.is_first_in_line(),
--- a/wagtaildoor_front/src/caller_request/request_send.rs
+++ b/wagtaildoor_front/src/caller_request/request_send.rs
@@ -30,6 +30,7 @@
         EndpointConnection,
         ExchangeError, //
     },
+    engine_crash,
     engine_loads::{
         self,
         LoadEvidence, //
@@ -74,11 +75,14 @@
             let reused = connection.is_reused();
             let request = self.build_request(placement, resume_after);
             self.delivered_sends += 1;
+            self.sent_parts = engine_crash::known_crashes(&self.front, &self.parts);
             let sent_at = Instant::now();
-            match self
-                .exchange(placement, &mut connection, &guard, request)
-                .await
-            {
+            let exchange = self.exchange(placement, &mut connection, &guard, request);
+            let answer = tokio::select! {
+                answer = exchange => answer,
+                () = self.wait_until_blocked() => return Err(SendFailure::Blocked),
+            };
+            match answer {
                 Ok(response) => {
                     let now = BootInstant::now();
                     guard.mark_started(now);
--- a/wagtaildoor_front/src/caller_request/response_read.rs
+++ b/wagtaildoor_front/src/caller_request/response_read.rs
@@ -80,7 +80,7 @@
                 .health
                 .borrow_mut()
                 .record_outcome(true, BootInstant::now());
-            self.has_engine_ended(&endpoint, begun_at).await;
+            self.has_engine_ended(&endpoint, begun_at, false).await;
             self.record_broken_response(endpoint.key);
             let next = match self.may_run_again() {
                 true => time::timeout_at(deadline, self.send_until_answered(None)).await,
@@ -113,6 +113,9 @@
         self.front
             .metrics
             .record_send(if failed { "failed" } else { "answered" });
+        if parts.status.is_success() {
+            self.record_sound_parts();
+        }
         if !started.head.closing {
             endpoint
                 .connections
@@ -135,6 +138,7 @@
             body: incoming,
             head: started.head,
             begun_at: started.begun_at,
+            has_event: false,
         };
         task::spawn_local(stream_relay::relay(self, stream, sender));
         response
--- a/wagtaildoor_front/src/control_follower.rs
+++ b/wagtaildoor_front/src/control_follower.rs
@@ -22,6 +22,7 @@
         Result,
         StoreError, //
     },
+    crash_reports,
     endpoint::EndpointRecord,
     endpoint_directory::{
         DirectoryChange,
@@ -93,7 +94,10 @@
     stream: ControlStream,
 ) {
     let mut follower = StreamFollower::new(stream);
-    task::spawn_local(fetch_until_read::<C>(front.clone(), stream));
+    // A stream that nobody has written to yet has no end that would show that it was read.
+    if stream != ControlStream::CrashReports {
+        task::spawn_local(fetch_until_read::<C>(front.clone(), stream));
+    }
     loop {
         follower.resume_from_mirror(&front);
         let store_failure = front.store_read_failed.notified();
@@ -215,10 +219,12 @@
 
     /// Whether a read waits on the server until records arrive.
     fn is_long_poll(&self, front: &Front) -> bool {
-        self.stream == ControlStream::Operator
-            && self.cursor.is_some()
-            && !self.is_store_lost
-            && front.is_operator_current.get()
+        let waits = match self.stream {
+            ControlStream::Operator => front.is_operator_current.get(),
+            ControlStream::Endpoints => false,
+            ControlStream::CrashReports => true,
+        };
+        waits && self.cursor.is_some() && !self.is_store_lost
     }
 
     /// Resets the retry delay, and detects the end of an outage.
@@ -268,6 +274,10 @@
         if front.mirror.borrow_mut().insert_if_newer(stream, record) {
             let update = C::parse_control_record(stream, record);
             apply_update(front, record, update, source, is_after_outage, now);
+            if stream == ControlStream::CrashReports && record.value.is_none() {
+                // Each crash has a key of its own, so deleted keys would add up.
+                front.mirror.borrow_mut().remove(stream, &record.key);
+            }
         }
     }
 }
@@ -283,11 +293,20 @@
 ) {
     apply_records::<C>(front, stream, &page.records, source, is_after_outage);
     front.mirror.borrow_mut().advance(stream, page.next);
-    if stream != ControlStream::Endpoints {
-        if source != PageSource::Peer && !page.has_more {
-            front.is_operator_current.set(true);
+    match stream {
+        ControlStream::Operator => {
+            if source != PageSource::Peer && !page.has_more {
+                front.is_operator_current.set(true);
+            }
+            return;
+        }
+        ControlStream::CrashReports => {
+            if source == PageSource::Snapshot {
+                crash_reports::retain_listed(front, &page.records);
+            }
+            return;
         }
-        return;
+        ControlStream::Endpoints => {}
     }
     if !page.has_more {
         front.is_list_read.set(true);
@@ -353,6 +372,7 @@
                     "offset" => record.offset);
             }
         }
+        ControlUpdate::CrashReport(change) => crash_reports::apply_change(front, &change),
         ControlUpdate::Unknown { reason } => {
             slog::warn!(front.log, "record ignored"; "key" => &*record.key,
                 "offset" => record.offset, "reason" => &*reason);
--- a/wagtaildoor_front/src/control_store.rs
+++ b/wagtaildoor_front/src/control_store.rs
@@ -17,6 +17,7 @@
 };
 
 use crate::{
+    crash_reports::ReportChange,
     endpoint::EndpointRecord,
     service_config::ServiceConfig, //
 };
@@ -45,6 +46,8 @@
     Operator,
     /// Written by the endpoints: their addresses, states and weights.
     Endpoints,
+    /// Written by the hosts: evidence against prompt parts that crash engines.
+    CrashReports,
 }
 
 /// A keyed record of a stream. The newest record of a key replaces the older ones.
@@ -58,6 +61,15 @@
     pub value: Option<Bytes>,
 }
 
+/// A record to be written to a stream.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct RecordChange {
+    /// Key of the record, at most 255 bytes.
+    pub key: Box<str>,
+    /// Encoded value, which must not be empty; `None` deletes the key.
+    pub value: Option<Bytes>,
+}
+
 /// Consecutive records of a stream.
 #[derive(Clone, Debug, Default, Eq, PartialEq)]
 pub struct ControlPage {
@@ -148,6 +160,8 @@
         /// Parse error; `None` if the key was deleted.
         fault: Option<Box<str>>,
     },
+    /// Evidence against a prompt part.
+    CrashReport(ReportChange),
     /// A record that the front does not use.
     Unknown {
         /// Why it is not used.
@@ -174,6 +188,13 @@
         wait: Duration,
     ) -> impl Future<Output = Result<ControlPage>>;
 
+    /// Appends records to a stream, all or none of them. After an error, they may have been appended.
+    fn append(
+        &self,
+        stream: ControlStream,
+        records: &[RecordChange],
+    ) -> impl Future<Output = Result<()>>;
+
     /// Number of shards in the group. With no more hosts than shards, every host owns at least one.
     fn shard_count(&self) -> ShardId;
 
--- a/wagtaildoor_front/src/engine_crash.rs
+++ b/wagtaildoor_front/src/engine_crash.rs
@@ -11,6 +11,7 @@
 };
 use wagtaildoor::{
     boot_clock::BootInstant,
+    crash_ledger::CrashReport,
     ids::{
         AttemptId,
         PartId, //
@@ -18,6 +19,7 @@
 };
 
 use crate::{
+    crash_reports,
     endpoint::Endpoint,
     front::Front,
     wire_codec::PromptHead, //
@@ -27,24 +29,50 @@
 /// refuses at once; one behind a cut link stays silent.
 const PROBE_TIMEOUT: Duration = Duration::from_millis(100);
 
+/// Time after its beginning at which an answer no longer counts as the cause of a crash.
+const BEGINNING_TIME: Duration = Duration::from_secs(2);
+
+/// A part of a prompt that other prompts may hold, too.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct SharedPart {
+    /// The part.
+    pub part: PartId,
+    /// Number of its crashes that were known when the request was sent.
+    pub known_crashes: u32,
+}
+
 /// An answer that had begun when it broke off.
 #[derive(Clone, Copy, Debug)]
 pub struct BrokenAnswer<'a> {
     /// Attempt id of the request.
     pub attempt: Option<&'a AttemptId>,
-    /// Prompt of the request.
-    pub prompt: &'a PromptHead,
+    /// Shared parts of the prompt.
+    pub parts: &'a [SharedPart],
     /// When the head of the answer arrived.
     pub begun_at: BootInstant,
+    /// Whether no event of the answer was complete.
+    pub in_first_event: bool,
 }
 
-/// Parts of a prompt that other requests may hold, too: all but the last.
-pub fn shared_parts(prompt: &PromptHead) -> impl Iterator<Item = PartId> + '_ {
-    let shared = prompt.parts.len().saturating_sub(1);
-    prompt.parts[..shared].iter().map(|part| part.id)
+/// Parts of a prompt that other prompts may hold, too: all but the last.
+pub fn shared_parts(prompt: Option<&PromptHead>) -> Box<[PartId]> {
+    let parts = prompt.map_or(&[][..], |prompt| &prompt.parts);
+    let shared = parts.split_last().map_or(&[][..], |(_, shared)| shared);
+    shared.iter().map(|part| part.id).collect()
 }
 
-/// Returns whether the engine of a broken answer has ended, and logs which parts were involved.
+/// Adds to each part the number of its crashes that are known now.
+pub fn known_crashes(front: &Front, parts: &[PartId]) -> Box<[SharedPart]> {
+    let ledger = front.crash_ledger.borrow();
+    let parts = parts.iter().map(|&part| SharedPart {
+        part,
+        known_crashes: ledger.known_crashes(part),
+    });
+    parts.collect()
+}
+
+/// Returns whether the engine of a broken answer has ended. If it has, its end counts against the
+/// parts of the answer that had just begun.
 pub async fn inspect_engine(front: &Front, endpoint: &Endpoint, answer: &BrokenAnswer<'_>) -> bool {
     let answered_for = answer.begun_at.elapsed();
     let has_ended = refuses_connections(endpoint).await;
@@ -54,12 +82,26 @@
             .borrow_mut()
             .mark_unreachable(BootInstant::now());
     }
-    let parts: Vec<String> = shared_parts(answer.prompt)
-        .map(|part| format!("{part:016x}"))
+    let parts: Vec<String> = answer
+        .parts
+        .iter()
+        .map(|shared| format!("{:016x}", shared.part))
         .collect();
     slog::info!(front.log, "answer broke off"; "attempt" => answer.attempt.map(|id| &**id),
         "endpoint" => &*endpoint.id, "engine_ended" => has_ended,
-        "answered_ms" => answered_for.as_millis() as u64, "parts" => parts.join(","));
+        "answered_ms" => answered_for.as_millis() as u64,
+        "in_first_event" => answer.in_first_event, "parts" => parts.join(","));
+    if has_ended && answered_for < BEGINNING_TIME {
+        for shared in answer.parts {
+            let report = CrashReport {
+                part: shared.part,
+                engine: endpoint.key,
+                known_crashes: shared.known_crashes,
+                in_first_event: answer.in_first_event,
+            };
+            crash_reports::report_crash(front, report);
+        }
+    }
     has_ended
 }
 
--- a/wagtaildoor_front/src/front.rs
+++ b/wagtaildoor_front/src/front.rs
@@ -18,6 +18,7 @@
 use tokio_util::sync::CancellationToken;
 use wagtaildoor::{
     boot_clock::BootInstant,
+    crash_ledger::CrashLedger,
     ids::{
         ModelId,
         WeightsVersion, //
@@ -37,6 +38,7 @@
         ControlStream,
         GroupMember, //
     },
+    crash_reports::ReportQueue,
     endpoint_directory::EndpointDirectory,
     front_metrics::FrontMetrics,
     front_settings::FrontSettings,
@@ -94,6 +96,12 @@
     pub broken_links: RefCell<BrokenLinks>,
     /// Times that engines took to load weights.
     pub load_times: RefCell<LoadTimes>,
+    /// Evidence against prompt parts that crash engines.
+    pub crash_ledger: RefCell<CrashLedger>,
+    /// Notified when evidence was added.
+    pub crash_added: Notify,
+    /// Changes of the evidence that are waiting to be written to the store.
+    pub report_queue: RefCell<ReportQueue>,
     /// Allowance for sends after the first one of each request.
     pub retries: RefCell<RetryAllowance>,
     /// All known hosts, including this one.
@@ -144,6 +152,9 @@
             prefill_speeds: RefCell::new(prefill_speeds),
             broken_links: RefCell::new(BrokenLinks::default()),
             load_times: RefCell::new(load_times),
+            crash_ledger: RefCell::default(),
+            crash_added: Notify::new(),
+            report_queue: RefCell::default(),
             retries: RefCell::new(retries),
             peers: RefCell::new(PeerHosts::default()),
             peer_rotations: RefCell::new(HashMap::new()),
--- a/wagtaildoor_front/src/front_host.rs
+++ b/wagtaildoor_front/src/front_host.rs
@@ -13,7 +13,7 @@
         ControlStore,
         ControlStream, //
     },
-    endpoint_monitor,
+    crash_reports, endpoint_monitor,
     front::Front,
     peer_link,
     shard_leases::{
@@ -47,6 +47,12 @@
             store.clone(),
             ControlStream::Endpoints,
         )),
+        task::spawn_local(control_follower::follow_stream::<C, S>(
+            front.clone(),
+            store.clone(),
+            ControlStream::CrashReports,
+        )),
+        task::spawn_local(crash_reports::publish_reports(front.clone(), store.clone())),
         task::spawn_local(caller_server::serve_readiness::<C>(
             front.clone(),
             readiness,
--- a/wagtaildoor_front/src/lib.rs
+++ b/wagtaildoor_front/src/lib.rs
@@ -9,6 +9,7 @@
 pub mod caller_server;
 pub mod control_follower;
 pub mod control_store;
+pub mod crash_reports;
 pub mod endpoint;
 pub mod endpoint_call;
 pub mod endpoint_connection;
--- a/wagtaildoor_front/src/peer_link.rs
+++ b/wagtaildoor_front/src/peer_link.rs
@@ -418,6 +418,7 @@
     let stream = match ask.stream {
         FrontStream::Operator => ControlStream::Operator,
         FrontStream::Endpoints => ControlStream::Endpoints,
+        FrontStream::CrashReports => ControlStream::CrashReports,
     };
     let page = front.mirror.borrow().page_from(stream, ask.from);
     let records = page.records.into_iter().map(|record| FrontRecord {
@@ -450,6 +451,7 @@
     match stream {
         ControlStream::Operator => FrontStream::Operator,
         ControlStream::Endpoints => FrontStream::Endpoints,
+        ControlStream::CrashReports => FrontStream::CrashReports,
     }
 }
 
--- a/wagtaildoor_front/src/record_mirror.rs
+++ b/wagtaildoor_front/src/record_mirror.rs
@@ -19,11 +19,12 @@
     next_offset: LogOffset,
 }
 
-/// Newest records of both streams.
+/// Newest records of all streams.
 #[derive(Debug, Default)]
 pub struct RecordMirror {
     operator: StreamMirror,
     endpoints: StreamMirror,
+    crash_reports: StreamMirror,
 }
 
 impl RecordMirror {
@@ -87,6 +88,7 @@
         match stream {
             ControlStream::Operator => &self.operator,
             ControlStream::Endpoints => &self.endpoints,
+            ControlStream::CrashReports => &self.crash_reports,
         }
     }
 
@@ -94,6 +96,7 @@
         match stream {
             ControlStream::Operator => &mut self.operator,
             ControlStream::Endpoints => &mut self.endpoints,
+            ControlStream::CrashReports => &mut self.crash_reports,
         }
     }
 }
--- a/wagtaildoor_front/src/stream_relay.rs
+++ b/wagtaildoor_front/src/stream_relay.rs
@@ -48,6 +48,8 @@
     pub head: AnswerHead,
     /// When the head arrived.
     pub begun_at: BootInstant,
+    /// Whether a complete event has arrived.
+    pub has_event: bool,
 }
 
 impl From<StartedResponse> for StreamSource {
@@ -58,6 +60,7 @@
             body: started.response.into_body(),
             head: started.head,
             begun_at: started.begun_at,
+            has_event: false,
         }
     }
 }
@@ -90,6 +93,7 @@
             SourceEnd::Complete => {
                 endpoint.health.borrow_mut().record_outcome(false, now);
                 request.front.metrics.record_send("answered");
+                request.record_sound_parts();
                 if !source.head.closing {
                     let idle_limit = source.head.idle_limit;
                     endpoint
@@ -118,10 +122,12 @@
         request.front.metrics.record_send("broke_off");
         request.record_broken_response(endpoint.key);
         let last_id = events.last_id().or(request.head.resume_after);
-        let begun_at = source.begun_at;
+        let (begun_at, in_first_event) = (source.begun_at, !source.has_event);
         // Close the old connection first so that its engine stops before another one continues.
         drop(source);
-        request.has_engine_ended(&endpoint, begun_at).await;
+        request
+            .has_engine_ended(&endpoint, begun_at, in_first_event)
+            .await;
         let next = match request.may_resume() {
             true => resume(&mut request, last_id, &parts).await,
             false => None,
@@ -179,6 +185,7 @@
             continue;
         }
         stalled_at = time::Instant::now() + stall_timeout;
+        source.has_event = true;
         request.log.record_first_part();
         if parts.send(Ok(complete)).await.is_err() {
             return SourceEnd::CallerLeft;
