Treat a stream that ends inside an event as broken off

Callers could get half an event and a clean end: an engine's answer without a length or chunks ends with its connection, and the front took any end for a complete stream and passed the rest on.

A stream that ends inside an event, or without framing before its first event, now counts as broken off: it is resumed where that is allowed, else the caller's connection is closed in the middle. Where the parts of the prompt were not answered a moment ago, the end of an unframed stream is checked against the engine, so that a crash at the end of an event is not taken for an answer. Such connections are never kept.

a_stream_that_ends_inside_an_event_is_broken_off failed before (200 with "id: 1\nda" and a clean end) and passes.

--- a/wagtaildoor_front/src/caller_request.rs
+++ b/wagtaildoor_front/src/caller_request.rs
@@ -141,6 +141,8 @@
     pub head: AnswerHead,
     /// When the head arrived.
     pub begun_at: BootInstant,
+    /// Whether the answer has neither a length nor chunks, so that it ends with its connection.
+    pub ends_with_connection: bool,
 }
 
 /// Reason why a send yielded no response.
--- a/wagtaildoor_front/src/caller_request/request_send.rs
+++ b/wagtaildoor_front/src/caller_request/request_send.rs
@@ -241,12 +241,16 @@
                 }
             }
         }
+        let headers = response.headers();
+        let ends_with_connection = !headers.contains_key(header::CONTENT_LENGTH)
+            && !headers.contains_key(header::TRANSFER_ENCODING);
         Ok(StartedResponse {
             guard,
             connection,
             response,
             head,
             begun_at: now,
+            ends_with_connection,
         })
     }
 
--- a/wagtaildoor_front/src/caller_request/response_read.rs
+++ b/wagtaildoor_front/src/caller_request/response_read.rs
@@ -116,7 +116,7 @@
         if parts.status.is_success() {
             self.record_sound_parts();
         }
-        if !started.head.closing {
+        if !started.head.closing && !started.ends_with_connection {
             endpoint
                 .connections
                 .put_idle(started.connection, started.head.idle_limit, now);
@@ -138,6 +138,7 @@
             body: incoming,
             head: started.head,
             begun_at: started.begun_at,
+            ends_with_connection: started.ends_with_connection,
             has_event: false,
         };
         task::spawn_local(stream_relay::relay(self, stream, sender));
--- a/wagtaildoor_front/src/engine_crash.rs
+++ b/wagtaildoor_front/src/engine_crash.rs
@@ -106,7 +106,7 @@
 }
 
 /// Whether nothing listens at the endpoint's address any more.
-async fn refuses_connections(endpoint: &Endpoint) -> bool {
+pub async fn refuses_connections(endpoint: &Endpoint) -> bool {
     let attempt = time::timeout(PROBE_TIMEOUT, TcpStream::connect(endpoint.address));
     matches!(attempt.await, Ok(Err(error)) if error.kind() == io::ErrorKind::ConnectionRefused)
 }
--- a/wagtaildoor_front/src/event_splitter.rs
+++ b/wagtaildoor_front/src/event_splitter.rs
@@ -45,11 +45,6 @@
         complete
     }
 
-    /// Returns the bytes after the last complete event.
-    pub fn into_partial_event(self) -> Bytes {
-        self.partial.freeze()
-    }
-
     /// Whether an event is larger than any sound one, so that it may have no end.
     pub fn is_oversized(&self) -> bool {
         self.partial.len() >= MAX_EVENT_BYTES
--- a/wagtaildoor_front/src/stream_relay.rs
+++ b/wagtaildoor_front/src/stream_relay.rs
@@ -21,6 +21,7 @@
     },
     endpoint::RequestGuard,
     endpoint_connection::EndpointConnection,
+    engine_crash,
     engine_loads::{
         self,
         LoadEvidence, //
@@ -48,6 +49,8 @@
     pub head: AnswerHead,
     /// When the head arrived.
     pub begun_at: BootInstant,
+    /// Whether only the end of the connection marks the end of the stream.
+    pub ends_with_connection: bool,
     /// Whether a complete event has arrived.
     pub has_event: bool,
 }
@@ -60,6 +63,7 @@
             body: started.response.into_body(),
             head: started.head,
             begun_at: started.begun_at,
+            ends_with_connection: started.ends_with_connection,
             has_event: false,
         }
     }
@@ -94,7 +98,7 @@
                 endpoint.health.borrow_mut().record_outcome(false, now);
                 request.front.metrics.record_send("answered");
                 request.record_sound_parts();
-                if !source.head.closing {
+                if !source.head.closing && !source.ends_with_connection {
                     let idle_limit = source.head.idle_limit;
                     endpoint
                         .connections
@@ -173,7 +177,7 @@
         let data = match frame {
             Some(Ok(frame)) => frame.into_data().unwrap_or_default(),
             Some(Err(error)) => return SourceEnd::Broken(error.to_string().into()),
-            None => return send_remainder(events, parts).await,
+            None => return judge_end(request, source, events).await,
         };
         if events.is_oversized() {
             return SourceEnd::Broken("an event has no end".into());
@@ -193,19 +197,27 @@
     }
 }
 
-/// Forwards the bytes after the last complete event of a stream that ended normally.
-async fn send_remainder(
-    events: &mut EventSplitter,
-    parts: &Sender<response_body::Result<Bytes>>,
+/// Judges a stream whose body has ended. Without a length or chunks, the end of the connection says
+/// only that no more comes.
+async fn judge_end<C: WireCodec>(
+    request: &CallerRequest<C>,
+    source: &StreamSource,
+    events: &EventSplitter,
 ) -> SourceEnd {
-    if !events.has_partial_event() {
-        return SourceEnd::Complete;
+    if events.has_partial_event() {
+        return SourceEnd::Broken("the stream ended inside an event".into());
     }
-    let partial_event = std::mem::take(events).into_partial_event();
-    match parts.send(Ok(partial_event)).await {
-        Ok(()) => SourceEnd::Complete,
-        Err(_) => SourceEnd::CallerLeft,
+    if source.ends_with_connection {
+        let resumed_after = events.last_id().or(request.head.resume_after);
+        if resumed_after.is_none() && !source.has_event {
+            return SourceEnd::Broken("the stream ended before its first event".into());
+        }
+        let endpoint = source.guard.endpoint();
+        if !request.has_sound_parts() && engine_crash::refuses_connections(endpoint).await {
+            return SourceEnd::Broken("the engine ended with the stream".into());
+        }
     }
+    SourceEnd::Complete
 }
 
 /// Records the engine's weights version if an event reports a change.
