Put a relay in front of stand-ins for faults that an HTTP server cannot make

`ConnectionGate` listens instead of the server and relays to it. It follows the `ConnectionState` of its endpoint: after a crash it stops listening until the endpoint is up again, closes idle connections at once and gives answers in progress 200 ms to break off, without their end marker. `ResponseFraming` takes the content length or the chunks out of a response that ends with its connection. Nothing uses the gate yet.

Tests: each mode of framing with the input split at every byte, and the gate with a service. Seen to fail with the size lines of chunks left in, with the end marker left in, with the listener kept, with idle connections closed late, and with answers in progress kept.

--- a/wagtaildoor_fakes/src/http_server.rs
+++ b/wagtaildoor_fakes/src/http_server.rs
@@ -2,7 +2,11 @@
 
 use std::{
     collections::HashSet,
-    net::SocketAddr,
+    net::{
+        IpAddr,
+        Ipv4Addr,
+        SocketAddr, //
+    },
     sync::Mutex, //
 };
 
@@ -21,17 +25,27 @@
     Rocket, //
 };
 use tokio::{
-    sync::oneshot,
+    sync::{
+        oneshot,
+        watch, //
+    },
     task::JoinHandle, //
 };
 use tokio_util::sync::CancellationToken;
 
+use crate::{
+    connection_gate::ConnectionGate,
+    connection_state::ConnectionState, //
+};
+
 /// Keep-alive timeout of idle connections, in seconds.
 const KEEP_ALIVE_S: u32 = 300;
 /// Time that requests in progress get to complete after a shutdown, in seconds.
 const SHUTDOWN_GRACE_S: u32 = 1;
 /// Additional time that connections get to close after that, in seconds.
 const SHUTDOWN_MERCY_S: u32 = 1;
+/// Address of a server behind a gate; port 0 takes a free one.
+const INNER_ADDRESS: SocketAddr = SocketAddr::new(IpAddr::V4(Ipv4Addr::LOCALHOST), 0);
 /// Maximum size of a request body, in mebibytes.
 const BODY_LIMIT_MIB: u64 = 64;
 
@@ -80,6 +94,11 @@
 
 /// Builds a server for an address, without routes.
 pub fn build(address: SocketAddr) -> Rocket<Build> {
+    rocket::custom(config_for(address))
+}
+
+/// Returns the configuration of a server for an address.
+fn config_for(address: SocketAddr) -> Config {
     let limit = BODY_LIMIT_MIB.mebibytes();
     let limits = Limits::default()
         .limit("json", limit)
@@ -93,7 +112,7 @@
         force: false,
         ..Shutdown::default()
     };
-    rocket::custom(Config {
+    Config {
         address: address.ip(),
         port: address.port(),
         keep_alive: KEEP_ALIVE_S,
@@ -102,7 +121,24 @@
         log_level: LogLevel::Off,
         cli_colors: false,
         ..Config::release_default()
-    })
+    }
+}
+
+/// Starts a server behind a gate on the server's address. Cancelling the token shuts both down.
+pub async fn start_gated(
+    server: Rocket<Build>,
+    address: SocketAddr,
+    state: watch::Receiver<ConnectionState>,
+    token: CancellationToken,
+) -> Result<ServerHandle> {
+    let gate = ConnectionGate::bind(address, state).await;
+    let gate = gate.map_err(|error| ServerError::Failed(error.to_string().into()))?;
+    let server = server.configure(config_for(INNER_ADDRESS));
+    let mut handle = start(server, token).await?;
+    let address = gate.address();
+    tokio::spawn(gate.run(handle.address, handle.token.clone()));
+    handle.address = address;
+    Ok(handle)
 }
 
 /// Starts a server and waits until it listens. Cancelling the token shuts it down.
--- a/wagtaildoor_fakes/src/lib.rs
+++ b/wagtaildoor_fakes/src/lib.rs
@@ -1,6 +1,8 @@
 //! Fake endpoints and platform services for tests and demos, each with switchable faults.
 
 pub mod cli;
+pub mod connection_gate;
+pub mod connection_state;
 pub mod effect_service;
 pub mod fake_engine;
 pub mod fake_kv;
@@ -19,5 +21,6 @@
 pub mod pause;
 pub mod program;
 pub mod registration;
+pub mod response_framing;
 pub mod seeded;
 pub mod weight_source;
--- /dev/null
+++ b/wagtaildoor_fakes/tests/connections.rs
@@ -0,0 +1,10 @@
+//! Tests of connection faults: crashes and close-delimited responses, as clients see them.
+
+#[path = "support/fake_server.rs"]
+mod fake_server;
+#[path = "connections/gate.rs"]
+mod gate;
+#[path = "support/gated_server.rs"]
+mod gated_server;
+#[path = "support/raw_connection.rs"]
+mod raw_connection;
