Let a stand-in engine crash on a part of a prompt

The stand-in could only crash by order, and went on listening.

The fault `crash_on_prompt` names a text, and `restart_ms` a time; both are set by `POST /faults` or by `--crash-on-prompt` and `--restart-ms`. An engine that begins to answer a prompt with that text crashes: the head and the first bytes of an event are out, all answers break off inside an event, and connections are refused until it is back as a new boot with an empty cache. In-process callers get "not run" meanwhile. `crash_prompts` counts the requests accepted with the text. `wtd-fakes engine` now listens through the gate. A crash by order also breaks answers off inside an event now.

That two requests that begin at the same instant on two threads crash one boot only once is guarded but not shown by a test.

--- a/wagtaildoor_fakes/src/cli.rs
+++ b/wagtaildoor_fakes/src/cli.rs
@@ -14,7 +14,10 @@
     Command, //
 };
 
-use crate::fake_engine::EngineProfile;
+use crate::fake_engine::{
+    engine_faults::EngineFaults,
+    EngineProfile, //
+};
 
 /// Returns the `clap` definition of the command line.
 pub fn command() -> Command {
@@ -73,6 +76,16 @@
             "Added to that for each request in the batch, in microseconds",
         ))
         .arg(number("load-ms", "5000", "Time to load weights, in ms"))
+        .arg(text(
+            "crash-on-prompt",
+            "TEXT",
+            "Crash when an answer begins whose prompt contains this text",
+        ))
+        .arg(number(
+            "restart-ms",
+            "2000",
+            "Time the engine is down after that, in ms",
+        ))
 }
 
 /// Returns the subcommand that runs a plain service.
@@ -227,6 +240,17 @@
     }
 }
 
+/// Returns the faults that the options of the `engine` subcommand set.
+pub fn engine_faults(matches: &ArgMatches) -> EngineFaults {
+    EngineFaults {
+        crash_on_prompt: text_value(matches, "crash-on-prompt")
+            .unwrap_or_default()
+            .into(),
+        restart_ms: number_value(matches, "restart-ms"),
+        ..EngineFaults::default()
+    }
+}
+
 /// Returns the value of a text option; `None` if it was not given.
 pub fn text_value(matches: &ArgMatches, name: &str) -> Option<String> {
     matches.get_one(name).cloned()
--- a/wagtaildoor_fakes/src/fake_engine.rs
+++ b/wagtaildoor_fakes/src/fake_engine.rs
@@ -29,7 +29,10 @@
     },
 };
 
-use crate::fake_weights::FakeWeights;
+use crate::{
+    connection_state::ConnectionState,
+    fake_weights::FakeWeights, //
+};
 
 pub mod answer_text;
 pub mod batch_queue;
@@ -129,6 +132,8 @@
     weights: FakeWeights,
     /// Set while the engine is frozen.
     frozen: watch::Sender<bool>,
+    /// State that the engine's connections follow.
+    connections: watch::Sender<ConnectionState>,
     state: Mutex<EngineInner>,
 }
 
@@ -147,6 +152,8 @@
     attempts: HashMap<AttemptId, CancellationToken>,
     /// Recent load reports, for readers with a lag.
     reports: ReportHistory,
+    /// Time at which the engine is up again after a crash on a prompt.
+    down_until: Option<Instant>,
 }
 
 /// State that a crash discards.
@@ -178,11 +185,13 @@
             counts: EngineCounts::default(),
             attempts: HashMap::new(),
             reports: ReportHistory::default(),
+            down_until: None,
         };
         let shared = EngineShared {
             profile,
             weights,
             frozen: watch::Sender::new(false),
+            connections: watch::Sender::default(),
             state: Mutex::new(inner),
         };
         Self {
@@ -220,15 +229,32 @@
         }
     }
 
+    /// Returns the state that the engine's connections follow.
+    pub fn connections(&self) -> watch::Receiver<ConnectionState> {
+        self.shared.connections.subscribe()
+    }
+
+    /// Crashes, cuts all connections and stays down for the configured time, unless the boot has
+    /// already ended.
+    fn crash_on_prompt(&self, boot_id: &BootId) {
+        let mut inner = self.lock();
+        if inner.boot.boot_id != *boot_id {
+            return;
+        }
+        let down_time = Duration::from_millis(inner.faults.restart_ms);
+        let down_until = Instant::now() + down_time;
+        inner.down_until = Some(down_until);
+        // The connections must know of the crash before the streams end.
+        self.shared.connections.send_modify(|state| {
+            state.crashes += 1;
+            state.down_until = Some(down_until);
+        });
+        inner.restart(&self.shared.profile);
+    }
+
     /// Crashes and restarts: streams end early, queued work is lost and the cache is empty.
     pub fn crash(&self) {
-        let mut inner = self.lock();
-        inner.boot.token.cancel();
-        inner.boot = EngineBoot::new(&self.shared.profile);
-        inner.attempts.clear();
-        inner.control.abort_load();
-        inner.reports = ReportHistory::default();
-        inner.counts.crashes += 1;
+        self.lock().restart(&self.shared.profile);
     }
 
     /// Cancels an attempt. Returns whether it was in progress.
@@ -305,6 +331,21 @@
 }
 
 impl EngineInner {
+    /// Ends the boot and begins a new one.
+    fn restart(&mut self, profile: &EngineProfile) {
+        self.boot.token.cancel();
+        self.boot = EngineBoot::new(profile);
+        self.attempts.clear();
+        self.control.abort_load();
+        self.reports = ReportHistory::default();
+        self.counts.crashes += 1;
+    }
+
+    /// Whether the engine is down after a crash on a prompt.
+    fn is_down(&self) -> bool {
+        self.down_until.is_some_and(|until| Instant::now() < until)
+    }
+
     /// Returns the current load report, without lag.
     fn current_report(&self) -> LoadReport {
         LoadReport {
--- a/wagtaildoor_fakes/src/fake_engine/engine_faults.rs
+++ b/wagtaildoor_fakes/src/fake_engine/engine_faults.rs
@@ -41,6 +41,10 @@
     pub padding_bytes: usize,
     /// Crashes and restarts once, when the switch is set.
     pub crash: bool,
+    /// Text in a prompt on which the engine crashes as it starts to respond; empty disables this.
+    pub crash_on_prompt: Box<str>,
+    /// Time for which the engine is down after a crash on a prompt, in milliseconds.
+    pub restart_ms: u64,
 }
 
 /// Work that an engine did since it was created, across restarts.
@@ -68,4 +72,6 @@
     pub orders_refused: u64,
     /// Crashes so far.
     pub crashes: u64,
+    /// Requests accepted whose prompt contains `crash_on_prompt`.
+    pub crash_prompts: u64,
 }
--- a/wagtaildoor_fakes/src/fake_engine/engine_run.rs
+++ b/wagtaildoor_fakes/src/fake_engine/engine_run.rs
@@ -110,7 +110,9 @@
     /// Admits work, or counts and returns the refusal.
     pub(super) fn accept_work(&self, weights: WeightsVersion) -> Result<BootHandle> {
         let mut inner = self.lock();
-        let refusal = if inner.faults.refuse {
+        let refusal = if inner.is_down() {
+            Some(EngineRefusal::NotRun("down"))
+        } else if inner.faults.refuse {
             Some(EngineRefusal::NotRun("refuse fault is set"))
         } else if inner.faults.leaving {
             Some(EngineRefusal::NotRun("leaving"))
--- a/wagtaildoor_fakes/src/fake_engine/engine_stream.rs
+++ b/wagtaildoor_fakes/src/fake_engine/engine_stream.rs
@@ -44,6 +44,8 @@
     pub weights_version: WeightsVersion,
     /// Queue depth when the request was accepted.
     pub queued: u32,
+    /// Cancelled when the engine crashes.
+    pub crashed: CancellationToken,
     /// Chunks of the response; the stream was cut if the channel closes before a chunk with `done`.
     pub chunks: mpsc::Receiver<EngineChunk>,
 }
@@ -72,6 +74,8 @@
     gap: Option<u64>,
     /// The stream ends before this chunk.
     cut: Option<u64>,
+    /// The engine crashes before the first chunk.
+    crash: bool,
 }
 
 /// State of a stream in progress.
@@ -95,13 +99,16 @@
             boot_id: boot.boot_id.clone(),
             weights_version: request.weights_version,
             queued: boot.queue.queued(),
+            crashed: boot.token.clone(),
             chunks,
         };
         let faults = self.faults();
+        let plan = FaultPlan::draw(&faults, &request);
+        self.lock().counts.crash_prompts += u64::from(plan.crash);
         let task = StreamTask {
             engine: self.clone(),
             text: AnswerText::new(&request),
-            plan: FaultPlan::draw(&faults, &request),
+            plan,
             padding: " ".repeat(faults.padding_bytes).into(),
             boot,
             request,
@@ -135,6 +142,8 @@
             duplicate: pick_chunk("duplicate", faults.duplicate_percent),
             gap: pick_chunk("gap", faults.gap_percent),
             cut: limit.or_else(|| pick_chunk("truncated", faults.truncated_percent)),
+            crash: !faults.crash_on_prompt.is_empty()
+                && request.prompt.contains(&*faults.crash_on_prompt),
         }
     }
 }
@@ -162,6 +171,10 @@
     async fn send_chunks(&self) -> StreamEnd {
         let work = self.engine_work();
         let prefilled = self.engine.prefill(&self.boot, &work).await;
+        if self.plan.crash {
+            self.engine.crash_on_prompt(&self.boot.boot_id);
+            return StreamEnd::Cut;
+        }
         let total = u64::from(self.request.max_tokens).max(self.request.resume_from);
         for sequence in self.request.resume_from..total {
             if self.plan.cut == Some(sequence) {
--- a/wagtaildoor_fakes/src/http_engine.rs
+++ b/wagtaildoor_fakes/src/http_engine.rs
@@ -21,7 +21,6 @@
     Rocket,
     State, //
 };
-use tokio::sync::mpsc;
 use wagtaildoor::schema::{
     CacheEventPage,
     EngineChunk,
@@ -37,6 +36,7 @@
             EngineCounts,
             EngineFaults, //
         },
+        engine_stream::EngineStream,
         EngineRefusal,
         FakeEngine, //
     },
@@ -44,6 +44,9 @@
     weight_source::WeightSource,
 };
 
+/// First bytes of an event.
+const EVENT_START: &[u8] = b"data: {\"attempt_id\":";
+
 /// Streamed response with the engine's headers.
 #[derive(Responder)]
 struct StreamResponse<S> {
@@ -93,22 +96,24 @@
     engine.wait_until_unfrozen().await;
     let stream = engine.generate(request.into_inner())?;
     Ok(StreamResponse {
-        boot_id: Header::new("x-boot-id", stream.boot_id.into_string()),
+        boot_id: Header::new("x-boot-id", stream.boot_id.to_string()),
         weights_version: Header::new("x-weights-version", stream.weights_version.to_string()),
         queued: Header::new("x-queued", stream.queued.to_string()),
-        body: (
-            ContentType::EventStream,
-            ByteStream(encode_events(stream.chunks)),
-        ),
+        body: (ContentType::EventStream, ByteStream(encode_events(stream))),
     })
 }
 
-/// Converts chunks to server-sent events.
-fn encode_events(mut chunks: mpsc::Receiver<EngineChunk>) -> impl Stream<Item = Vec<u8>> {
+/// Converts chunks to server-sent events; a crash breaks the stream off inside an event.
+fn encode_events(mut stream: EngineStream) -> impl Stream<Item = Vec<u8>> {
     stream! {
-        while let Some(chunk) = chunks.recv().await {
+        let mut is_done = false;
+        while let Some(chunk) = stream.chunks.recv().await {
+            is_done = chunk.done.is_some();
             yield encode_event(&chunk);
         }
+        if !is_done && stream.crashed.is_cancelled() {
+            yield EVENT_START.to_vec();
+        }
     }
 }
 
--- a/wagtaildoor_fakes/src/program.rs
+++ b/wagtaildoor_fakes/src/program.rs
@@ -13,9 +13,12 @@
     Build,
     Rocket, //
 };
-use tokio::signal::unix::{
-    signal,
-    SignalKind, //
+use tokio::{
+    signal::unix::{
+        signal,
+        SignalKind, //
+    },
+    sync::watch,
 };
 use tokio_util::sync::CancellationToken;
 
@@ -25,6 +28,7 @@
         EndpointOptions,
         ListenOptions, //
     },
+    connection_state::ConnectionState,
     fake_engine::FakeEngine,
     fake_kv::FakeKv,
     fake_list::{
@@ -65,35 +69,56 @@
     Io(io::Error),
 }
 
+/// A fake that is ready to be served.
+struct MountedFake {
+    server: Rocket<Build>,
+    /// State that the connections follow; `None` for a fake without connection faults.
+    connections: Option<watch::Receiver<ConnectionState>>,
+}
+
+impl From<Rocket<Build>> for MountedFake {
+    fn from(server: Rocket<Build>) -> Self {
+        Self {
+            server,
+            connections: None,
+        }
+    }
+}
+
 /// Runs the chosen subcommand until SIGTERM or SIGINT.
 pub async fn run(matches: &ArgMatches) -> Result<()> {
     let (name, matches) = matches.subcommand().expect("clap requires a command");
     let client = Client::builder().no_proxy().build()?;
     let listen = ListenOptions::from(matches);
     let server = http_server::build(listen.address);
-    let server = match name {
+    let fake = match name {
         "engine" => engine_server(server, matches, client.clone()),
         "service" => {
             let service = FakeService::new(matches.get_flag("checks-keys"));
-            http_service::mount(server, service)
+            http_service::mount(server, service).into()
         }
-        "platform" => platform_server(server, matches),
+        "platform" => platform_server(server, matches).into(),
         _ => {
             let blocks = cli::number_value(matches, "cache-blocks");
             let store = FakeKv::new(usize::try_from(blocks).unwrap_or(usize::MAX));
-            http_kv::mount(server, store)
+            http_kv::mount(server, store).into()
         }
     };
     let listed = ["engine", "service"].contains(&name);
     let endpoint = listed.then(|| EndpointOptions::from(matches));
-    serve(server, &listen, endpoint, client).await
+    serve(fake, &listen, endpoint, client).await
 }
 
 /// Mounts a fake engine configured by the command line.
-fn engine_server(server: Rocket<Build>, matches: &ArgMatches, client: Client) -> Rocket<Build> {
+fn engine_server(server: Rocket<Build>, matches: &ArgMatches, client: Client) -> MountedFake {
     let engine = FakeEngine::new(cli::engine_profile(matches));
+    engine.set_faults(cli::engine_faults(matches));
+    let connections = Some(engine.connections());
     let url = cli::text_value(matches, "weights").map(String::into_boxed_str);
-    http_engine::mount(server, engine, WeightSource::new(url, client))
+    MountedFake {
+        server: http_engine::mount(server, engine, WeightSource::new(url, client)),
+        connections,
+    }
 }
 
 /// Builds the server of the platform: log, list and weight store.
@@ -112,7 +137,7 @@
 
 /// Serves until a signal arrives. The endpoint, if any, is registered during that time.
 async fn serve(
-    server: Rocket<Build>,
+    fake: MountedFake,
     listen: &ListenOptions,
     endpoint: Option<EndpointOptions>,
     client: Client,
@@ -120,7 +145,12 @@
     let token = CancellationToken::new();
     let mut terminate = signal(SignalKind::terminate())?;
     let mut interrupt = signal(SignalKind::interrupt())?;
-    let handle = http_server::start(server, token.clone()).await?;
+    let handle = match fake.connections {
+        Some(state) => {
+            http_server::start_gated(fake.server, listen.address, state, token.clone()).await?
+        }
+        None => http_server::start(fake.server, token.clone()).await?,
+    };
     if let Some(path) = &listen.address_file {
         write_address(path, handle.address)?;
     }
--- a/wagtaildoor_fakes/tests/program.rs
+++ b/wagtaildoor_fakes/tests/program.rs
@@ -1,5 +1,8 @@
 //! Tests of the `wtd-fakes` program: address file, registration, signals and errors.
 
+#[path = "support/engine_request.rs"]
+mod engine_request;
+
 use std::{
     fs,
     net::SocketAddr,
@@ -20,8 +23,13 @@
     },
 };
 
+use engine_request::{
+    block_prompt,
+    request_for, //
+};
 use reqwest::Client;
 use wagtaildoor::schema::PlatformList;
+use wagtaildoor_fakes::fake_engine::engine_faults::EngineCounts;
 
 const WAIT_TIMEOUT: Duration = Duration::from_secs(20);
 /// Polling interval.
@@ -142,6 +150,39 @@
     assert_eq!(platform.terminate(), Some(0));
 }
 
+#[tokio::test(flavor = "multi_thread")]
+async fn engine_crashes_on_a_prompt_and_listens_again() {
+    let folder = TestFolder::new("crash");
+    let arguments = [
+        "engine",
+        "--id=d1",
+        "--pool=drafter",
+        "--domain=kl-a",
+        "--crash-on-prompt=ccc",
+        "--restart-ms=500",
+    ];
+    let mut engine = RunningProgram::start(&folder.path, "engine", &arguments);
+    let client = Client::builder().no_proxy().build().expect("a client");
+    let url = |path| format!("http://{}{path}", engine.address);
+    let request = request_for(&block_prompt("abccc"));
+    let response = client.post(url("/generate")).json(&request).send().await;
+    let body = match response {
+        Ok(response) => response.text().await,
+        Err(error) => Err(error),
+    };
+    assert!(body.is_err(), "{body:?}");
+    let started_at = Instant::now();
+    let counts = loop {
+        match client.get(url("/counts")).send().await {
+            Ok(response) => break response.json::<EngineCounts>().await.expect("counts"),
+            Err(error) => assert!(started_at.elapsed() < WAIT_TIMEOUT, "{error}"),
+        }
+        tokio::time::sleep(POLL_INTERVAL).await;
+    };
+    assert_eq!((counts.crashes, counts.crash_prompts), (1, 1));
+    assert_eq!(engine.terminate(), Some(0));
+}
+
 /// An invalid command line and the expected error.
 struct FailureCase {
     arguments: &'static [&'static str],
