Let stand-ins send answers that end with their connection

An endpoint may send a body with neither a content length nor chunks, and break it off; whether it is whole shows only in the body. The stand-ins could not: their server always frames bodies.

`close_delimited` (and `--close-delimited`) of engines and services takes the framing out of every response and ends its connection after it. `close_early` (and `--close-early`) ends streams inside their last event and other answers in the middle of the body; alone, such a body has a sound framing.

Tests: whole and broken streams and calls as bytes on the wire, and the options with the program.

--- a/wagtaildoor_fakes/src/cli.rs
+++ b/wagtaildoor_fakes/src/cli.rs
@@ -14,9 +14,12 @@
     Command, //
 };
 
-use crate::fake_engine::{
-    engine_faults::EngineFaults,
-    EngineProfile, //
+use crate::{
+    fake_engine::{
+        engine_faults::EngineFaults,
+        EngineProfile, //
+    },
+    fake_service::ServiceFaults,
 };
 
 /// Returns the `clap` definition of the command line.
@@ -136,6 +139,14 @@
             "URL",
             "Base URL of the platform to register at",
         ))
+        .arg(flag(
+            "close-delimited",
+            "Send answers that end with their connection, without a length or chunks",
+        ))
+        .arg(flag(
+            "close-early",
+            "End answers early: streams inside their last event",
+        ))
 }
 
 /// Returns a subcommand with the options common to all servers.
@@ -247,10 +258,21 @@
             .unwrap_or_default()
             .into(),
         restart_ms: number_value(matches, "restart-ms"),
+        close_delimited: matches.get_flag("close-delimited"),
+        close_early: matches.get_flag("close-early"),
         ..EngineFaults::default()
     }
 }
 
+/// Returns the faults that the options of the `service` subcommand set.
+pub fn service_faults(matches: &ArgMatches) -> ServiceFaults {
+    ServiceFaults {
+        close_delimited: matches.get_flag("close-delimited"),
+        close_early: matches.get_flag("close-early"),
+        ..ServiceFaults::default()
+    }
+}
+
 /// Returns the value of a text option; `None` if it was not given.
 pub fn text_value(matches: &ArgMatches, name: &str) -> Option<String> {
     matches.get_one(name).cloned()
--- a/wagtaildoor_fakes/src/fake_engine.rs
+++ b/wagtaildoor_fakes/src/fake_engine.rs
@@ -223,6 +223,9 @@
     pub fn set_faults(&self, mut faults: EngineFaults) {
         let crash = std::mem::take(&mut faults.crash);
         self.shared.frozen.send_replace(faults.freeze);
+        self.shared
+            .connections
+            .send_modify(|state| state.close_delimited = faults.close_delimited);
         self.lock().faults = faults;
         if crash {
             self.crash();
--- a/wagtaildoor_fakes/src/fake_engine/engine_faults.rs
+++ b/wagtaildoor_fakes/src/fake_engine/engine_faults.rs
@@ -45,6 +45,10 @@
     pub crash_on_prompt: Box<str>,
     /// Time for which the engine is down after a crash on a prompt, in milliseconds.
     pub restart_ms: u64,
+    /// Ends each response with its connection, without a content length or chunks.
+    pub close_delimited: bool,
+    /// Ends answers early: streams inside their last event, others in the middle of the body.
+    pub close_early: bool,
 }
 
 /// Work that an engine did since it was created, across restarts.
--- a/wagtaildoor_fakes/src/fake_engine/engine_stream.rs
+++ b/wagtaildoor_fakes/src/fake_engine/engine_stream.rs
@@ -44,6 +44,8 @@
     pub weights_version: WeightsVersion,
     /// Queue depth when the request was accepted.
     pub queued: u32,
+    /// Whether the response is to end inside its last event.
+    pub closes_early: bool,
     /// Cancelled when the engine crashes.
     pub crashed: CancellationToken,
     /// Chunks of the response; the stream was cut if the channel closes before a chunk with `done`.
@@ -94,15 +96,16 @@
     /// Accepts a request and starts streaming the response.
     pub fn generate(&self, request: EngineRequest) -> Result<EngineStream> {
         let boot = self.accept_work(request.weights_version)?;
+        let faults = self.faults();
         let (sender, chunks) = mpsc::channel(BUFFER_CHUNKS);
         let stream = EngineStream {
             boot_id: boot.boot_id.clone(),
             weights_version: request.weights_version,
             queued: boot.queue.queued(),
+            closes_early: faults.close_early,
             crashed: boot.token.clone(),
             chunks,
         };
-        let faults = self.faults();
         let plan = FaultPlan::draw(&faults, &request);
         self.lock().counts.crash_prompts += u64::from(plan.crash);
         let task = StreamTask {
--- a/wagtaildoor_fakes/src/fake_service.rs
+++ b/wagtaildoor_fakes/src/fake_service.rs
@@ -26,7 +26,10 @@
     schema::LoadReport,
 };
 
-use crate::pause;
+use crate::{
+    connection_state::ConnectionState,
+    pause, //
+};
 
 /// Active faults. A `u64` without a unit is the number of coming calls that the fault affects.
 #[derive(Clone, Debug, Default, Deserialize, PartialEq, Serialize)]
@@ -50,6 +53,10 @@
     pub crossed_answers: u64,
     /// Lookups that fail.
     pub lookup_failures: u64,
+    /// Ends each response with its connection, without a content length or chunks.
+    pub close_delimited: bool,
+    /// Ends answers early: streams inside their last event, others in the middle of the body.
+    pub close_early: bool,
     /// Restarts once with a new boot id, when the switch is set; effects are kept.
     pub crash: bool,
 }
@@ -129,6 +136,8 @@
     checks_keys: bool,
     /// Set while the service is frozen.
     frozen: Arc<watch::Sender<bool>>,
+    /// State that the service's connections follow.
+    connections: Arc<watch::Sender<ConnectionState>>,
     state: Arc<Mutex<ServiceState>>,
 }
 
@@ -164,6 +173,7 @@
         Self {
             checks_keys,
             frozen: Arc::new(watch::Sender::new(false)),
+            connections: Arc::default(),
             state: Arc::new(Mutex::new(state)),
         }
     }
@@ -178,10 +188,22 @@
         self.lock().counts.clone()
     }
 
+    /// Returns the state that the service's connections follow.
+    pub fn connections(&self) -> watch::Receiver<ConnectionState> {
+        self.connections.subscribe()
+    }
+
+    /// Whether answers end early.
+    pub fn closes_early(&self) -> bool {
+        self.lock().faults.close_early
+    }
+
     /// Replaces the active faults. If `crash` is set, the service restarts once.
     pub fn set_faults(&self, mut faults: ServiceFaults) {
         let crash = std::mem::take(&mut faults.crash);
         self.frozen.send_replace(faults.freeze);
+        self.connections
+            .send_modify(|state| state.close_delimited = faults.close_delimited);
         let mut state = self.lock();
         state.faults = faults;
         if crash {
--- a/wagtaildoor_fakes/src/http_engine.rs
+++ b/wagtaildoor_fakes/src/http_engine.rs
@@ -103,12 +103,17 @@
     })
 }
 
-/// Converts chunks to server-sent events; a crash breaks the stream off inside an event.
+/// Converts chunks to server-sent events; a crash, or an early end, breaks the stream off inside an
+/// event.
 fn encode_events(mut stream: EngineStream) -> impl Stream<Item = Vec<u8>> {
     stream! {
         let mut is_done = false;
         while let Some(chunk) = stream.chunks.recv().await {
             is_done = chunk.done.is_some();
+            if is_done && stream.closes_early {
+                yield EVENT_START.to_vec();
+                return;
+            }
             yield encode_event(&chunk);
         }
         if !is_done && stream.crashed.is_cancelled() {
--- a/wagtaildoor_fakes/src/http_service.rs
+++ b/wagtaildoor_fakes/src/http_service.rs
@@ -5,6 +5,7 @@
 use rocket::{
     get,
     http::{
+        ContentType,
         Header,
         Status, //
     },
@@ -74,7 +75,7 @@
 /// Response to a call with the service's headers.
 #[derive(Responder)]
 struct CallResponse {
-    body: Json<ServiceReceipt>,
+    body: (ContentType, Vec<u8>),
     /// Request that the response belongs to.
     request: Header<'static>,
     /// Attempt that the response belongs to.
@@ -116,8 +117,12 @@
         body: body.into_inner(),
     };
     let answer = service.call(call).await?;
+    let mut body = serde_json::to_vec(&answer.body).expect("a receipt serializes to JSON");
+    if service.closes_early() {
+        body.truncate(body.len() / 2);
+    }
     Ok(CallResponse {
-        body: Json(answer.body),
+        body: (ContentType::JSON, body),
         request: Header::new("x-request-id", answer.request.into_string()),
         attempt: Header::new("x-attempt-id", answer.attempt.into_string()),
         boot_id: Header::new("x-boot-id", service.boot_id().into_string()),
--- a/wagtaildoor_fakes/src/program.rs
+++ b/wagtaildoor_fakes/src/program.rs
@@ -93,10 +93,7 @@
     let server = http_server::build(listen.address);
     let fake = match name {
         "engine" => engine_server(server, matches, client.clone()),
-        "service" => {
-            let service = FakeService::new(matches.get_flag("checks-keys"));
-            http_service::mount(server, service).into()
-        }
+        "service" => service_server(server, matches),
         "platform" => platform_server(server, matches).into(),
         _ => {
             let blocks = cli::number_value(matches, "cache-blocks");
@@ -121,6 +118,17 @@
     }
 }
 
+/// Mounts a fake service configured by the command line.
+fn service_server(server: Rocket<Build>, matches: &ArgMatches) -> MountedFake {
+    let service = FakeService::new(matches.get_flag("checks-keys"));
+    service.set_faults(cli::service_faults(matches));
+    let connections = Some(service.connections());
+    MountedFake {
+        server: http_service::mount(server, service),
+        connections,
+    }
+}
+
 /// Builds the server of the platform: log, list and weight store.
 fn platform_server(server: Rocket<Build>, matches: &ArgMatches) -> Rocket<Build> {
     let number = |name| cli::number_value(matches, name);
--- a/wagtaildoor_fakes/tests/connections.rs
+++ b/wagtaildoor_fakes/tests/connections.rs
@@ -1,5 +1,7 @@
 //! Tests of connection faults: crashes and close-delimited responses, as clients see them.
 
+#[path = "connections/close_delimited.rs"]
+mod close_delimited;
 #[path = "support/engine_request.rs"]
 mod engine_request;
 #[path = "support/fake_server.rs"]
--- a/wagtaildoor_fakes/tests/program.rs
+++ b/wagtaildoor_fakes/tests/program.rs
@@ -183,6 +183,25 @@
     assert_eq!(engine.terminate(), Some(0));
 }
 
+#[tokio::test(flavor = "multi_thread")]
+async fn endpoints_close_their_connections_on_request() {
+    let folder = TestFolder::new("close");
+    let client = Client::builder().no_proxy().build().expect("a client");
+    for name in ["engine", "service"] {
+        let identity = ["--id=d1", "--pool=drafter", "--domain=kl-a"];
+        let arguments = [&[name, "--close-delimited"][..], &identity].concat();
+        let mut endpoint = RunningProgram::start(&folder.path, name, &arguments);
+        let call = client.get(format!("http://{}/health", endpoint.address));
+        let response = call.send().await.expect("a response");
+        let headers = response.headers();
+        assert_eq!(headers["connection"], "close", "{name}");
+        assert!(!headers.contains_key("content-length"), "{name}");
+        assert!(!headers.contains_key("transfer-encoding"), "{name}");
+        assert_eq!(response.text().await.expect("a body"), "good", "{name}");
+        assert_eq!(endpoint.terminate(), Some(0), "{name}");
+    }
+}
+
 /// An invalid command line and the expected error.
 struct FailureCase {
     arguments: &'static [&'static str],
