Measure how far a part that crashes engines gets through an entry

No bench showed how many engines such requests reach.

`wtd-bench crash` sets the faults of the stand-in engines, sends a seeded mix of sound requests and requests with the text that crashes them, and tells how many of the latter arrived at engines, how many engines ended, and how many sound requests got a whole answer. `--close-delimited` lets answers end with their connection. `scripts/bench-crash` runs it on loopback with one entry and eight engines. It sets no bound yet.

--- a/wagtaildoor_bench/src/cli.rs
+++ b/wagtaildoor_bench/src/cli.rs
@@ -7,6 +7,7 @@
 
 use crate::{
     capacity,
+    crash,
     latency,
     once,
     orders,
@@ -34,6 +35,7 @@
         .about("Load tool and policy experiments of wagtaildoor")
         .subcommand_required(true)
         .subcommand(capacity::command())
+        .subcommand(crash::command())
         .subcommand(latency::command())
         .subcommand(orders::command())
         .subcommand(once::command())
@@ -45,6 +47,7 @@
     let (name, matches) = matches.subcommand().expect("clap requires a command");
     match name {
         capacity::NAME => capacity::run(matches).await,
+        crash::NAME => crash::run(matches).await,
         latency::NAME => latency::run(matches).await,
         orders::NAME => orders::run(matches).await,
         once::NAME => once::run(matches),
--- a/wagtaildoor_bench/src/lib.rs
+++ b/wagtaildoor_bench/src/lib.rs
@@ -2,6 +2,7 @@
 
 pub mod capacity;
 pub mod cli;
+pub mod crash;
 pub mod latency;
 pub mod load_call;
 pub mod once;
