Keep prompts from engines at the entry when engines crash under one of their levels

All other answers of such an engine broke off with it, and callers beside it got stream_broken.

Cause: each request knew only the engines that it had tried itself, and nothing remembered under which levels engines had ended.

Change: an entry remembers the crashes and answers of template texts and filled levels in a CrashLedger. When an answer broke off within 2 s of its begin and its engine refuses connections, the crash counts against the prompt's parts. Before admission and before each attempt a blocked prompt is refused: prompt_blocked if nothing of it may have run, else the error of the attempt that may have. The caller's own text is no part.

Sound prompts of the same account and with the same outer level are answered whole.

--- /dev/null
+++ b/wagtaildoor_entry/src/crash_monitor.rs
@@ -0,0 +1,168 @@
+//! Remembers under which prompt levels engines crashed, and keeps such prompts from further engines.
+
+use std::sync::{
+    Mutex,
+    MutexGuard,
+    PoisonError, //
+};
+
+use slog::{
+    info,
+    warn,
+    Logger, //
+};
+use wagtaildoor::{
+    boot_clock::BootInstant,
+    crash_ledger::{
+        CrashLedger,
+        CrashReport, //
+    },
+    error::{
+        ErrorKind,
+        RequestError,
+        Result, //
+    },
+    ids::{
+        EngineStart,
+        PartId, //
+    },
+    prompt::RenderedPrompt,
+    schema::Template,
+};
+
+/// BLAKE3 context of part ids.
+const PART_CONTEXT: &str = "wagtaildoor prompt part 1";
+/// BLAKE3 context of the ids of engine starts.
+const START_CONTEXT: &str = "wagtaildoor engine start 1";
+
+/// A prompt part, with the number of its crashes that were known when the request was sent.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct SentPart {
+    /// The part.
+    pub part: PartId,
+    /// Number of known crashes.
+    pub known_crashes: u32,
+}
+
+/// Crashes and complete answers of the prompt parts that this host has sent.
+#[derive(Debug)]
+pub struct CrashMonitor {
+    log: Logger,
+    ledger: Mutex<CrashLedger>,
+}
+
+impl CrashMonitor {
+    /// Creates a monitor without evidence.
+    pub fn new(log: Logger) -> Self {
+        Self {
+            log,
+            ledger: Mutex::default(),
+        }
+    }
+
+    /// Fails with `PromptBlocked` if engines have crashed under one of the parts.
+    pub fn check_parts(&self, parts: &[PartId]) -> Result<()> {
+        let now = BootInstant::now();
+        let ledger = self.unexpired_ledger(now);
+        let Some(part) = ledger.blocked_part(parts, now) else {
+            return Ok(());
+        };
+        let blocked_s = ledger
+            .blocked_for(part, now)
+            .map_or(0, |time| time.as_secs());
+        let crashes = ledger.known_crashes(part);
+        drop(ledger);
+        info!(self.log, "prompt blocked"; "part" => format_part(part), "crashes" => crashes,
+            "blocked_s" => blocked_s);
+        let detail = format!(
+            "{crashes} engines crashed under a part of the prompt, which is blocked for {blocked_s} s"
+        );
+        Err(RequestError::new(ErrorKind::PromptBlocked, detail))
+    }
+
+    /// Returns the parts with their known crashes, for a request that is sent now.
+    pub fn sent_parts(&self, parts: &[PartId]) -> Vec<SentPart> {
+        let ledger = self.unexpired_ledger(BootInstant::now());
+        let parts = parts.iter().map(|&part| SentPart {
+            part,
+            known_crashes: ledger.known_crashes(part),
+        });
+        parts.collect()
+    }
+
+    /// Records that an engine crashed while it answered a prompt with the parts.
+    pub fn record_crash(&self, parts: &[SentPart], engine: EngineStart) {
+        let now = BootInstant::now();
+        let mut ledger = self.unexpired_ledger(now);
+        for sent in parts {
+            let report = CrashReport {
+                part: sent.part,
+                engine,
+                known_crashes: sent.known_crashes,
+            };
+            let verdict = ledger.record_crash(&report, now);
+            warn!(self.log, "engine crashed under a prompt part"; "part" => format_part(sent.part),
+                "engine_start" => format!("{engine:016x}"), "verdict" => ?verdict,
+                "crashes" => ledger.known_crashes(sent.part));
+        }
+    }
+
+    /// Records a complete answer to a prompt with the parts.
+    pub fn record_answer(&self, parts: &[PartId]) {
+        let now = BootInstant::now();
+        let mut ledger = self.lock();
+        for &part in parts {
+            let cleared = ledger.record_answer(part, now);
+            if !cleared.is_empty() {
+                info!(self.log, "prompt part answered"; "part" => format_part(part),
+                    "cleared_crashes" => cleared.len());
+            }
+        }
+    }
+
+    /// Locks the ledger and removes its expired evidence.
+    fn unexpired_ledger(&self, now: BootInstant) -> MutexGuard<'_, CrashLedger> {
+        let mut ledger = self.lock();
+        for (part, engine) in ledger.expire(now) {
+            info!(self.log, "evidence against a prompt part expired"; "part" => format_part(part),
+                "engine_start" => format!("{engine:016x}"));
+        }
+        ledger
+    }
+
+    fn lock(&self) -> MutexGuard<'_, CrashLedger> {
+        self.ledger.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
+
+/// Returns the parts that a prompt may share with others: the text of each level of its template, and
+/// the level with its parameters substituted.
+pub fn shared_parts(template: &Template, prompt: &RenderedPrompt) -> Vec<PartId> {
+    let texts = template.levels.iter().map(|level| &level.text_hash);
+    let rendered = prompt.levels.iter().map(|level| &level.text);
+    let parts = texts.chain(rendered);
+    parts
+        .map(|text| short_hash(PART_CONTEXT, &[text]))
+        .collect()
+}
+
+/// Returns the id of an engine's start.
+pub fn engine_start(endpoint: &str, boot_id: &str) -> EngineStart {
+    short_hash(START_CONTEXT, &[endpoint, boot_id])
+}
+
+/// Hashes texts. Each is preceded by its length, so that the boundaries are unambiguous.
+fn short_hash(context: &str, texts: &[&str]) -> u64 {
+    let mut hasher = blake3::Hasher::new_derive_key(context);
+    for text in texts {
+        hasher.update(&(text.len() as u64).to_le_bytes());
+        hasher.update(text.as_bytes());
+    }
+    let mut bytes = [0; 8];
+    hasher.finalize_xof().fill(&mut bytes);
+    u64::from_le_bytes(bytes)
+}
+
+fn format_part(part: PartId) -> String {
+    format!("{part:016x}")
+}
--- a/wagtaildoor_entry/src/engine_attempt.rs
+++ b/wagtaildoor_entry/src/engine_attempt.rs
@@ -6,11 +6,15 @@
     Stream,
     StreamExt, //
 };
+use slog::info;
 use tokio::time::Instant;
 use uuid::Uuid;
 use wagtaildoor::{
     error::ErrorKind,
-    ids::AttemptId,
+    ids::{
+        AttemptId,
+        PartId, //
+    },
     placement::PlacementChoice,
     prefix::{
         self,
@@ -32,11 +36,19 @@
 };
 
 use crate::{
+    crash_monitor::{
+        self,
+        SentPart, //
+    },
     engine_call::{
         self,
         CallError,
         EndpointStatus, //
     },
+    engine_crash::{
+        self,
+        BegunAnswer, //
+    },
     model_run::{
         AnswerSource, //
         ModelRun,
@@ -86,18 +98,28 @@
     /// Runs the attempt and records its outcome in the routing table.
     ///
     /// `received` counts the chunks sent to the caller, including those of earlier attempts. An
-    /// attempt that does not complete is cancelled at the engine.
-    pub async fn run(self, levels: &[LevelPrefix], received: &mut u64) -> AttemptOutcome {
+    /// attempt that does not complete is cancelled at the engine. A crash of the engine is recorded
+    /// against the prompt's `parts`.
+    pub async fn run(
+        self,
+        levels: &[LevelPrefix],
+        parts: &[PartId],
+        received: &mut u64,
+    ) -> AttemptOutcome {
         let table = &self.run.context.state.table;
+        let crashes = &self.run.context.state.crashes;
+        let sent_parts = crashes.sent_parts(parts);
+        let mut begun = None;
         let mut ticket = table.record_dispatch(self.choice, now());
         self.record_dispatched(*received);
-        let outcome = match self.relay_stream(&mut ticket, received).await {
+        let outcome = match self.relay_stream(&mut ticket, &mut begun, received).await {
             Ok(done) => AttemptOutcome::Completed(done),
             Err(outcome) => outcome,
         };
         match &outcome {
             AttemptOutcome::Completed(done) => {
                 self.send_endpoint_status(done);
+                crashes.record_answer(parts);
                 table.record_completion(ticket, done, levels, now());
                 return outcome;
             }
@@ -110,18 +132,37 @@
             AttemptOutcome::CallerGone => drop(ticket),
         }
         self.spawn_cancel();
+        if let (AttemptOutcome::Failed(CallError::Broken(_)), Some(begun)) = (&outcome, begun) {
+            self.inspect_engine(begun, &sent_parts).await;
+        }
         outcome
     }
 
+    /// Finds out whether the engine of a broken answer has ended, and records its crash.
+    async fn inspect_engine(&self, begun: BegunAnswer, parts: &[SentPart]) {
+        let is_recent = begun.is_recent();
+        let answered_for = begun.begun_at.elapsed();
+        let has_ended = engine_crash::refuses_connections(self.choice.address).await;
+        let state = &self.run.context.state;
+        info!(state.log, "answer broke off"; "request" => &*self.run.context.request,
+            "attempt" => &*self.attempt, "endpoint" => &*self.choice.endpoint,
+            "engine_ended" => has_ended, "answered_ms" => answered_for.as_millis() as u64);
+        if has_ended && is_recent {
+            state.crashes.record_crash(parts, begun.engine);
+        }
+    }
+
     /// Sends the request to the engine and relays its chunks to the caller.
     async fn relay_stream(
         &self,
         ticket: &mut DispatchTicket,
+        begun: &mut Option<BegunAnswer>,
         received: &mut u64,
     ) -> StepResult<EngineDone> {
         let first_chunk_deadline = Instant::now() + self.first_chunk_timeout();
         let request = self.engine_request(*received);
         let (endpoint_status, chunks) = self.open_stream(&request, first_chunk_deadline).await?;
+        *begun = Some(self.begun_answer(&endpoint_status));
         self.check_response_head(ticket, &endpoint_status)?;
         let mut chunks = std::pin::pin!(chunks);
         let request_id = self.run.context.request.clone();
@@ -151,6 +192,18 @@
         }
     }
 
+    /// Identifies the engine start that has begun to answer.
+    fn begun_answer(&self, endpoint_status: &EndpointStatus) -> BegunAnswer {
+        let boot_id = match &*endpoint_status.boot_id {
+            "" => &*self.choice.boot_id,
+            boot_id => boot_id,
+        };
+        BegunAnswer {
+            engine: crash_monitor::engine_start(&self.choice.endpoint, boot_id),
+            begun_at: Instant::now(),
+        }
+    }
+
     /// Sends the request and waits for the response head.
     async fn open_stream(
         &self,
--- a/wagtaildoor_entry/src/model_run.rs
+++ b/wagtaildoor_entry/src/model_run.rs
@@ -22,6 +22,7 @@
 };
 
 use crate::{
+    crash_monitor,
     engine_attempt::{
         AttemptOutcome,
         EngineAttempt, //
@@ -93,6 +94,8 @@
 
     /// Tries endpoints until the answer is complete. Returns `None` if the caller disconnects.
     async fn run_attempts(&self) -> Result<Option<EngineDone>, RequestError> {
+        let parts = crash_monitor::shared_parts(&self.context.template, &self.prompt);
+        self.context.state.crashes.check_parts(&parts)?;
         let Some(_permit) = self.admit().await? else {
             return Ok(None);
         };
@@ -101,6 +104,9 @@
         let mut received = 0;
         let mut worst = None;
         for attempt in 0..MAX_ATTEMPTS {
+            if let Err(error) = self.context.state.crashes.check_parts(&parts) {
+                return Err(more_severe_error(worst, error));
+            }
             if attempt == 0 {
                 self.context.state.retry_budget.record_first_attempt();
             } else if received == 0 && !self.context.state.retry_budget.try_acquire() {
@@ -118,7 +124,7 @@
                 Err(error) => return Err(worst.unwrap_or(error)),
             };
             let attempt = EngineAttempt::new(self, &choice);
-            match attempt.run(&levels, &mut received).await {
+            match attempt.run(&levels, &parts, &mut received).await {
                 AttemptOutcome::Completed(done) => return Ok(Some(done)),
                 AttemptOutcome::CallerGone => return Ok(None),
                 AttemptOutcome::DeadlinePassed => return Err(self.context.deadline_error()),
--- a/wagtaildoor_entry/src/server.rs
+++ b/wagtaildoor_entry/src/server.rs
@@ -9,6 +9,7 @@
 
 use crate::{
     caller_server::CallerServer,
+    crash_monitor::CrashMonitor,
     http_clients::HttpClients,
     metrics::EntryMetrics,
     state::EntryState, //
@@ -126,6 +127,7 @@
     Ok(Arc::new(EntryState {
         admission: AdmissionQueue::new(limits, INITIAL_HOST_COUNT),
         retry_budget: AttemptBudget::new(settings.limits.retry_budget_percent),
+        crashes: CrashMonitor::new(log.clone()),
         view: link.subscribe_view(),
         link,
         table: Arc::new(RoutingTable::with_policy(placement)),
--- a/wagtaildoor_entry/src/state.rs
+++ b/wagtaildoor_entry/src/state.rs
@@ -24,6 +24,7 @@
 };
 
 use crate::{
+    crash_monitor::CrashMonitor,
     http_clients::HttpClients,
     metrics::EntryMetrics, //
 };
@@ -46,6 +47,8 @@
     pub admission: AdmissionQueue,
     /// Budget for retries, shared by all requests.
     pub retry_budget: AttemptBudget,
+    /// Prompt parts that crash engines.
+    pub crashes: CrashMonitor,
     /// HTTP clients for calls to endpoints.
     pub clients: HttpClients,
     /// Metric instruments.
--- a/wagtaildoor_entry/tests/callers/refusals.rs
+++ b/wagtaildoor_entry/tests/callers/refusals.rs
@@ -43,7 +43,7 @@
 }
 
 /// Checks status, headers and body of an error response against the expected kind.
-async fn check_refusal(name: &str, answer: Response, kind: ErrorKind) {
+pub async fn check_refusal(name: &str, answer: Response, kind: ErrorKind) {
     let expected = kind.answer();
     let status = answer.status().as_u16();
     let request = header(&answer, "x-request-id").map(str::to_owned);
--- a/wagtaildoor_entry/tests/support/entry_rig.rs
+++ b/wagtaildoor_entry/tests/support/entry_rig.rs
@@ -44,7 +44,13 @@
     weight_source::WeightSource,
 };
 
-use super::fake_keeper::FakeKeeper;
+use super::{
+    crash_proxy::{
+        CrashProxy,
+        CRASH_TEXT, //
+    },
+    fake_keeper::FakeKeeper,
+};
 
 /// Timeout for everything that a test waits for.
 pub const WAIT_TIMEOUT: Duration = Duration::from_secs(20);
@@ -73,6 +79,8 @@
     pub keeper: FakeKeeper,
     /// Fake engines. Most tests need only one.
     pub engines: Vec<FakeEngine>,
+    /// Proxies before the engines, if they can crash like processes.
+    pub proxies: Vec<CrashProxy>,
     /// Fake plain service.
     pub service: FakeService,
     /// HTTP client of the callers.
@@ -91,10 +99,27 @@
 
     /// Starts an entry with `count` engines and waits until it is ready.
     pub async fn start_with(count: usize) -> Self {
+        Self::start_entry(count, false).await
+    }
+
+    /// Starts an entry with `count` engines that can crash, and waits until it is ready.
+    pub async fn start_with_proxies(count: usize) -> Self {
+        Self::start_entry(count, true).await
+    }
+
+    async fn start_entry(count: usize, has_proxies: bool) -> Self {
         let engines: Vec<FakeEngine> = (0..count).map(|_| instant_engine()).collect();
         let service = FakeService::new(false);
         let servers = serve(&engines, &service).await;
-        let addresses: Vec<SocketAddr> = servers.iter().map(|server| server.address).collect();
+        let mut addresses: Vec<SocketAddr> = servers.iter().map(|server| server.address).collect();
+        let mut proxies = Vec::new();
+        if has_proxies {
+            for (engine, address) in engines.iter().zip(&mut addresses) {
+                let proxy = CrashProxy::start(engine.clone(), *address).await;
+                *address = proxy.address;
+                proxies.push(proxy);
+            }
+        }
         let view = view(&addresses[..count], addresses[count]);
         let keeper = FakeKeeper::start(view).await;
         let number = NEXT_RIG.fetch_add(1, Ordering::Relaxed);
@@ -107,6 +132,7 @@
             address,
             keeper,
             engines,
+            proxies,
             service,
             client: Client::builder().no_proxy().build().expect("a client"),
             _servers: servers,
@@ -266,6 +292,8 @@
         template
     };
     let levels = json!([{ "name": "readers", "text_hash": hash.as_str() }]);
+    let crash_hash = blake3::hash(CRASH_TEXT.as_bytes()).to_hex();
+    let crashing = json!([levels[0], { "name": "layout", "text_hash": crash_hash.as_str() }]);
     let endless = json!({ "max_tokens": 1_000_000, "deadline_ms": ENDLESS_DEADLINE_MS });
     let order = json!({ "path": "/orders/print", "repeatable": false, "accounts": ["desk"] });
     json!({
@@ -273,6 +301,7 @@
         "pools": [pool("drafter", "model"), pool("app", "service"), pool("empty", "model")],
         "templates": [
             template("draft", "drafter", json!({ "levels": levels })),
+            template("crashing", "drafter", json!({ "levels": crashing })),
             template("plain", "drafter", json!({})),
             template("endless", "drafter", endless),
             template("nowhere", "empty", json!({})),
@@ -280,6 +309,9 @@
             template("lookup", "app", json!({ "path": "/entries/lookup" })),
             template("order", "app", order),
         ],
-        "texts": [{ "hash": hash.as_str(), "text": text }],
+        "texts": [
+            { "hash": hash.as_str(), "text": text },
+            { "hash": crash_hash.as_str(), "text": CRASH_TEXT },
+        ],
     })
 }
