Count a crash against all answers of the engine at once

A sound prompt could be refused at an entry with prompt_blocked, or its stream end with stream_broken although it could go on, for up to ten minutes.

Cause: the answers of a crashed engine are found broken one by one. When a sound prompt was on all three engines, and its broken answer was looked at before the one whose prompt crashed the third, no other part explained that crash yet, so the sound part was blocked.

Not seen between real processes: the gap is as short as a refused connection.

Change: the monitor knows the answers in progress, and the crash of an engine counts against the parts of all that began less than 2 s before. Only new evidence is logged, so a crash with many answers writes one line for each part.

--- a/wagtaildoor_entry/src/crash_monitor.rs
+++ b/wagtaildoor_entry/src/crash_monitor.rs
@@ -1,9 +1,13 @@
 //! Remembers under which prompt levels engines crashed, and keeps such prompts from further engines.
 
-use std::sync::{
-    Mutex,
-    MutexGuard,
-    PoisonError, //
+use std::{
+    collections::HashMap,
+    sync::{
+        Mutex,
+        MutexGuard,
+        PoisonError, //
+    },
+    time::Duration,
 };
 
 use slog::{
@@ -15,7 +19,8 @@
     boot_clock::BootInstant,
     crash_ledger::{
         CrashLedger,
-        CrashReport, //
+        CrashReport,
+        ReportVerdict, //
     },
     error::{
         ErrorKind,
@@ -35,6 +40,9 @@
 /// BLAKE3 context of the ids of engine starts.
 const START_CONTEXT: &str = "wagtaildoor engine start 1";
 
+/// Time after the begin of an answer during which a crash counts against its prompt.
+const BLAME_TIME: Duration = Duration::from_secs(2);
+
 /// A prompt part, with the number of its crashes that were known when the request was sent.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub struct SentPart {
@@ -48,7 +56,51 @@
 #[derive(Debug)]
 pub struct CrashMonitor {
     log: Logger,
-    ledger: Mutex<CrashLedger>,
+    state: Mutex<MonitorState>,
+}
+
+#[derive(Debug, Default)]
+struct MonitorState {
+    ledger: CrashLedger,
+    /// Answers in progress, by their number.
+    running: HashMap<u64, RunningAnswer>,
+    /// Number of the next answer.
+    next_answer: u64,
+}
+
+/// An answer in progress.
+#[derive(Debug)]
+struct RunningAnswer {
+    engine: EngineStart,
+    parts: Vec<SentPart>,
+    begun_at: BootInstant,
+}
+
+/// Keeps an answer registered as in progress until it is dropped.
+#[derive(Debug)]
+pub struct AnswerGuard<'a> {
+    monitor: &'a CrashMonitor,
+    answer: u64,
+    engine: EngineStart,
+    begun_at: BootInstant,
+}
+
+impl AnswerGuard<'_> {
+    /// Start of the engine that answers.
+    pub fn engine(&self) -> EngineStart {
+        self.engine
+    }
+
+    /// Time since the answer began.
+    pub fn age(&self) -> Duration {
+        self.begun_at.elapsed()
+    }
+}
+
+impl Drop for AnswerGuard<'_> {
+    fn drop(&mut self) {
+        self.monitor.lock().running.remove(&self.answer);
+    }
 }
 
 impl CrashMonitor {
@@ -56,14 +108,15 @@
     pub fn new(log: Logger) -> Self {
         Self {
             log,
-            ledger: Mutex::default(),
+            state: Mutex::default(),
         }
     }
 
     /// Fails with `PromptBlocked` if engines have crashed under one of the parts.
     pub fn check_parts(&self, parts: &[PartId]) -> Result<()> {
         let now = BootInstant::now();
-        let ledger = self.unexpired_ledger(now);
+        let state = self.lock_unexpired(now);
+        let ledger = &state.ledger;
         let Some(part) = ledger.blocked_part(parts, now) else {
             return Ok(());
         };
@@ -71,7 +124,7 @@
             .blocked_for(part, now)
             .map_or(0, |time| time.as_secs());
         let crashes = ledger.known_crashes(part);
-        drop(ledger);
+        drop(state);
         info!(self.log, "prompt blocked"; "part" => format_part(part), "crashes" => crashes,
             "blocked_s" => blocked_s);
         let detail = format!(
@@ -82,37 +135,71 @@
 
     /// Returns the parts with their known crashes, for a request that is sent now.
     pub fn sent_parts(&self, parts: &[PartId]) -> Vec<SentPart> {
-        let ledger = self.unexpired_ledger(BootInstant::now());
+        let state = self.lock_unexpired(BootInstant::now());
         let parts = parts.iter().map(|&part| SentPart {
             part,
-            known_crashes: ledger.known_crashes(part),
+            known_crashes: state.ledger.known_crashes(part),
         });
         parts.collect()
     }
 
-    /// Records that an engine crashed while it answered a prompt with the parts.
-    pub fn record_crash(&self, parts: &[SentPart], engine: EngineStart) {
+    /// Registers an answer that an engine has begun.
+    pub fn begin_answer(&self, parts: Vec<SentPart>, engine: EngineStart) -> AnswerGuard<'_> {
+        let begun_at = BootInstant::now();
+        let mut state = self.lock();
+        let answer = state.next_answer;
+        state.next_answer += 1;
+        let running = RunningAnswer {
+            engine,
+            parts,
+            begun_at,
+        };
+        state.running.insert(answer, running);
+        AnswerGuard {
+            monitor: self,
+            answer,
+            engine,
+            begun_at,
+        }
+    }
+
+    /// Records that an engine crashed, against the parts of all its answers that have just begun.
+    ///
+    /// Other answers of the engine may not have been found broken yet. They count at once, so that a
+    /// part which explains the crash is known before another one is blamed for it.
+    pub fn record_crash(&self, engine: EngineStart) {
         let now = BootInstant::now();
-        let mut ledger = self.unexpired_ledger(now);
-        for sent in parts {
+        let mut state = self.lock_unexpired(now);
+        let MonitorState {
+            ledger, running, ..
+        } = &mut *state;
+        let is_blamed = |answer: &&RunningAnswer| {
+            answer.engine == engine && now.since(answer.begun_at) < BLAME_TIME
+        };
+        for sent in running
+            .values()
+            .filter(is_blamed)
+            .flat_map(|answer| &answer.parts)
+        {
             let report = CrashReport {
                 part: sent.part,
                 engine,
                 known_crashes: sent.known_crashes,
             };
-            let verdict = ledger.record_crash(&report, now);
-            warn!(self.log, "engine crashed under a prompt part"; "part" => format_part(sent.part),
-                "engine_start" => format!("{engine:016x}"), "verdict" => ?verdict,
-                "crashes" => ledger.known_crashes(sent.part));
+            if ledger.record_crash(&report, now) == ReportVerdict::Added {
+                warn!(self.log, "engine crashed under a prompt part";
+                    "part" => format_part(sent.part), "engine_start" => format!("{engine:016x}"),
+                    "crashes" => ledger.known_crashes(sent.part));
+            }
         }
     }
 
     /// Records a complete answer to a prompt with the parts.
     pub fn record_answer(&self, parts: &[PartId]) {
         let now = BootInstant::now();
-        let mut ledger = self.lock();
+        let mut state = self.lock();
         for &part in parts {
-            let cleared = ledger.record_answer(part, now);
+            let cleared = state.ledger.record_answer(part, now);
             if !cleared.is_empty() {
                 info!(self.log, "prompt part answered"; "part" => format_part(part),
                     "cleared_crashes" => cleared.len());
@@ -120,18 +207,18 @@
         }
     }
 
-    /// Locks the ledger and removes its expired evidence.
-    fn unexpired_ledger(&self, now: BootInstant) -> MutexGuard<'_, CrashLedger> {
-        let mut ledger = self.lock();
-        for (part, engine) in ledger.expire(now) {
+    /// Locks the state and removes expired evidence.
+    fn lock_unexpired(&self, now: BootInstant) -> MutexGuard<'_, MonitorState> {
+        let mut state = self.lock();
+        for (part, engine) in state.ledger.expire(now) {
             info!(self.log, "evidence against a prompt part expired"; "part" => format_part(part),
                 "engine_start" => format!("{engine:016x}"));
         }
-        ledger
+        state
     }
 
-    fn lock(&self) -> MutexGuard<'_, CrashLedger> {
-        self.ledger.lock().unwrap_or_else(PoisonError::into_inner)
+    fn lock(&self) -> MutexGuard<'_, MonitorState> {
+        self.state.lock().unwrap_or_else(PoisonError::into_inner)
     }
 }
 
--- a/wagtaildoor_entry/src/engine_attempt.rs
+++ b/wagtaildoor_entry/src/engine_attempt.rs
@@ -38,6 +38,7 @@
 use crate::{
     crash_monitor::{
         self,
+        AnswerGuard,
         SentPart, //
     },
     engine_call::{
@@ -45,10 +46,7 @@
         CallError,
         EndpointStatus, //
     },
-    engine_crash::{
-        self,
-        BegunAnswer, //
-    },
+    engine_crash,
     model_run::{
         AnswerSource, //
         ModelRun,
@@ -109,10 +107,13 @@
         let table = &self.run.context.state.table;
         let crashes = &self.run.context.state.crashes;
         let sent_parts = crashes.sent_parts(parts);
-        let mut begun = None;
+        let mut answer = None;
         let mut ticket = table.record_dispatch(self.choice, now());
         self.record_dispatched(*received);
-        let outcome = match self.relay_stream(&mut ticket, &mut begun, received).await {
+        let outcome = match self
+            .relay_stream(&mut ticket, sent_parts, &mut answer, received)
+            .await
+        {
             Ok(done) => AttemptOutcome::Completed(done),
             Err(outcome) => outcome,
         };
@@ -132,23 +133,22 @@
             AttemptOutcome::CallerGone => drop(ticket),
         }
         self.spawn_cancel();
-        if let (AttemptOutcome::Failed(CallError::Broken(_)), Some(begun)) = (&outcome, begun) {
-            self.inspect_engine(begun, &sent_parts).await;
+        if let (AttemptOutcome::Failed(CallError::Broken(_)), Some(answer)) = (&outcome, answer) {
+            self.inspect_engine(&answer).await;
         }
         outcome
     }
 
     /// Finds out whether the engine of a broken answer has ended, and records its crash.
-    async fn inspect_engine(&self, begun: BegunAnswer, parts: &[SentPart]) {
-        let is_recent = begun.is_recent();
-        let answered_for = begun.begun_at.elapsed();
+    async fn inspect_engine(&self, answer: &AnswerGuard<'_>) {
+        let answered_for = answer.age();
         let has_ended = engine_crash::refuses_connections(self.choice.address).await;
         let state = &self.run.context.state;
         info!(state.log, "answer broke off"; "request" => &*self.run.context.request,
             "attempt" => &*self.attempt, "endpoint" => &*self.choice.endpoint,
             "engine_ended" => has_ended, "answered_ms" => answered_for.as_millis() as u64);
-        if has_ended && is_recent {
-            state.crashes.record_crash(parts, begun.engine);
+        if has_ended {
+            state.crashes.record_crash(answer.engine());
         }
     }
 
@@ -156,13 +156,14 @@
     async fn relay_stream(
         &self,
         ticket: &mut DispatchTicket,
-        begun: &mut Option<BegunAnswer>,
+        parts: Vec<SentPart>,
+        answer: &mut Option<AnswerGuard<'a>>,
         received: &mut u64,
     ) -> StepResult<EngineDone> {
         let first_chunk_deadline = Instant::now() + self.first_chunk_timeout();
         let request = self.engine_request(*received);
         let (endpoint_status, chunks) = self.open_stream(&request, first_chunk_deadline).await?;
-        *begun = Some(self.begun_answer(&endpoint_status));
+        *answer = Some(self.begin_answer(&endpoint_status, parts));
         self.check_response_head(ticket, &endpoint_status)?;
         let mut chunks = std::pin::pin!(chunks);
         let request_id = self.run.context.request.clone();
@@ -192,16 +193,18 @@
         }
     }
 
-    /// Identifies the engine start that has begun to answer.
-    fn begun_answer(&self, endpoint_status: &EndpointStatus) -> BegunAnswer {
+    /// Registers the answer that the engine has begun.
+    fn begin_answer(
+        &self,
+        endpoint_status: &EndpointStatus,
+        parts: Vec<SentPart>,
+    ) -> AnswerGuard<'a> {
         let boot_id = match &*endpoint_status.boot_id {
             "" => &*self.choice.boot_id,
             boot_id => boot_id,
         };
-        BegunAnswer {
-            engine: crash_monitor::engine_start(&self.choice.endpoint, boot_id),
-            begun_at: Instant::now(),
-        }
+        let engine = crash_monitor::engine_start(&self.choice.endpoint, boot_id);
+        self.run.context.state.crashes.begin_answer(parts, engine)
     }
 
     /// Sends the request and waits for the response head.
