--- a/wagtaildoor_entry/src/crash_monitor.rs
+++ b/wagtaildoor_entry/src/crash_monitor.rs
@@ -74,6 +74,8 @@
     engine: EngineStart,
     parts: Vec<SentPart>,
     begun_at: BootInstant,
+    /// Whether a chunk has arrived.
+    has_chunk: bool,
 }
 
 /// Keeps an answer registered as in progress until it is dropped.
@@ -91,6 +93,14 @@
         self.engine
     }
 
+    /// Records that a chunk of the answer has arrived.
+    pub fn record_chunk(&self) {
+        let mut state = self.monitor.lock();
+        if let Some(running) = state.running.get_mut(&self.answer) {
+            running.has_chunk = true;
+        }
+    }
+
     /// Time since the answer began.
     pub fn age(&self) -> Duration {
         self.begun_at.elapsed()
@@ -153,6 +163,7 @@
             engine,
             parts,
             begun_at,
+            has_chunk: false,
         };
         state.running.insert(answer, running);
         AnswerGuard {
@@ -176,15 +187,17 @@
         let is_blamed = |answer: &&RunningAnswer| {
             answer.engine == engine && now.since(answer.begun_at) < BLAME_TIME
         };
-        for sent in running
-            .values()
-            .filter(is_blamed)
-            .flat_map(|answer| &answer.parts)
-        {
+        let blamed = running.values().filter(is_blamed);
+        let sent_parts = blamed.flat_map(|answer| {
+            let in_first_event = !answer.has_chunk;
+            answer.parts.iter().map(move |sent| (sent, in_first_event))
+        });
+        for (sent, in_first_event) in sent_parts {
             let report = CrashReport {
                 part: sent.part,
                 engine,
                 known_crashes: sent.known_crashes,
+                in_first_event,
             };
             if ledger.record_crash(&report, now) == ReportVerdict::Added {
                 warn!(self.log, "engine crashed under a prompt part";
--- a/wagtaildoor_entry/src/engine_attempt.rs
+++ b/wagtaildoor_entry/src/engine_attempt.rs
@@ -173,6 +173,9 @@
             let chunk = self.next_chunk(&mut chunks, &check, chunk_deadline).await?;
             match check.accept(chunk) {
                 Ok(CheckedChunk::Chunk(text)) => {
+                    if let Some(answer) = &*answer {
+                        answer.record_chunk();
+                    }
                     self.run
                         .context
                         .state
