--- a/wagtaildoor/src/crash_ledger.rs
+++ b/wagtaildoor/src/crash_ledger.rs
@@ -25,6 +25,8 @@
 const SOUND_TIME: Duration = Duration::from_secs(15);
 /// Time after a part's last crash at which its evidence expires.
 const EVIDENCE_TIME: Duration = Duration::from_secs(600);
+/// Number of crashes under a part that may not have been reported.
+const MAX_UNREPORTED_CRASHES: usize = 1;
 /// Number of parts under suspicion that are kept.
 const MAX_SUSPECTS: usize = 256;
 /// Number of crashes that are kept for one part.
@@ -89,10 +91,12 @@
             && (in_first_event >= MIN_FIRST_EVENT_CRASHES || self.crashes.len() >= MIN_CRASHES)
     }
 
-    /// Whether this part was involved in all crashes of another one.
+    /// Whether this part was involved in the crashes of another one. One of them may be missing, since
+    /// a host that ends or loses its caller reports nothing.
     fn explains(&self, other: &SuspectPart) -> bool {
-        let mut engines = other.crashes.keys();
-        engines.all(|engine| self.crashes.contains_key(engine))
+        let engines = other.crashes.keys();
+        let missing = engines.filter(|engine| !self.crashes.contains_key(engine));
+        self.crashes.len() >= other.crashes.len() && missing.count() <= MAX_UNREPORTED_CRASHES
     }
 }
 
@@ -109,10 +113,16 @@
             crashes: BTreeMap::new(),
             last_crash: now,
         });
-        let known = suspect.crashes.get(&report.engine);
-        let is_stronger = |known: &CrashReport| report.in_first_event && !known.in_first_event;
-        let is_news = known.map_or(suspect.crashes.len() < MAX_CRASHES, is_stronger);
-        if !is_news {
+        if let Some(known) = suspect.crashes.get_mut(&report.engine) {
+            let before = *known;
+            known.known_crashes = known.known_crashes.max(report.known_crashes);
+            known.in_first_event |= report.in_first_event;
+            return match *known == before {
+                true => ReportVerdict::Known,
+                false => ReportVerdict::Added,
+            };
+        }
+        if suspect.crashes.len() >= MAX_CRASHES {
             return ReportVerdict::Known;
         }
         suspect.crashes.insert(report.engine, *report);
@@ -143,6 +153,11 @@
         }
     }
 
+    /// What is known of one crash under a part, from all reports.
+    pub fn merged_report(&self, part: PartId, engine: EngineStart) -> Option<CrashReport> {
+        self.suspects.get(&part)?.crashes.get(&engine).copied()
+    }
+
     /// Number of crashes that a part was involved in.
     pub fn known_crashes(&self, part: PartId) -> u32 {
         let suspect = self.suspects.get(&part);
--- a/wagtaildoor/tests/crash_ledger.rs
+++ b/wagtaildoor/tests/crash_ledger.rs
@@ -133,6 +133,43 @@
     assert_eq!(ledger.blocked_part(&[TEMPLATE, BAD], at(9)), Some(BAD));
 }
 
+/// Guards against a long refusal of sound prompts because one report against the crashing part is
+/// missing: its host was killed, or its caller had left.
+#[test]
+fn one_missing_report_does_not_blame_a_sound_part() {
+    let mut ledger = CrashLedger::default();
+    for engine in [0, 1, 3, 4] {
+        crash(&mut ledger, BAD, engine, engine as u32, engine);
+    }
+    for engine in 1..4 {
+        crash(&mut ledger, RARE, engine, 1, engine);
+    }
+    assert_eq!(ledger.blocked_part(&[TEMPLATE, RARE], at(9)), None);
+    assert_eq!(ledger.blocked_part(&[TEMPLATE, BAD], at(9)), Some(BAD));
+}
+
+/// Guards against losing that a request was sent after an earlier crash when another host reports the
+/// same crash without it.
+#[test]
+fn reports_of_one_crash_are_merged() {
+    let mut ledger = CrashLedger::default();
+    let reports = [(2, false), (0, true)];
+    for engine in 0..3 {
+        for (known_crashes, in_first_event) in reports {
+            let report = CrashReport {
+                part: BAD,
+                engine,
+                known_crashes,
+                in_first_event,
+            };
+            assert_eq!(ledger.record_crash(&report, at(0)), ReportVerdict::Added);
+        }
+        let merged = ledger.merged_report(BAD, engine).expect("a report");
+        assert_eq!((merged.known_crashes, merged.in_first_event), (2, true));
+    }
+    assert_eq!(ledger.blocked_part(&[BAD], at(1)), Some(BAD));
+}
+
 #[test]
 fn parts_with_the_same_crashes_are_blocked_only_together() {
     let mut ledger = CrashLedger::default();
--- a/wagtaildoor_front/src/caller_request/blocked_prompt.rs
+++ b/wagtaildoor_front/src/caller_request/blocked_prompt.rs
@@ -57,13 +57,6 @@
         }
     }
 
-    /// Whether prompts with each of the shared parts were answered a moment ago.
-    pub(crate) fn has_sound_parts(&self) -> bool {
-        let now = BootInstant::now();
-        let ledger = self.front.crash_ledger.borrow();
-        self.parts.iter().all(|&part| ledger.is_sound(part, now))
-    }
-
     /// Records that the prompt was answered completely.
     pub(crate) fn record_sound_parts(&self) {
         crash_reports::record_answer(&self.front, &self.parts);
--- a/wagtaildoor_front/src/caller_request/request_send.rs
+++ b/wagtaildoor_front/src/caller_request/request_send.rs
@@ -79,8 +79,9 @@
             let sent_at = Instant::now();
             let exchange = self.exchange(placement, &mut connection, &guard, request);
             let answer = tokio::select! {
-                answer = exchange => answer,
+                biased;
                 () = self.wait_until_blocked() => return Err(SendFailure::Blocked),
+                answer = exchange => answer,
             };
             match answer {
                 Ok(response) => {
--- a/wagtaildoor_front/src/caller_request/response_read.rs
+++ b/wagtaildoor_front/src/caller_request/response_read.rs
@@ -22,7 +22,7 @@
         CallerRequest,
         StartedResponse, //
     },
-    stream_relay,
+    engine_crash, stream_relay,
     wire_codec::WireCodec,
 };
 
@@ -106,8 +106,15 @@
             body = collect_body(body, &self.front.buffer_budget) => body?,
             () = silence.cancelled() => return Err("endpoint is silent".into()),
         };
-        let now = BootInstant::now();
         let endpoint = started.guard.endpoint();
+        if started.ends_with_connection
+            && self.head.prompt.is_some()
+            && engine_crash::refuses_connections(endpoint).await
+            && endpoint.is_accepting_requests()
+        {
+            return Err("the engine ended with the answer".into());
+        }
+        let now = BootInstant::now();
         let failed = parts.status.is_server_error();
         endpoint.health.borrow_mut().record_outcome(failed, now);
         self.front
@@ -140,6 +147,7 @@
             begun_at: started.begun_at,
             ends_with_connection: started.ends_with_connection,
             has_event: false,
+            is_past_beginning: false,
         };
         task::spawn_local(stream_relay::relay(self, stream, sender));
         response
--- a/wagtaildoor_front/src/crash_reports.rs
+++ b/wagtaildoor_front/src/crash_reports.rs
@@ -139,8 +139,10 @@
 /// Adds the crash of an engine to the evidence of this host and queues it for the others.
 pub fn report_crash(front: &Front, report: CrashReport) {
     if record_crash(front, &report) == ReportVerdict::Added {
+        let ledger = front.crash_ledger.borrow();
+        let merged = ledger.merged_report(report.part, report.engine);
         let mut queue = front.report_queue.borrow_mut();
-        queue.push(ReportChange::Crash(report));
+        queue.push(ReportChange::Crash(merged.unwrap_or(report)));
     }
 }
 
@@ -169,6 +171,9 @@
         ReportChange::Withdrawal(part, engine) => {
             let mut ledger = front.crash_ledger.borrow_mut();
             ledger.withdraw_crash(*part, *engine);
+            // Another host has written it already.
+            let mut queue = front.report_queue.borrow_mut();
+            queue.changes.retain(|queued| queued != change);
         }
     }
 }
--- a/wagtaildoor_front/src/engine_crash.rs
+++ b/wagtaildoor_front/src/engine_crash.rs
@@ -30,7 +30,7 @@
 const PROBE_TIMEOUT: Duration = Duration::from_millis(100);
 
 /// Time after its beginning at which an answer no longer counts as the cause of a crash.
-const BEGINNING_TIME: Duration = Duration::from_secs(2);
+pub const BEGINNING_TIME: Duration = Duration::from_secs(2);
 
 /// A part of a prompt that other prompts may hold, too.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
@@ -75,6 +75,8 @@
 /// parts of the answer that had just begun.
 pub async fn inspect_engine(front: &Front, endpoint: &Endpoint, answer: &BrokenAnswer<'_>) -> bool {
     let answered_for = answer.begun_at.elapsed();
+    // An engine that leaves may end with answers in progress.
+    let is_leaving = !endpoint.is_accepting_requests();
     let has_ended = refuses_connections(endpoint).await;
     if has_ended {
         endpoint
@@ -91,7 +93,8 @@
         "endpoint" => &*endpoint.id, "engine_ended" => has_ended,
         "answered_ms" => answered_for.as_millis() as u64,
         "in_first_event" => answer.in_first_event, "parts" => parts.join(","));
-    if has_ended && answered_for < BEGINNING_TIME {
+    let has_just_begun = answer.in_first_event || answered_for < BEGINNING_TIME;
+    if has_ended && has_just_begun && !is_leaving {
         for shared in answer.parts {
             let report = CrashReport {
                 part: shared.part,
--- a/wagtaildoor_front/src/stream_relay.rs
+++ b/wagtaildoor_front/src/stream_relay.rs
@@ -53,6 +53,8 @@
     pub ends_with_connection: bool,
     /// Whether a complete event has arrived.
     pub has_event: bool,
+    /// Whether the answer has gone on for so long that its prompt does not crash its engine.
+    pub is_past_beginning: bool,
 }
 
 impl From<StartedResponse> for StreamSource {
@@ -65,6 +67,7 @@
             begun_at: started.begun_at,
             ends_with_connection: started.ends_with_connection,
             has_event: false,
+            is_past_beginning: false,
         }
     }
 }
@@ -97,7 +100,9 @@
             SourceEnd::Complete => {
                 endpoint.health.borrow_mut().record_outcome(false, now);
                 request.front.metrics.record_send("answered");
-                request.record_sound_parts();
+                if source.has_event {
+                    request.record_sound_parts();
+                }
                 if !source.head.closing && !source.ends_with_connection {
                     let idle_limit = source.head.idle_limit;
                     endpoint
@@ -190,6 +195,10 @@
         }
         stalled_at = time::Instant::now() + stall_timeout;
         source.has_event = true;
+        if !source.is_past_beginning && source.begun_at.elapsed() >= engine_crash::BEGINNING_TIME {
+            source.is_past_beginning = true;
+            request.record_sound_parts();
+        }
         request.log.record_first_part();
         if parts.send(Ok(complete)).await.is_err() {
             return SourceEnd::CallerLeft;
@@ -213,7 +222,7 @@
             return SourceEnd::Broken("the stream ended before its first event".into());
         }
         let endpoint = source.guard.endpoint();
-        if !request.has_sound_parts() && engine_crash::refuses_connections(endpoint).await {
+        if engine_crash::refuses_connections(endpoint).await && endpoint.is_accepting_requests() {
             return SourceEnd::Broken("the engine ended with the stream".into());
         }
     }
