Name the inspection of broken answers for what it does

Read as a newcomer: a function that returned whether an engine had ended was called only for its report.

crashing_parts passes; clippy is clean.

--- a/wagtaildoor_front/src/caller_request.rs
+++ b/wagtaildoor_front/src/caller_request.rs
@@ -324,15 +324,16 @@
         self.possible_runs += 1;
     }
 
-    /// Whether the engine of an answer that broke off has ended; false for plain requests.
-    pub(crate) async fn has_engine_ended(
+    /// Finds out whether the engine of a broken answer has ended, and reports that against the prompt.
+    /// Does nothing for plain requests.
+    pub(crate) async fn inspect_broken_answer(
         &self,
         endpoint: &Endpoint,
         begun_at: BootInstant,
         in_first_event: bool,
-    ) -> bool {
+    ) {
         if self.head.prompt.is_none() {
-            return false;
+            return;
         }
         let answer = BrokenAnswer {
             attempt: self.head.attempt.as_ref(),
@@ -340,7 +341,7 @@
             begun_at,
             in_first_event,
         };
-        engine_crash::inspect_engine(&self.front, endpoint, &answer).await
+        engine_crash::inspect_engine(&self.front, endpoint, &answer).await;
     }
 
     /// Whether the request can be accepted. After SIGTERM it must end within the grace period,
--- a/wagtaildoor_front/src/caller_request/response_read.rs
+++ b/wagtaildoor_front/src/caller_request/response_read.rs
@@ -80,7 +80,7 @@
                 .health
                 .borrow_mut()
                 .record_outcome(true, BootInstant::now());
-            self.has_engine_ended(&endpoint, begun_at, false).await;
+            self.inspect_broken_answer(&endpoint, begun_at, false).await;
             self.record_broken_response(endpoint.key);
             let next = match self.may_run_again() {
                 true => time::timeout_at(deadline, self.send_until_answered(None)).await,
--- a/wagtaildoor_front/src/engine_crash.rs
+++ b/wagtaildoor_front/src/engine_crash.rs
@@ -71,9 +71,9 @@
     parts.collect()
 }
 
-/// Returns whether the engine of a broken answer has ended. If it has, its end counts against the
-/// parts of the answer that had just begun.
-pub async fn inspect_engine(front: &Front, endpoint: &Endpoint, answer: &BrokenAnswer<'_>) -> bool {
+/// Finds out whether the engine of a broken answer has ended. If it has and the answer had just begun,
+/// its end counts against the answer's parts.
+pub async fn inspect_engine(front: &Front, endpoint: &Endpoint, answer: &BrokenAnswer<'_>) {
     let answered_for = answer.begun_at.elapsed();
     // An engine that leaves may end with answers in progress.
     let is_leaving = !endpoint.is_accepting_requests();
@@ -105,7 +105,6 @@
             crash_reports::report_crash(front, report);
         }
     }
-    has_ended
 }
 
 /// Whether nothing listens at the endpoint's address any more.
--- a/wagtaildoor_front/src/stream_relay.rs
+++ b/wagtaildoor_front/src/stream_relay.rs
@@ -135,7 +135,7 @@
         // Close the old connection first so that its engine stops before another one continues.
         drop(source);
         request
-            .has_engine_ended(&endpoint, begun_at, in_first_event)
+            .inspect_broken_answer(&endpoint, begun_at, in_first_event)
             .await;
         let next = match request.may_resume() {
             true => resume(&mut request, last_id, &parts).await,
@@ -216,6 +216,7 @@
     if events.has_partial_event() {
         return SourceEnd::Broken("the stream ended inside an event".into());
     }
+    // An engine that crashes may close its connections as if the stream were complete.
     if source.ends_with_connection {
         let resumed_after = events.last_id().or(request.head.resume_after);
         if resumed_after.is_none() && !source.has_event {
