Log what was found out about answers that end with their connection

The log of a request did not show that an answer had neither a length nor chunks, nor why its end was believed, so a believed crash and a sound end looked the same. Each such end now adds a decision to the request's line and counts in front_connection_ends_total, by finding. What is decided stays as it was.

--- a/wagtaildoor_front/src/caller_request.rs
+++ b/wagtaildoor_front/src/caller_request.rs
@@ -344,6 +344,13 @@
         engine_crash::inspect_engine(&self.front, endpoint, &answer).await;
     }
 
+    /// Logs and counts what was found out about the end of an answer that ended with its connection.
+    pub(crate) fn record_connection_end(&mut self, finding: &'static str) {
+        self.front.metrics.record_connection_end(finding);
+        self.log
+            .add_decision(format_args!("ended with its connection: {finding}"));
+    }
+
     /// Whether the request can be accepted. After SIGTERM it must end within the grace period,
     /// except in the first [`LONG_REQUEST_ACCEPT_TIME`].
     fn fits_in_grace(&self, now: BootInstant) -> bool {
--- a/wagtaildoor_front/src/caller_request/response_read.rs
+++ b/wagtaildoor_front/src/caller_request/response_read.rs
@@ -22,7 +22,11 @@
         CallerRequest,
         StartedResponse, //
     },
-    engine_crash, stream_relay,
+    engine_crash::{
+        self,
+        ListenerState, //
+    },
+    stream_relay,
     wire_codec::WireCodec,
 };
 
@@ -107,12 +111,14 @@
             () = silence.cancelled() => return Err("endpoint is silent".into()),
         };
         let endpoint = started.guard.endpoint();
-        if started.ends_with_connection
-            && self.head.prompt.is_some()
-            && engine_crash::refuses_connections(endpoint).await
-            && endpoint.is_accepting_requests()
-        {
-            return Err("the engine ended with the answer".into());
+        if started.ends_with_connection && self.head.prompt.is_some() {
+            let state = engine_crash::probe_listener(endpoint).await;
+            self.record_connection_end(state.name());
+            if state == ListenerState::Refusing && endpoint.is_accepting_requests() {
+                return Err("the engine ended with the answer".into());
+            }
+        } else if started.ends_with_connection {
+            self.record_connection_end("not_asked");
         }
         let now = BootInstant::now();
         let failed = parts.status.is_server_error();
--- a/wagtaildoor_front/src/front_metrics.rs
+++ b/wagtaildoor_front/src/front_metrics.rs
@@ -23,6 +23,8 @@
     requests: Counter<u64>,
     /// Sends to endpoints by result.
     sends: Counter<u64>,
+    /// Answers that ended with their connection, by what was found out about their end.
+    connection_ends: Counter<u64>,
     /// Calls to the platform's store by result.
     store_calls: Counter<u64>,
     /// Orders to engines by verdict.
@@ -44,6 +46,10 @@
         Ok(Self {
             requests: registry.counter("front_requests", "Requests by outcome"),
             sends: registry.counter("front_sends", "Sends to endpoints by result"),
+            connection_ends: registry.counter(
+                "front_connection_ends",
+                "Answers that ended with their connection by what was found out",
+            ),
             store_calls: registry.counter("front_store_calls", "Calls to the store by result"),
             orders: registry.counter("front_orders", "Orders to engines by verdict"),
             admissions: registry
@@ -77,6 +83,12 @@
         self.sends.add(1, &[KeyValue::new("result", result)]);
     }
 
+    /// Counts an answer that ended with its connection by what was found out about its end.
+    pub fn record_connection_end(&self, finding: &'static str) {
+        self.connection_ends
+            .add(1, &[KeyValue::new("finding", finding)]);
+    }
+
     /// Counts a call to the store by its result.
     pub fn record_store_call(&self, result: &'static str) {
         self.store_calls.add(1, &[KeyValue::new("result", result)]);
--- a/wagtaildoor_front/src/stream_relay.rs
+++ b/wagtaildoor_front/src/stream_relay.rs
@@ -21,7 +21,10 @@
     },
     endpoint::RequestGuard,
     endpoint_connection::EndpointConnection,
-    engine_crash,
+    engine_crash::{
+        self,
+        ListenerState, //
+    },
     engine_loads::{
         self,
         LoadEvidence, //
@@ -209,7 +212,7 @@
 /// Judges a stream whose body has ended. Without a length or chunks, the end of the connection says
 /// only that no more comes.
 async fn judge_end<C: WireCodec>(
-    request: &CallerRequest<C>,
+    request: &mut CallerRequest<C>,
     source: &StreamSource,
     events: &EventSplitter,
 ) -> SourceEnd {
@@ -223,7 +226,9 @@
             return SourceEnd::Broken("the stream ended before its first event".into());
         }
         let endpoint = source.guard.endpoint();
-        if engine_crash::refuses_connections(endpoint).await && endpoint.is_accepting_requests() {
+        let state = engine_crash::probe_listener(endpoint).await;
+        request.record_connection_end(state.name());
+        if state == ListenerState::Refusing && endpoint.is_accepting_requests() {
             return SourceEnd::Broken("the engine ended with the stream".into());
         }
     }
