Ask the process behind an answer without length whether it outlived the answer

An answer that has neither a length nor chunks ends with its connection, and an operating system closes the connections of a crashed process like one that closes an answer on purpose. The front took the close for the end unless a connection attempt afterwards was refused; it did not ask for plain services and endpoints that leave, and not where the address accepted again.

Change: with such a head a second connection to the endpoint is opened and shared by its answers of that kind. After the close it is asked for a report or its health: a process that serves a connection from before the close has not crashed in the answer, so no timing decides. If it came too late, the start time or the id must be the endpoint's. An end that is not confirmed is broken off: run again or resumed where allowed, else passed on in chunks without the last one. A transfer coding other than chunked now counts as no framing; a head without a body no longer does.

--- a/wagtaildoor_front/src/caller_request.rs
+++ b/wagtaildoor_front/src/caller_request.rs
@@ -37,7 +37,14 @@
 use wagtaildoor_daemon::response_body::ResponseBody;
 
 use crate::{
-    caller_request::request_admission::AdmittedRequest,
+    caller_request::{
+        request_admission::AdmittedRequest,
+        response_read::UnconfirmedAnswer, //
+    },
+    end_witness::{
+        EndFinding,
+        EndWitness, //
+    },
     endpoint::{
         Endpoint,
         EndpointKey,
@@ -123,6 +130,8 @@
     age_at_arrival: Duration,
     /// When the caller should return if the request is refused; `None` if there is no estimate.
     retry_after: Option<Duration>,
+    /// Answer whose end could not be confirmed, passed on if no other endpoint does better.
+    unconfirmed: Option<UnconfirmedAnswer>,
     /// Error response from an endpoint, returned if no other endpoint does better.
     failure: Option<Response<ResponseBody>>,
     /// Selects the wire format.
@@ -141,8 +150,8 @@
     pub head: AnswerHead,
     /// When the head arrived.
     pub begun_at: BootInstant,
-    /// Whether the answer has neither a length nor chunks, so that it ends with its connection.
-    pub ends_with_connection: bool,
+    /// Set if the answer has neither a length nor chunks, so that it ends with its connection.
+    pub end_witness: Option<Rc<EndWitness>>,
 }
 
 /// Reason why a send yielded no response.
@@ -221,6 +230,7 @@
             possible_runs: 0,
             age_at_arrival,
             retry_after: None,
+            unconfirmed: None,
             failure: None,
             codec: PhantomData,
         }
@@ -344,11 +354,17 @@
         engine_crash::inspect_engine(&self.front, endpoint, &answer).await;
     }
 
-    /// Logs and counts what was found out about the end of an answer that ended with its connection.
-    pub(crate) fn record_connection_end(&mut self, finding: &'static str) {
-        self.front.metrics.record_connection_end(finding);
+    /// Finds out whether an answer that has just ended with its connection is whole.
+    pub(crate) async fn check_end(&mut self, witness: &EndWitness) -> EndFinding {
+        let time_left = self.deadline.saturating_duration_since(Instant::now());
+        let ended_at = BootInstant::now();
+        let finding = witness.check_end::<C>(&self.front, ended_at, time_left);
+        let finding = finding.await;
+        self.front.metrics.record_connection_end(finding.name());
+        let name = finding.name();
         self.log
-            .add_decision(format_args!("ended with its connection: {finding}"));
+            .add_decision(format_args!("ended with its connection: {name}"));
+        finding
     }
 
     /// Whether the request can be accepted. After SIGTERM it must end within the grace period,
--- a/wagtaildoor_front/src/caller_request/request_outcome.rs
+++ b/wagtaildoor_front/src/caller_request/request_outcome.rs
@@ -10,6 +10,7 @@
 use crate::{
     caller_request::{
         caller_refusal,
+        response_read::ReadAnswer,
         CallerRequest,
         Result,
         StartedResponse, //
@@ -74,7 +75,9 @@
             .add_decision(format_args!("failed: status {status}"));
         self.possible_runs += 1;
         self.tried.push(endpoint.key);
-        self.failure = self.read_response(started).await.ok();
+        if let Ok(ReadAnswer::Whole(response)) = self.read_response(started).await {
+            self.failure = Some(response);
+        }
     }
 
     /// Responds with the stored error response of an endpoint.
--- a/wagtaildoor_front/src/caller_request/request_send.rs
+++ b/wagtaildoor_front/src/caller_request/request_send.rs
@@ -5,12 +5,16 @@
 use bytes::Bytes;
 use http::{
     header,
+    HeaderMap,
     Request,
     Response,
     Uri, //
 };
 use http_body_util::Full;
-use hyper::body::Incoming;
+use hyper::body::{
+    Body,
+    Incoming, //
+};
 use tokio::time::{
     self,
     Instant, //
@@ -23,6 +27,7 @@
         SendFailure,
         StartedResponse, //
     },
+    end_witness::EndWitness,
     endpoint::RequestGuard,
     endpoint_connection::{
         self,
@@ -242,16 +247,15 @@
                 }
             }
         }
-        let headers = response.headers();
-        let ends_with_connection = !headers.contains_key(header::CONTENT_LENGTH)
-            && !headers.contains_key(header::TRANSFER_ENCODING);
+        let ends_with_connection =
+            !response.body().is_end_stream() && !has_framing(response.headers());
         Ok(StartedResponse {
             guard,
             connection,
             response,
             head,
             begun_at: now,
-            ends_with_connection,
+            end_witness: ends_with_connection.then(|| EndWitness::attach(endpoint)),
         })
     }
 
@@ -286,3 +290,16 @@
         request
     }
 }
+
+/// Whether a length or chunks mark the end of a body.
+fn has_framing(headers: &HeaderMap) -> bool {
+    let Some(codings) = headers
+        .get_all(header::TRANSFER_ENCODING)
+        .iter()
+        .next_back()
+    else {
+        return headers.contains_key(header::CONTENT_LENGTH);
+    };
+    let last_coding = codings.as_bytes().rsplit(|&byte| byte == b',').next();
+    last_coding.is_some_and(|coding| coding.trim_ascii().eq_ignore_ascii_case(b"chunked"))
+}
--- a/wagtaildoor_front/src/caller_request/response_read.rs
+++ b/wagtaildoor_front/src/caller_request/response_read.rs
@@ -4,7 +4,10 @@
     Bytes,
     BytesMut, //
 };
-use http::Response;
+use http::{
+    response,
+    Response, //
+};
 use http_body_util::BodyExt;
 use hyper::body::Incoming;
 use tokio::{
@@ -12,7 +15,10 @@
     time, //
 };
 use wagtaildoor::boot_clock::BootInstant;
-use wagtaildoor_daemon::response_body::ResponseBody;
+use wagtaildoor_daemon::response_body::{
+    ResponseBody,
+    StreamInterrupted, //
+};
 
 use crate::{
     buffer_budget::BufferBudget,
@@ -22,10 +28,7 @@
         CallerRequest,
         StartedResponse, //
     },
-    engine_crash::{
-        self,
-        ListenerState, //
-    },
+    end_witness::EndFinding,
     stream_relay,
     wire_codec::WireCodec,
 };
@@ -35,6 +38,20 @@
 /// Number of stream parts queued for a slow caller before reading from the endpoint pauses.
 const RELAY_QUEUE_PARTS: usize = 32;
 
+/// Answer that has come to the end of its connection without a sign that it is whole.
+pub(super) struct UnconfirmedAnswer {
+    head: response::Parts,
+    body: Bytes,
+}
+
+/// An answer that was read to its end.
+pub(super) enum ReadAnswer {
+    /// The answer is known to be whole.
+    Whole(Response<ResponseBody>),
+    /// The answer may be whole.
+    Unconfirmed(UnconfirmedAnswer),
+}
+
 /// Reads a complete body. Fails if it ends early, or grows beyond its limit or the host's budget.
 async fn collect_body(
     mut body: Incoming,
@@ -67,7 +84,7 @@
             let begun_at = started.begun_at;
             let deadline = self.deadline;
             let reason = match time::timeout_at(deadline, self.read_response(started)).await {
-                Ok(Ok(response)) => {
+                Ok(Ok(ReadAnswer::Whole(response))) => {
                     self.log.set_answering_endpoint(&endpoint.id);
                     self.log.record_first_part();
                     self.log.set_outcome(match response.status().is_success() {
@@ -76,8 +93,15 @@
                     });
                     return response;
                 }
+                Ok(Ok(ReadAnswer::Unconfirmed(answer))) => {
+                    self.unconfirmed = Some(answer);
+                    "the end of the answer is not confirmed".into()
+                }
                 Ok(Err(reason)) => reason,
-                Err(_) => return self.respond_at_deadline(),
+                Err(_) => match self.unconfirmed.take() {
+                    Some(answer) => return self.respond_unconfirmed(answer),
+                    None => return self.respond_at_deadline(),
+                },
             };
             self.log.add_decision(format_args!("broke off: {reason}"));
             endpoint
@@ -90,36 +114,61 @@
                 true => time::timeout_at(deadline, self.send_until_answered(None)).await,
                 false => Ok(self.no_endpoint_outcome()),
             };
-            started = match next {
-                Ok(Ok(Some(next))) => next,
-                Ok(Ok(None)) => return self.respond_with_failure(),
-                Ok(Err(error)) => return caller_refusal::refuse(&mut self.log, &error, None),
-                Err(_) => return self.respond_at_deadline(),
+            if let Ok(Ok(Some(next))) = next {
+                started = next;
+                continue;
+            }
+            if let Some(answer) = self.unconfirmed.take() {
+                return self.respond_unconfirmed(answer);
+            }
+            return match next {
+                Ok(Err(error)) => caller_refusal::refuse(&mut self.log, &error, None),
+                Ok(Ok(_)) => self.respond_with_failure(),
+                Err(_) => self.respond_at_deadline(),
             };
         }
     }
 
+    /// Passes on an answer without the end that would vouch for it: the caller's connection ends
+    /// inside the answer's last chunk.
+    fn respond_unconfirmed(mut self, answer: UnconfirmedAnswer) -> Response<ResponseBody> {
+        self.log.record_first_part();
+        self.log.set_outcome("unconfirmed");
+        // With room for one chunk, the interruption is not read before the body was written.
+        let (sender, body) = ResponseBody::streamed(1);
+        let response = connection_headers::caller_response(answer.head, body);
+        task::spawn_local(async move {
+            // A failed send means that the caller already disconnected.
+            let _ = sender.send(Ok(answer.body)).await;
+            let _ = sender.send(Err(StreamInterrupted)).await;
+        });
+        response
+    }
+
     /// Reads a response completely and records its outcome at the endpoint.
     pub(super) async fn read_response(
         &mut self,
         started: StartedResponse,
-    ) -> std::result::Result<Response<ResponseBody>, Box<str>> {
+    ) -> std::result::Result<ReadAnswer, Box<str>> {
         let (parts, body) = started.response.into_parts();
         let silence = started.guard.endpoint().health.borrow().silence_token();
         let body = tokio::select! {
             body = collect_body(body, &self.front.buffer_budget) => body?,
             () = silence.cancelled() => return Err("endpoint is silent".into()),
         };
-        let endpoint = started.guard.endpoint();
-        if started.ends_with_connection && self.head.prompt.is_some() {
-            let state = engine_crash::probe_listener(endpoint).await;
-            self.record_connection_end(state.name());
-            if state == ListenerState::Refusing && endpoint.is_accepting_requests() {
-                return Err("the engine ended with the answer".into());
+        if let Some(witness) = &started.end_witness {
+            match self.check_end(witness).await {
+                EndFinding::Confirmed => {}
+                EndFinding::ProcessEnded => {
+                    return Err("the endpoint ended with the answer".into());
+                }
+                EndFinding::Unconfirmed => {
+                    let answer = UnconfirmedAnswer { head: parts, body };
+                    return Ok(ReadAnswer::Unconfirmed(answer));
+                }
             }
-        } else if started.ends_with_connection {
-            self.record_connection_end("not_asked");
         }
+        let endpoint = started.guard.endpoint();
         let now = BootInstant::now();
         let failed = parts.status.is_server_error();
         endpoint.health.borrow_mut().record_outcome(failed, now);
@@ -129,15 +178,14 @@
         if parts.status.is_success() {
             self.record_sound_parts();
         }
-        if !started.head.closing && !started.ends_with_connection {
+        if !started.head.closing && started.end_witness.is_none() {
             endpoint
                 .connections
                 .put_idle(started.connection, started.head.idle_limit, now);
         }
-        Ok(connection_headers::caller_response(
-            parts,
-            ResponseBody::full(body),
-        ))
+        let body = ResponseBody::full(body);
+        let response = connection_headers::caller_response(parts, body);
+        Ok(ReadAnswer::Whole(response))
     }
 
     /// Returns a response that streams the endpoint's events while they arrive.
@@ -151,7 +199,7 @@
             body: incoming,
             head: started.head,
             begun_at: started.begun_at,
-            ends_with_connection: started.ends_with_connection,
+            end_witness: started.end_witness,
             has_event: false,
             is_past_beginning: false,
         };
--- /dev/null
+++ b/wagtaildoor_front/src/end_witness.rs
@@ -0,0 +1,254 @@
+//! Finds out whether an answer is whole that has neither a length nor chunks and ends with its connection.
+
+use std::{
+    cell::Cell,
+    io,
+    rc::Rc,
+    time::Duration, //
+};
+
+use bytes::Bytes;
+use http::{
+    HeaderMap,
+    StatusCode, //
+};
+use tokio::{
+    sync::Mutex,
+    task,
+    time, //
+};
+use wagtaildoor::boot_clock::BootInstant;
+
+use crate::{
+    endpoint::Endpoint,
+    endpoint_call,
+    endpoint_connection::EndpointConnection,
+    front::Front,
+    service_config::ServiceKind,
+    wire_codec::{
+        EndpointCall,
+        EndpointIdentity,
+        WireCodec, //
+    },
+};
+
+/// Longest check of one answer's end.
+const MAX_CHECK_TIME: Duration = Duration::from_secs(1);
+/// Share of the time left to the request that the check may take; the rest is for passing on the
+/// answer, or for another attempt.
+const CHECK_TIME_SHARE: f64 = 0.5;
+
+/// What was found out about the end of an answer.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum EndFinding {
+    /// The process that answered outlived the answer, so it closed the connection itself.
+    Confirmed,
+    /// The process that answered has ended.
+    ProcessEnded,
+    /// The process could not be asked.
+    Unconfirmed,
+}
+
+impl EndFinding {
+    /// Name in logs and metrics.
+    pub fn name(self) -> &'static str {
+        match self {
+            EndFinding::Confirmed => "confirmed",
+            EndFinding::ProcessEnded => "process_ended",
+            EndFinding::Unconfirmed => "unconfirmed",
+        }
+    }
+}
+
+/// A further connection to an endpoint that has answers of unknown length in progress.
+///
+/// An operating system closes the connections of a process that crashes in the same way as the process
+/// closes one whose answer is complete. A process that still serves a connection from before the end of
+/// an answer has not crashed in it.
+#[derive(Debug)]
+pub struct EndWitness {
+    endpoint: Rc<Endpoint>,
+    /// Held while the connection is opened or used.
+    connection: Mutex<Option<WitnessConnection>>,
+    /// Latest confirmation.
+    confirmed: Cell<Option<Confirmation>>,
+}
+
+#[derive(Debug)]
+struct WitnessConnection {
+    connection: EndpointConnection,
+    /// Since when its process is known to run.
+    opened_at: BootInstant,
+}
+
+/// A span in which one process of the endpoint ran.
+#[derive(Clone, Copy, Debug)]
+struct Confirmation {
+    since: BootInstant,
+    until: BootInstant,
+}
+
+/// How an endpoint answered a call on the witness.
+struct WitnessAnswer {
+    status: StatusCode,
+    headers: HeaderMap,
+    body: Bytes,
+}
+
+/// Which process answered.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+enum AnsweringProcess {
+    /// The start of the endpoint that is known.
+    SameStart,
+    /// An endpoint of the same id, which does not tell when it started.
+    SameId,
+    /// Another endpoint or another start.
+    Other,
+    /// The answer does not tell.
+    Unknown,
+}
+
+impl EndWitness {
+    /// Returns the endpoint's witness, or creates it and opens its connection in the background.
+    pub fn attach(endpoint: &Rc<Endpoint>) -> Rc<Self> {
+        let mut shared = endpoint.end_witness.borrow_mut();
+        if let Some(witness) = shared.upgrade() {
+            return witness;
+        }
+        let witness = Rc::new(Self {
+            endpoint: endpoint.clone(),
+            connection: Mutex::new(None),
+            confirmed: Cell::new(None),
+        });
+        *shared = Rc::downgrade(&witness);
+        let opening = witness.clone();
+        task::spawn_local(async move {
+            let mut connection = opening.connection.lock().await;
+            // The check of the answer's end tries again.
+            *connection = opening.connect().await.ok();
+        });
+        witness
+    }
+
+    /// Finds out whether the process that sent an answer outlived its end at `ended_at`. `time_left` is
+    /// that of the request.
+    pub async fn check_end<C: WireCodec>(
+        &self,
+        front: &Front,
+        ended_at: BootInstant,
+        time_left: Duration,
+    ) -> EndFinding {
+        let limit = time_left.mul_f64(CHECK_TIME_SHARE).min(MAX_CHECK_TIME);
+        let check = self.ask_process::<C>(front, ended_at);
+        time::timeout(limit, check)
+            .await
+            .unwrap_or(EndFinding::Unconfirmed)
+    }
+
+    async fn ask_process<C: WireCodec>(&self, front: &Front, ended_at: BootInstant) -> EndFinding {
+        let mut held = self.connection.lock().await;
+        if self.has_confirmed(ended_at) {
+            return EndFinding::Confirmed;
+        }
+        let mut has_lost_witness = false;
+        if let Some(mut witness) = held.take() {
+            if witness.opened_at < ended_at {
+                if self.call::<C>(front, &mut witness).await.is_some() {
+                    self.confirmed.set(Some(Confirmation {
+                        since: witness.opened_at,
+                        until: BootInstant::now(),
+                    }));
+                    *held = Some(witness);
+                    return EndFinding::Confirmed;
+                }
+                has_lost_witness = true;
+            } else {
+                *held = Some(witness);
+            }
+        }
+        let mut witness = match held.take() {
+            Some(witness) => witness,
+            None => match self.connect().await {
+                Ok(witness) => witness,
+                Err(error) if error.kind() == io::ErrorKind::ConnectionRefused => {
+                    return EndFinding::ProcessEnded;
+                }
+                Err(_) => return EndFinding::Unconfirmed,
+            },
+        };
+        let Some(answer) = self.call::<C>(front, &mut witness).await else {
+            return EndFinding::Unconfirmed;
+        };
+        *held = Some(witness);
+        match self.identify::<C>(&answer) {
+            AnsweringProcess::SameStart => EndFinding::Confirmed,
+            // Only a restart under the same id in the time of one call would be mistaken.
+            AnsweringProcess::SameId if !has_lost_witness => EndFinding::Confirmed,
+            AnsweringProcess::Other => EndFinding::ProcessEnded,
+            AnsweringProcess::SameId | AnsweringProcess::Unknown => EndFinding::Unconfirmed,
+        }
+    }
+
+    /// Whether an earlier check has shown that the process ran before and after the given time.
+    fn has_confirmed(&self, ended_at: BootInstant) -> bool {
+        let confirmed = self.confirmed.get();
+        confirmed.is_some_and(|span| span.since < ended_at && ended_at < span.until)
+    }
+
+    async fn connect(&self) -> io::Result<WitnessConnection> {
+        let connection = self.endpoint.connections.connect().await?;
+        Ok(WitnessConnection {
+            connection,
+            opened_at: BootInstant::now(),
+        })
+    }
+
+    /// Makes a call that needs no work of the endpoint. Returns `None` without an answer.
+    async fn call<C: WireCodec>(
+        &self,
+        front: &Front,
+        witness: &mut WitnessConnection,
+    ) -> Option<WitnessAnswer> {
+        let call = self.build_call::<C>(front)?;
+        let answer = endpoint_call::exchange(&self.endpoint, &mut witness.connection, call).await;
+        let (status, headers, body) = answer.ok()?;
+        Some(WitnessAnswer {
+            status,
+            headers,
+            body,
+        })
+    }
+
+    /// Builds the call: an engine's report, which needs no slot, or a health check.
+    fn build_call<C: WireCodec>(&self, front: &Front) -> Option<EndpointCall> {
+        let routes = front.routes()?;
+        let rule = routes.service(&self.endpoint.service)?;
+        Some(match &rule.kind {
+            ServiceKind::Engine(_) => C::build_report_call(&self.endpoint.id),
+            _ => C::build_health_call(&self.endpoint.id, &rule.health_path),
+        })
+    }
+
+    fn identify<C: WireCodec>(&self, answer: &WitnessAnswer) -> AnsweringProcess {
+        let EndpointIdentity { id, started_ms } = C::parse_identity(&answer.headers, &answer.body);
+        let is_other_id = id.as_ref().is_some_and(|id| *id != self.endpoint.id);
+        match started_ms {
+            _ if is_other_id => AnsweringProcess::Other,
+            Some(started_ms) if started_ms == self.endpoint.started_ms => {
+                AnsweringProcess::SameStart
+            }
+            Some(_) => AnsweringProcess::Other,
+            None if id.is_some() && answer.status.is_success() => AnsweringProcess::SameId,
+            None => AnsweringProcess::Unknown,
+        }
+    }
+}
+
+impl Drop for EndWitness {
+    fn drop(&mut self) {
+        if let Some(witness) = self.connection.get_mut().take() {
+            let connections = &self.endpoint.connections;
+            connections.put_idle(witness.connection, None, BootInstant::now());
+        }
+    }
+}
--- a/wagtaildoor_front/src/endpoint.rs
+++ b/wagtaildoor_front/src/endpoint.rs
@@ -6,7 +6,10 @@
         RefCell, //
     },
     net::SocketAddr,
-    rc::Rc,
+    rc::{
+        Rc,
+        Weak, //
+    },
     time::Duration,
 };
 
@@ -22,6 +25,7 @@
 };
 
 use crate::{
+    end_witness::EndWitness,
     endpoint_connection::ConnectionPool,
     endpoint_health::EndpointHealth,
     endpoint_load::EndpointLoad,
@@ -111,6 +115,8 @@
     pub health: RefCell<EndpointHealth>,
     /// Connections from this host.
     pub connections: ConnectionPool,
+    /// Further connection while answers of unknown length are in progress.
+    pub end_witness: RefCell<Weak<EndWitness>>,
     /// Set when the endpoint was removed or another endpoint responds at its address.
     is_retired: Cell<bool>,
 }
@@ -129,6 +135,7 @@
             load: RefCell::new(EndpointLoad::new(record.slots)),
             health: RefCell::new(EndpointHealth::new(now)),
             connections: ConnectionPool::new(record.address),
+            end_witness: RefCell::new(Weak::new()),
             is_retired: Cell::new(false),
             loading: RefCell::new(None),
             record: RefCell::new(record),
--- a/wagtaildoor_front/src/endpoint_call.rs
+++ b/wagtaildoor_front/src/endpoint_call.rs
@@ -5,6 +5,7 @@
 use bytes::Bytes;
 use http::{
     header,
+    HeaderMap,
     HeaderValue,
     Request,
     StatusCode,
@@ -56,7 +57,7 @@
         .connections
         .take_idle(ConnectionUse::Repeatable, now)
     {
-        Some(connection) => exchange(endpoint, connection, call, limit).await,
+        Some(connection) => call_on(endpoint, connection, call, limit).await,
         None => self::call(endpoint, call, limit).await,
     }
 }
@@ -70,33 +71,39 @@
 ) -> Result<(StatusCode, Bytes)> {
     let connected = endpoint.connections.connect().await;
     let connection = connected.map_err(|error| CallError::NotSent(error.to_string().into()))?;
-    exchange(endpoint, connection, call, limit).await
+    call_on(endpoint, connection, call, limit).await
 }
 
 /// Makes a call on a connection, which becomes idle afterwards.
-async fn exchange(
+async fn call_on(
     endpoint: &Endpoint,
     mut connection: EndpointConnection,
     call: EndpointCall,
     limit: Duration,
 ) -> Result<(StatusCode, Bytes)> {
-    let exchange = async {
-        let response = connection.exchange(request(endpoint, call)).await;
-        let response = response.map_err(|error| error.to_string())?;
-        let status = response.status();
-        let body = Limited::new(response.into_body(), MAX_RESPONSE_BYTES)
-            .collect()
-            .await;
-        let body = body.map_err(|error| error.to_string())?;
-        Ok::<_, String>((status, body.to_bytes()))
-    };
-    let answer = match time::timeout(limit, exchange).await {
-        Ok(answer) => answer.map_err(|error| CallError::AnswerLost(error.into()))?,
+    let exchange = exchange(endpoint, &mut connection, call);
+    let (status, _, body) = match time::timeout(limit, exchange).await {
+        Ok(answer) => answer?,
         Err(_) => return Err(CallError::AnswerLost("no answer in time".into())),
     };
     let now = BootInstant::now();
     endpoint.connections.put_idle(connection, None, now);
-    Ok(answer)
+    Ok((status, body))
+}
+
+/// Makes a call on a connection, without a time limit, and reads the response.
+pub async fn exchange(
+    endpoint: &Endpoint,
+    connection: &mut EndpointConnection,
+    call: EndpointCall,
+) -> Result<(StatusCode, HeaderMap, Bytes)> {
+    let lost = |error: String| CallError::AnswerLost(error.into());
+    let response = connection.exchange(request(endpoint, call)).await;
+    let response = response.map_err(|error| lost(error.to_string()))?;
+    let (head, body) = response.into_parts();
+    let body = Limited::new(body, MAX_RESPONSE_BYTES).collect().await;
+    let body = body.map_err(|error| lost(error.to_string()))?;
+    Ok((head.status, head.headers, body.to_bytes()))
 }
 
 /// Builds the HTTP request of a call.
--- a/wagtaildoor_front/src/engine_crash.rs
+++ b/wagtaildoor_front/src/engine_crash.rs
@@ -107,41 +107,8 @@
     }
 }
 
-/// What a connection attempt tells about an endpoint.
-#[derive(Clone, Copy, Debug, Eq, PartialEq)]
-pub enum ListenerState {
-    /// Something listens at the address.
-    Accepting,
-    /// Nothing listens at the address any more.
-    Refusing,
-    /// The attempt had no result in time, or failed in another way.
-    Unknown,
-}
-
-impl ListenerState {
-    /// Name in logs and metrics.
-    pub fn name(self) -> &'static str {
-        match self {
-            ListenerState::Accepting => "accepting",
-            ListenerState::Refusing => "refusing",
-            ListenerState::Unknown => "unknown",
-        }
-    }
-}
-
 /// Whether nothing listens at the endpoint's address any more.
-pub async fn refuses_connections(endpoint: &Endpoint) -> bool {
-    probe_listener(endpoint).await == ListenerState::Refusing
-}
-
-/// Tries a connection to the endpoint.
-pub async fn probe_listener(endpoint: &Endpoint) -> ListenerState {
+async fn refuses_connections(endpoint: &Endpoint) -> bool {
     let attempt = time::timeout(PROBE_TIMEOUT, TcpStream::connect(endpoint.address));
-    match attempt.await {
-        Ok(Ok(_)) => ListenerState::Accepting,
-        Ok(Err(error)) if error.kind() == io::ErrorKind::ConnectionRefused => {
-            ListenerState::Refusing
-        }
-        _ => ListenerState::Unknown,
-    }
+    matches!(attempt.await, Ok(Err(error)) if error.kind() == io::ErrorKind::ConnectionRefused)
 }
--- a/wagtaildoor_front/src/service_config.rs
+++ b/wagtaildoor_front/src/service_config.rs
@@ -103,6 +103,8 @@
     pub id: ServiceId,
     /// Number of connections that one endpoint accepts from all hosts together.
     pub connection_limit: u32,
+    /// Path of the endpoints' health check.
+    pub health_path: Box<str>,
     /// What the endpoints of the service run, with the rules for it.
     pub kind: ServiceKind,
 }
--- a/wagtaildoor_front/src/stream_relay.rs
+++ b/wagtaildoor_front/src/stream_relay.rs
@@ -1,5 +1,7 @@
 //! Relays an event stream to the caller and resumes it at another endpoint if it breaks.
 
+use std::rc::Rc;
+
 use bytes::Bytes;
 use http::StatusCode;
 use http_body_util::BodyExt;
@@ -19,12 +21,13 @@
         CallerRequest,
         StartedResponse, //
     },
+    end_witness::{
+        EndFinding,
+        EndWitness, //
+    },
     endpoint::RequestGuard,
     endpoint_connection::EndpointConnection,
-    engine_crash::{
-        self,
-        ListenerState, //
-    },
+    engine_crash,
     engine_loads::{
         self,
         LoadEvidence, //
@@ -52,8 +55,8 @@
     pub head: AnswerHead,
     /// When the head arrived.
     pub begun_at: BootInstant,
-    /// Whether only the end of the connection marks the end of the stream.
-    pub ends_with_connection: bool,
+    /// Set if only the end of the connection marks the end of the stream.
+    pub end_witness: Option<Rc<EndWitness>>,
     /// Whether a complete event has arrived.
     pub has_event: bool,
     /// Whether the answer has gone on for so long that its prompt does not crash its engine.
@@ -68,7 +71,7 @@
             body: started.response.into_body(),
             head: started.head,
             begun_at: started.begun_at,
-            ends_with_connection: started.ends_with_connection,
+            end_witness: started.end_witness,
             has_event: false,
             is_past_beginning: false,
         }
@@ -106,7 +109,7 @@
                 if source.has_event {
                     request.record_sound_parts();
                 }
-                if !source.head.closing && !source.ends_with_connection {
+                if !source.head.closing && source.end_witness.is_none() {
                     let idle_limit = source.head.idle_limit;
                     endpoint
                         .connections
@@ -219,17 +222,19 @@
     if events.has_partial_event() {
         return SourceEnd::Broken("the stream ended inside an event".into());
     }
-    // An engine that crashes may close its connections as if the stream were complete.
-    if source.ends_with_connection {
+    if let Some(witness) = &source.end_witness {
         let resumed_after = events.last_id().or(request.head.resume_after);
         if resumed_after.is_none() && !source.has_event {
             return SourceEnd::Broken("the stream ended before its first event".into());
         }
-        let endpoint = source.guard.endpoint();
-        let state = engine_crash::probe_listener(endpoint).await;
-        request.record_connection_end(state.name());
-        if state == ListenerState::Refusing && endpoint.is_accepting_requests() {
-            return SourceEnd::Broken("the engine ended with the stream".into());
+        match request.check_end(witness).await {
+            EndFinding::Confirmed => {}
+            EndFinding::ProcessEnded => {
+                return SourceEnd::Broken("the engine ended with the stream".into());
+            }
+            EndFinding::Unconfirmed => {
+                return SourceEnd::Broken("the end of the stream is not confirmed".into());
+            }
         }
     }
     SourceEnd::Complete
--- a/wagtaildoor_front/src/wire_codec.rs
+++ b/wagtaildoor_front/src/wire_codec.rs
@@ -167,6 +167,15 @@
     pub weights: Vec<(ModelId, WeightsVersion)>,
 }
 
+/// Who an endpoint says that it is.
+#[derive(Clone, Debug, Default, Eq, PartialEq)]
+pub struct EndpointIdentity {
+    /// Id of the endpoint, if present.
+    pub id: Option<EndpointId>,
+    /// Start time of its process, in milliseconds since the Unix epoch, if present.
+    pub started_ms: Option<u64>,
+}
+
 /// A request that the front itself makes to an endpoint.
 #[derive(Clone, Debug)]
 pub struct EndpointCall {
@@ -212,6 +221,12 @@
     /// Builds the call that requests an engine's report.
     fn build_report_call(endpoint: &EndpointId) -> EndpointCall;
 
+    /// Builds a health check of an endpoint at the path of its service.
+    fn build_health_call(endpoint: &EndpointId, path: &str) -> EndpointCall;
+
+    /// Parses who answered a report call or a health check.
+    fn parse_identity(headers: &HeaderMap, body: &[u8]) -> EndpointIdentity;
+
     /// Parses an engine's report; `None` if it is invalid.
     fn parse_report(body: &[u8]) -> Option<EngineReport>;
 }
--- a/wagtaildoor_front/tests/control_follower.rs
+++ b/wagtaildoor_front/tests/control_follower.rs
@@ -64,6 +64,7 @@
         CallerHead,
         DispatchHead,
         EndpointCall,
+        EndpointIdentity,
         EngineReport,
         OrderVerdict,
         WeightsOrder,
@@ -145,6 +146,14 @@
         unreachable!("the test requests no reports")
     }
 
+    fn build_health_call(_: &EndpointId, _: &str) -> EndpointCall {
+        unreachable!("the test checks no health")
+    }
+
+    fn parse_identity(_: &HeaderMap, _: &[u8]) -> EndpointIdentity {
+        EndpointIdentity::default()
+    }
+
     fn parse_report(_: &[u8]) -> Option<EngineReport> {
         None
     }
