Take an answer of a plain service without length for broken unless its JSON is whole

Model answers were safe: their last chunk counts the others.

Such an answer now counts as broken unless it is a JSON object or array up to its closing bracket, which no half of one is.

--- a/wagtaildoor_entry/src/service_call.rs
+++ b/wagtaildoor_entry/src/service_call.rs
@@ -5,12 +5,15 @@
 use reqwest::{
     header::{
         HeaderMap,
-        CONTENT_TYPE, //
+        CONTENT_LENGTH,
+        CONTENT_TYPE,
+        TRANSFER_ENCODING, //
     },
     Client,
     Response,
     StatusCode, //
 };
+use serde::de::IgnoredAny;
 use wagtaildoor::ids::{
     AttemptId,
     RequestId,
@@ -117,16 +120,26 @@
 }
 
 /// Reads a complete answer.
+///
+/// Without a length or chunks, a service that crashes ends its answer like one that has finished it.
+/// Such an answer counts as broken unless its content shows that nothing is missing.
 async fn read_answer(response: Response) -> Result<ServiceAnswer> {
     let status = response.status().as_u16();
     let endpoint_status = EndpointStatus::from(response.headers());
-    let content_type = response
+    let content_type: Box<str> = response
         .headers()
         .get(CONTENT_TYPE)
         .and_then(|value| value.to_str().ok())
         .unwrap_or(JSON_MEDIA_TYPE)
         .into();
+    let is_framed = [CONTENT_LENGTH, TRANSFER_ENCODING]
+        .iter()
+        .any(|name| response.headers().contains_key(name));
     let body = response.text().await.map_err(engine_call::call_error)?;
+    if !is_framed && !is_whole_json(&content_type, &body) {
+        let detail = "the answer has no length and may be cut";
+        return Err(CallError::Broken(detail.into()));
+    }
     Ok(ServiceAnswer {
         status,
         content_type,
@@ -134,3 +147,12 @@
         endpoint_status,
     })
 }
+
+/// Whether a body is a JSON object or array up to its closing bracket.
+fn is_whole_json(media_type: &str, body: &str) -> bool {
+    let media_type = media_type.split(';').next().unwrap_or_default().trim();
+    let is_json = media_type.eq_ignore_ascii_case(JSON_MEDIA_TYPE);
+    is_json
+        && body.trim_start().starts_with(['{', '['])
+        && serde_json::from_str::<IgnoredAny>(body).is_ok()
+}
