Let a check of an answer's end confirm only answers that ended before it was sent

Answers of an endpoint share the connection by which its process is asked. A check that was answered just before the crash, and whose answer was read just after the other streams had ended, vouched for these as well: it counted until its answer was read. It now counts until it was sent. Also, a witness that was opened after this host had stood still may belong to the endpoint's next start: its id or start time must match.

--- a/wagtaildoor_front/src/end_witness.rs
+++ b/wagtaildoor_front/src/end_witness.rs
@@ -84,7 +84,10 @@
 /// A span in which one process of the endpoint ran.
 #[derive(Clone, Copy, Debug)]
 struct Confirmation {
+    /// When the witness was opened.
     since: BootInstant,
+    /// When a call was sent that was answered. The answer itself may be read long after the process has
+    /// ended.
     until: BootInstant,
 }
 
@@ -153,13 +156,17 @@
         let mut has_lost_witness = false;
         if let Some(mut witness) = held.take() {
             if witness.opened_at < ended_at {
-                if self.call::<C>(front, &mut witness).await.is_some() {
-                    self.confirmed.set(Some(Confirmation {
-                        since: witness.opened_at,
-                        until: BootInstant::now(),
-                    }));
-                    *held = Some(witness);
-                    return EndFinding::Confirmed;
+                let sent_at = BootInstant::now();
+                if let Some(answer) = self.call::<C>(front, &mut witness).await {
+                    let finding = self.judge::<C>(&answer, true);
+                    if finding == EndFinding::Confirmed {
+                        self.confirmed.set(Some(Confirmation {
+                            since: witness.opened_at,
+                            until: sent_at,
+                        }));
+                        *held = Some(witness);
+                    }
+                    return finding;
                 }
                 has_lost_witness = true;
             } else {
@@ -180,13 +187,9 @@
             return EndFinding::Unconfirmed;
         };
         *held = Some(witness);
-        match self.identify::<C>(&answer) {
-            AnsweringProcess::SameStart => EndFinding::Confirmed,
-            // Only a restart under the same id in the time of one call would be mistaken.
-            AnsweringProcess::SameId if !has_lost_witness => EndFinding::Confirmed,
-            AnsweringProcess::Other => EndFinding::ProcessEnded,
-            AnsweringProcess::SameId | AnsweringProcess::Unknown => EndFinding::Unconfirmed,
-        }
+        // Only a restart under the same id in the time of one call would be mistaken.
+        let is_same_id = self.identify::<C>(&answer) == AnsweringProcess::SameId;
+        self.judge::<C>(&answer, is_same_id && !has_lost_witness)
     }
 
     /// Whether an earlier check has shown that the process ran before and after the given time.
@@ -195,6 +198,19 @@
         confirmed.is_some_and(|span| span.since < ended_at && ended_at < span.until)
     }
 
+    /// Draws the conclusion from an answer to a call.
+    fn judge<C: WireCodec>(&self, answer: &WitnessAnswer, is_witness: bool) -> EndFinding {
+        match self.identify::<C>(answer) {
+            // This host may have stood still, so that it opened the witness after another start.
+            AnsweringProcess::Other => EndFinding::ProcessEnded,
+            AnsweringProcess::SameStart => EndFinding::Confirmed,
+            AnsweringProcess::SameId | AnsweringProcess::Unknown if is_witness => {
+                EndFinding::Confirmed
+            }
+            AnsweringProcess::SameId | AnsweringProcess::Unknown => EndFinding::Unconfirmed,
+        }
+    }
+
     async fn connect(&self) -> io::Result<WitnessConnection> {
         let connection = self.endpoint.connections.connect().await?;
         Ok(WitnessConnection {
