Split the exchange of records, the store's records and the ends of answers into files

No change of behaviour: peer_records has what peer_link had of records, store_records the decoding of pages, caller_request/answer_end what is found out about the end of an answer.

--- a/wagtaildoor_front/src/caller_request.rs
+++ b/wagtaildoor_front/src/caller_request.rs
@@ -41,19 +41,14 @@
         request_admission::AdmittedRequest,
         response_read::UnconfirmedAnswer, //
     },
-    end_witness::{
-        EndFinding,
-        EndWitness, //
-    },
+    end_witness::EndWitness,
     endpoint::{
-        Endpoint,
         EndpointKey,
         RequestGuard, //
     },
     endpoint_connection::EndpointConnection,
     engine_crash::{
         self,
-        BrokenAnswer,
         SharedPart, //
     },
     front::Front,
@@ -77,6 +72,7 @@
     },
 };
 
+mod answer_end;
 mod blocked_prompt;
 mod caller_refusal;
 mod connection_headers;
@@ -328,45 +324,6 @@
         self.route.kind.is_repeatable() && self.possible_runs < self.route.attempts.max(1)
     }
 
-    /// Records that the response from `endpoint` ended early.
-    pub(crate) fn record_broken_response(&mut self, endpoint: EndpointKey) {
-        self.tried.push(endpoint);
-        self.possible_runs += 1;
-    }
-
-    /// Finds out whether the engine of a broken answer has ended, and reports that against the prompt.
-    /// Does nothing for plain requests.
-    pub(crate) async fn inspect_broken_answer(
-        &self,
-        endpoint: &Endpoint,
-        begun_at: BootInstant,
-        in_first_event: bool,
-    ) {
-        if self.head.prompt.is_none() {
-            return;
-        }
-        let answer = BrokenAnswer {
-            attempt: self.head.attempt.as_ref(),
-            parts: &self.sent_parts,
-            begun_at,
-            in_first_event,
-        };
-        engine_crash::inspect_engine(&self.front, endpoint, &answer).await;
-    }
-
-    /// Finds out whether an answer that has just ended with its connection is whole.
-    pub(crate) async fn check_end(&mut self, witness: &EndWitness) -> EndFinding {
-        let time_left = self.deadline.saturating_duration_since(Instant::now());
-        let ended_at = BootInstant::now();
-        let finding = witness.check_end::<C>(&self.front, ended_at, time_left);
-        let finding = finding.await;
-        self.front.metrics.record_connection_end(finding.name());
-        let name = finding.name();
-        self.log
-            .add_decision(format_args!("ended with its connection: {name}"));
-        finding
-    }
-
     /// Whether the request can be accepted. After SIGTERM it must end within the grace period,
     /// except in the first [`LONG_REQUEST_ACCEPT_TIME`].
     fn fits_in_grace(&self, now: BootInstant) -> bool {
--- /dev/null
+++ b/wagtaildoor_front/src/caller_request/answer_end.rs
@@ -0,0 +1,62 @@
+//! Finds out why an answer ended, and whether it is whole.
+
+use tokio::time::Instant;
+use wagtaildoor::boot_clock::BootInstant;
+
+use crate::{
+    caller_request::CallerRequest,
+    end_witness::{
+        EndFinding,
+        EndWitness, //
+    },
+    endpoint::{
+        Endpoint,
+        EndpointKey, //
+    },
+    engine_crash::{
+        self,
+        BrokenAnswer, //
+    },
+    wire_codec::WireCodec,
+};
+
+impl<C: WireCodec> CallerRequest<C> {
+    /// Records that the response from `endpoint` ended early.
+    pub(crate) fn record_broken_response(&mut self, endpoint: EndpointKey) {
+        self.tried.push(endpoint);
+        self.possible_runs += 1;
+    }
+
+    /// Finds out whether the engine of a broken answer has ended, and reports that against the prompt.
+    /// Does nothing for plain requests.
+    pub(crate) async fn inspect_broken_answer(
+        &self,
+        endpoint: &Endpoint,
+        begun_at: BootInstant,
+        in_first_event: bool,
+    ) {
+        if self.head.prompt.is_none() {
+            return;
+        }
+        let answer = BrokenAnswer {
+            attempt: self.head.attempt.as_ref(),
+            parts: &self.sent_parts,
+            begun_at,
+            in_first_event,
+        };
+        engine_crash::inspect_engine(&self.front, endpoint, &answer).await;
+    }
+
+    /// Finds out whether an answer that has just ended with its connection is whole.
+    pub(crate) async fn check_end(&mut self, witness: &EndWitness) -> EndFinding {
+        let time_left = self.deadline.saturating_duration_since(Instant::now());
+        let ended_at = BootInstant::now();
+        let finding = witness.check_end::<C>(&self.front, ended_at, time_left);
+        let finding = finding.await;
+        self.front.metrics.record_connection_end(finding.name());
+        let name = finding.name();
+        self.log
+            .add_decision(format_args!("ended with its connection: {name}"));
+        finding
+    }
+}
--- a/wagtaildoor_front/src/control_follower.rs
+++ b/wagtaildoor_front/src/control_follower.rs
@@ -29,7 +29,7 @@
         RELISTING_GRACE, //
     },
     front::Front,
-    peer_link, prefix_hash,
+    peer_records, prefix_hash,
     record_mirror::MirrorChange,
     route_table::RouteTable,
     service_config::ServiceConfig,
@@ -143,7 +143,7 @@
             }
             Err(error) => {
                 follower.record_failure(&front, &error);
-                peer_link::fetch_records::<C>(&front, stream).await;
+                peer_records::fetch_records::<C>(&front, stream).await;
                 time::sleep(follower.retry_delay).await;
                 follower.retry_delay = (follower.retry_delay * 2).min(MAX_RETRY_DELAY);
             }
@@ -155,7 +155,7 @@
 fn learn_from_others<C: WireCodec>(front: &Rc<Front>, stream: ControlStream) {
     match stream {
         ControlStream::Operator => {
-            task::spawn_local(peer_link::fetch_confirmed_records::<C>(front.clone()));
+            task::spawn_local(peer_records::fetch_confirmed_records::<C>(front.clone()));
         }
         ControlStream::CrashReports => {
             task::spawn_local(crash_reports::restore_reports(front.clone()));
@@ -186,7 +186,7 @@
             return;
         }
         if record_count == last_record_count {
-            peer_link::fetch_records::<C>(&front, stream).await;
+            peer_records::fetch_records::<C>(&front, stream).await;
         }
         last_record_count = record_count;
     }
--- a/wagtaildoor_front/src/front_host.rs
+++ b/wagtaildoor_front/src/front_host.rs
@@ -15,7 +15,7 @@
     },
     crash_reports, endpoint_monitor, era_watch,
     front::Front,
-    peer_link,
+    peer_link, peer_records,
     shard_leases::{
         self,
         ShardLeases, //
@@ -59,7 +59,7 @@
             readiness,
         )),
         task::spawn_local(caller_server::serve_metrics(front.clone(), metrics)),
-        task::spawn_local(peer_link::serve_records(front.clone(), records)),
+        task::spawn_local(peer_records::serve_records(front.clone(), records)),
         task::spawn_local(peer_link::send_hints(front.clone(), hints.clone())),
         task::spawn_local(peer_link::receive_hints::<C>(front.clone(), hints)),
         task::spawn_local(endpoint_monitor::monitor_endpoints(front.clone())),
--- a/wagtaildoor_front/src/lib.rs
+++ b/wagtaildoor_front/src/lib.rs
@@ -32,6 +32,7 @@
 pub mod pause_monitor;
 pub mod peer_hosts;
 pub mod peer_link;
+pub mod peer_records;
 pub mod peer_rotation;
 pub mod plain_placement;
 pub mod prefill_speeds;
