Bound reads of a store that goes back; keep endpoints a copy lacks on starting hosts

A host that started after a restore dropped endpoints that others had told it of as soon as it read the copy; in an era that is not settled they stay for 2.3 s, as on hosts that ran before.

--- a/wagtaildoor_front/src/control_follower.rs
+++ b/wagtaildoor_front/src/control_follower.rs
@@ -107,9 +107,7 @@
     }
     loop {
         follower.resume_from_mirror(&front);
-        if follower.begin_era(&front) && stream == ControlStream::Endpoints {
-            time::sleep(reread_delay(&front)).await;
-        }
+        follower.begin_era(&front);
         let store_failure = front.store_read_failed.notified();
         let restore = front.store_restored.notified();
         let is_long_poll = follower.is_long_poll(&front);
@@ -123,7 +121,12 @@
         };
         match result {
             Ok(ReadOutcome::Part) => follower.record_response(&front),
-            Ok(ReadOutcome::Restored) => {}
+            Ok(ReadOutcome::Restored) => {
+                follower.drop_position();
+                if stream == ControlStream::Endpoints {
+                    time::sleep(reread_delay(&front)).await;
+                }
+            }
             Ok(ReadOutcome::Page(page, source)) => {
                 follower.record_response(&front);
                 follower.cursor = Some(page.next);
@@ -218,17 +221,19 @@
         }
     }
 
-    /// Drops a read position from before the store was restored. Returns whether there was one.
-    fn begin_era(&mut self, front: &Front) -> bool {
-        let is_outdated = self
-            .cursor
-            .is_some_and(|cursor| cursor.era < front.store_era());
-        if is_outdated {
-            self.cursor = None;
-            self.snapshot = SnapshotReader::default();
-            self.recovered_at = Some(BootInstant::now());
+    /// Drops a read position from before the store was restored.
+    fn begin_era(&mut self, front: &Front) {
+        let era = front.store_era();
+        if self.cursor.is_some_and(|cursor| cursor.era < era) {
+            self.drop_position();
         }
-        is_outdated
+    }
+
+    /// Reads a snapshot next, since the store does not have the history of the read position.
+    fn drop_position(&mut self) {
+        self.cursor = None;
+        self.snapshot = SnapshotReader::default();
+        self.recovered_at = Some(BootInstant::now());
     }
 
     /// Reads the next records. Long-polls only while the store responds, and once the end of the
@@ -371,7 +376,8 @@
     }
     front.list_read_at.set(Some(BootInstant::now()));
     if source == PageSource::Snapshot {
-        remove_unlisted(front, page, is_after_outage);
+        // Endpoints write again what the copy of a restored store lacks.
+        remove_unlisted(front, page, is_after_outage || !front.is_era_settled());
     }
     if source != PageSource::Changes {
         slog::info!(front.log, "list of endpoints"; "by" => ?source,
--- a/wagtaildoor_front/tests/control_follower.rs
+++ b/wagtaildoor_front/tests/control_follower.rs
@@ -196,6 +196,24 @@
     assert!(front.endpoints.borrow().is_empty());
 }
 
+/// Guards against endpoints that a host has learned from others, and drops since the copy of a restored
+/// store lacks them.
+#[test]
+fn a_snapshot_of_a_new_era_removes_no_endpoints_at_once() {
+    let front = new_host();
+    let stream = ControlStream::Endpoints;
+    let known = vec![record(1, "a", Some(1)), record(2, "b", Some(1))];
+    apply(&front, stream, known, PageSource::Peer);
+    front.enter_era(2);
+    let mut copied = record(1, "a", Some(1));
+    copied.position.era = 2;
+    apply(&front, stream, vec![copied], PageSource::Snapshot);
+    assert_eq!(front.endpoints.borrow().len(), 2);
+    let after_grace = BootInstant::now() + Duration::from_secs(3);
+    let expired = front.endpoints.borrow_mut().expire_missing(after_grace);
+    assert_eq!(expired, ["b".into()]);
+}
+
 #[test]
 fn a_host_that_is_behind_sends_one_peer_request_at_a_time() {
     // A host that is cut off from the store and has a slow link receives a thousand hints a second
