--- a/review/4/run.sh
+++ b/review/4/run.sh
@@ -4,5 +4,5 @@
 cd "$here/../.." || exit 2
 folder=$(mktemp -d) || exit 2
 trap 'rm -rf "$folder"' EXIT
-target/review/standin takeover "$folder" "$here/record.txt" \
+target/review/standin drain "$folder" "$here/record.txt" \
     target/release/wagtaildoor-front --settings deploy/front.ini
