Log by which previous owners a host chose its waits for shards

Hypotheses, before any change of logic: 1. A host that starts reads the owners after a deal that it did not see, and takes a shard that it has just got for its own from before (wait 1 s). 2. It takes the owner before for gone (wait from how long it saw that owner). 3. The host that lost the shard orders on after its lease. No change of behaviour.

--- a/wagtaildoor_front/src/shard_leases.rs
+++ b/wagtaildoor_front/src/shard_leases.rs
@@ -59,6 +59,17 @@
     LiveHost,
 }
 
+/// A shard that a host has just got.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct TakenShard {
+    /// The shard.
+    pub shard: ShardId,
+    /// Who could have ordered before.
+    pub previous_owner: PreviousOwner,
+    /// Time until this host may use the shard.
+    pub wait: Duration,
+}
+
 /// Leases of this host's shards.
 #[derive(Debug)]
 pub struct ShardLeases {
@@ -122,7 +133,8 @@
     /// Applies the group's response to a renewal that was sent at `sent_at`.
     ///
     /// The group may reassign shards at any time without asking their owners. A new owner waits
-    /// until the lease of the previous one must have ended, and then for the handover.
+    /// until the lease of the previous one must have ended, and then for the handover. Returns the
+    /// shards that are new to this host.
     pub fn apply_assignment(
         &self,
         assignment: &ShardAssignment,
@@ -130,7 +142,7 @@
         sent_at: BootInstant,
         now: BootInstant,
         times: &LeaseTimes,
-    ) {
+    ) -> Vec<TakenShard> {
         let mut usable_from = self.usable_from.borrow_mut();
         let last_renewal_at = self.last_renewal_at.get();
         let has_lapsed = last_renewal_at.is_some_and(|at| sent_at.since(at) >= times.expiry);
@@ -142,20 +154,30 @@
             usable_from.retain(|_, &mut from| from <= now);
         }
         usable_from.retain(|shard, _| assignment.shards.contains(shard));
+        let mut taken = Vec::new();
         for &shard in &assignment.shards {
+            if usable_from.contains_key(&shard) {
+                continue;
+            }
             let previous_owner = match previous_owner(shard) {
                 // Another host may have owned the shard while this host's lease had lapsed.
                 _ if has_lapsed => PreviousOwner::LiveHost,
                 PreviousOwner::OwnHost if last_renewal_at.is_some() => PreviousOwner::LiveHost,
                 previous_owner => previous_owner,
             };
-            let wait = || now + handover_wait(previous_owner, times);
-            usable_from.entry(shard).or_insert_with(wait);
+            let wait = handover_wait(previous_owner, times);
+            usable_from.insert(shard, now + wait);
+            taken.push(TakenShard {
+                shard,
+                previous_owner,
+                wait,
+            });
         }
         self.last_renewal_at.set(Some(sent_at));
         self.valid_until.set(sent_at + times.validity);
         let token = assignment.era << GENERATION_BITS | assignment.generation;
         self.fencing_token.set(self.fencing_token.get().max(token));
+        taken
     }
 }
 
@@ -280,10 +302,10 @@
                     history.discard_stale(assignment.generation);
                 }
                 let previous_owner = |shard| history.previous_owner(shard, &own, listed, now);
-                leases.apply_assignment(&assignment, previous_owner, sent_at, now, &times);
-                if changed {
-                    slog::info!(front.log, "shards dealt"; "generation" => assignment.generation,
-                        "era" => era, "own" => assignment.shards.len(), "hosts" => listed.members().len());
+                let taken =
+                    leases.apply_assignment(&assignment, previous_owner, sent_at, now, &times);
+                if changed || !taken.is_empty() {
+                    log_assignment(&front, &assignment, listed, &taken);
                 }
                 generation = assignment.generation;
                 known_generation = Some(generation);
@@ -301,6 +323,27 @@
     }
 }
 
+/// Logs an assignment, and by which previous owners the waits for new shards were chosen.
+fn log_assignment(
+    front: &Front,
+    assignment: &ShardAssignment,
+    listed: &ShardOwners,
+    taken: &[TakenShard],
+) {
+    let count = |is_counted: fn(&PreviousOwner) -> bool| {
+        let owners = taken.iter().map(|shard| shard.previous_owner);
+        owners.filter(is_counted).count()
+    };
+    let longest_wait = taken.iter().map(|shard| shard.wait).max();
+    slog::info!(front.log, "shards dealt"; "generation" => assignment.generation,
+        "era" => assignment.era, "own" => assignment.shards.len(),
+        "hosts" => listed.members().len(),
+        "from_self" => count(|owner| *owner == PreviousOwner::OwnHost),
+        "from_expired" => count(|owner| matches!(owner, PreviousOwner::ExpiredHost { .. })),
+        "from_live" => count(|owner| *owner == PreviousOwner::LiveHost),
+        "longest_wait_ms" => longest_wait.map(|wait| wait.as_millis() as u64));
+}
+
 /// Reads the owners of all shards, and updates the known hosts from them.
 async fn read_owners<S: ControlStore>(front: &Front, store: &S) -> Option<ShardOwners> {
     match store.read_owners().await {
