Prove by records that a shard is still a restarted host's own

Cause: a host that starts read the owners of the shards and took its own name for a sign that it had the shard before its restart, so it waited 1 s. The list says who owns a shard now; the group had reassigned the shards while the host was down, and the owner before still gave orders.

Change: hosts record in a topic of the store which shards they may use in which generation. After a restart a shard is a host's own from before only with a record of this generation or the one before it. As the group reassigns only with a new generation, no other host can have had the shard between; so this works for any deployment and any time of the restart. Records of other eras say nothing. Related path: owners that were read before the first renewal, which may fail for long, no longer count as history.

--- a/wagtaildoor_front/src/control_store.rs
+++ b/wagtaildoor_front/src/control_store.rs
@@ -109,6 +109,19 @@
     pub shards: Vec<ShardId>,
 }
 
+/// Evidence that a host could use a shard in a generation of the group.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct LeaseRecord {
+    /// The shard.
+    pub shard: ShardId,
+    /// Host that could use it.
+    pub owner: GroupMember,
+    /// Era of the store that assigned it.
+    pub era: StoreEra,
+    /// Generation of the group in that era.
+    pub generation: u64,
+}
+
 /// Owners of all shards in the group.
 #[derive(Clone, Debug, Default, Eq, PartialEq)]
 pub struct ShardOwners {
@@ -238,4 +251,11 @@
 
     /// Reads the owners of all shards.
     fn read_owners(&self) -> impl Future<Output = Result<ShardOwners>>;
+
+    /// Reads the newest lease record of each shard.
+    fn read_lease_records(&self) -> impl Future<Output = Result<Vec<LeaseRecord>>>;
+
+    /// Writes lease records, which replace those of the same shards. After an error, they may have been
+    /// written, or may be later.
+    fn write_lease_records(&self, records: &[LeaseRecord]) -> impl Future<Output = Result<()>>;
 }
--- a/wagtaildoor_front/src/front_host.rs
+++ b/wagtaildoor_front/src/front_host.rs
@@ -18,6 +18,7 @@
     peer_link, peer_records,
     shard_leases::{
         self,
+        lease_records,
         ShardLeases, //
     },
     weights_rollout,
@@ -64,6 +65,11 @@
         task::spawn_local(peer_link::receive_hints::<C>(front.clone(), hints)),
         task::spawn_local(endpoint_monitor::monitor_endpoints(front.clone())),
         task::spawn_local(block_store::monitor_stores(front.clone())),
+        task::spawn_local(lease_records::record_leases(
+            front.clone(),
+            store.clone(),
+            leases.clone(),
+        )),
         task::spawn_local(shard_leases::renew_leases(
             front.clone(),
             store,
--- a/wagtaildoor_front/src/shard_leases.rs
+++ b/wagtaildoor_front/src/shard_leases.rs
@@ -17,6 +17,7 @@
     control_store::{
         ControlStore,
         GroupMember,
+        LeaseRecord,
         ShardAssignment,
         ShardId, //
         ShardOwners,
@@ -27,6 +28,8 @@
     stream_position::StoreEra,
 };
 
+pub mod lease_records;
+
 /// Wait for a shard that this host owned before its process restarted. The previous process may
 /// have sent its last order this shortly before the restart.
 const RESTART_WAIT: Duration = Duration::from_millis(1_000);
@@ -48,7 +51,7 @@
 /// Owner of a shard before this host.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum PreviousOwner {
-    /// This host, before its process restarted.
+    /// This host, without a break since before its process restarted.
     OwnHost,
     /// A host that has left the group, so that its last renewal is older than the expiry.
     ExpiredHost {
@@ -77,6 +80,8 @@
     shards: ShardId,
     /// Era of the store that answered the last renewal.
     era: Cell<StoreEra>,
+    /// Generation of the group in that answer.
+    generation: Cell<u64>,
     /// Time from which each shard of this host may be used.
     usable_from: RefCell<HashMap<ShardId, BootInstant>>,
     /// When the last successful renewal was sent.
@@ -94,6 +99,7 @@
         Self {
             shards,
             era: Cell::new(0),
+            generation: Cell::new(0),
             usable_from: RefCell::new(HashMap::new()),
             last_renewal_at: Cell::new(None),
             valid_until: Cell::new(BootInstant::ZERO),
@@ -121,6 +127,27 @@
         may_order.then(|| self.fencing_token.get())
     }
 
+    /// Whether this process has renewed the membership before.
+    pub fn has_joined(&self) -> bool {
+        self.last_renewal_at.get().is_some()
+    }
+
+    /// Records of the shards whose wait is over, sorted by shard.
+    pub fn lease_records(&self, own: &GroupMember, now: BootInstant) -> Vec<LeaseRecord> {
+        let usable_from = self.usable_from.borrow();
+        let usable = usable_from.iter().filter(|(_, &from)| now >= from);
+        let mut records: Vec<LeaseRecord> = usable
+            .map(|(&shard, _)| LeaseRecord {
+                shard,
+                owner: own.clone(),
+                era: self.era.get(),
+                generation: self.generation.get(),
+            })
+            .collect();
+        records.sort_by_key(|record| record.shard);
+        records
+    }
+
     /// Whether the group has assigned a shard that this host does not hold yet.
     pub fn has_new_shard(&self, assignment: &ShardAssignment) -> bool {
         let usable_from = self.usable_from.borrow();
@@ -153,6 +180,7 @@
             // The owner that this host waited for may have got the shard back from the copy.
             usable_from.retain(|_, &mut from| from <= now);
         }
+        self.generation.set(assignment.generation);
         usable_from.retain(|shard, _| assignment.shards.contains(shard));
         let mut taken = Vec::new();
         for &shard in &assignment.shards {
@@ -245,7 +273,8 @@
             return PreviousOwner::LiveHost;
         };
         if owner == own {
-            return PreviousOwner::OwnHost;
+            // The group may have reassigned the shard twice since.
+            return PreviousOwner::LiveHost;
         }
         // With as many hosts as shards, a host that is still in the group may own none.
         let has_all_members = after.members().len() < after.owners.len();
@@ -271,14 +300,8 @@
     let mut known_generation = None;
     let mut generation = 0;
     let mut history = OwnerHistory::default();
-    // In a new era the owners in the store are those of its copy.
-    let has_owners = era_watch::read_settled(&front, &store).await;
+    era_watch::read_settled(&front, &store).await;
     let mut era = front.store_era();
-    if !has_owners {
-        slog::info!(front.log, "owners of shards unknown"; "era" => era);
-    } else if let Some(owners) = read_owners(&front, &store).await {
-        history.record_owners(&owners, 0, BootInstant::now());
-    }
     loop {
         let sent_at = BootInstant::now();
         match store.join_group(&own, generation, times.expiry).await {
@@ -297,11 +320,22 @@
                 }
                 let no_owners = ShardOwners::default();
                 let listed = after.as_ref().unwrap_or(&no_owners);
+                // Of the time before its start, a host knows only what was recorded.
+                let records = match leases.has_joined() {
+                    true => Vec::new(),
+                    false => read_lease_records(&front, &store).await,
+                };
                 let now = BootInstant::now();
-                if known_generation.is_some() {
-                    history.discard_stale(assignment.generation);
-                }
-                let previous_owner = |shard| history.previous_owner(shard, &own, listed, now);
+                history.discard_stale(assignment.generation);
+                let previous_owner = |shard| match lease_records::is_kept_shard(
+                    &records,
+                    &own,
+                    shard,
+                    &assignment,
+                ) {
+                    true => PreviousOwner::OwnHost,
+                    false => history.previous_owner(shard, &own, listed, now),
+                };
                 let taken =
                     leases.apply_assignment(&assignment, previous_owner, sent_at, now, &times);
                 if changed || !taken.is_empty() {
@@ -360,3 +394,14 @@
         }
     }
 }
+
+/// Reads the leases that were recorded before this host's start.
+async fn read_lease_records<S: ControlStore>(front: &Front, store: &S) -> Vec<LeaseRecord> {
+    match store.read_lease_records().await {
+        Ok(records) => records,
+        Err(error) => {
+            slog::info!(front.log, "failed to read lease records"; "error" => %error);
+            Vec::new()
+        }
+    }
+}
