Log requests that the end of the process cuts as such

Their log lines said "caller_left", so that the log could not tell these hypotheses apart, written before any change of logic: 1. The host takes requests whose deadline lies after the end of its process. 2. It closes kept connections while a request on them is in progress. 3. The answer is written, but lost as the process ends. They now end as "cut_by_exit": with 1, such lines appear at "drained" with requests left; with 2 they do not; with 3 the outcome is "answered". No other change.

--- a/wagtaildoor_front/src/caller_server.rs
+++ b/wagtaildoor_front/src/caller_server.rs
@@ -105,6 +105,7 @@
     {
         time::sleep(DRAIN_POLL_INTERVAL).await;
     }
+    front.has_drained.set(true);
     slog::info!(front.log, "drained";
         "connections_left" => open_connections.get(),
         "requests_left" => front.in_flight.get(),
--- a/wagtaildoor_front/src/front.rs
+++ b/wagtaildoor_front/src/front.rs
@@ -135,8 +135,8 @@
     stopping_since: Cell<Option<BootInstant>>,
     /// Cancelled when shutdown begins.
     pub stopping: CancellationToken,
-    /// Meant for the end of the process; no task cancels or awaits it.
-    pub ended: CancellationToken,
+    /// Whether the drain is over, so that requests still in progress are cut by the end of the process.
+    pub has_drained: Cell<bool>,
 }
 
 impl Front {
@@ -182,7 +182,7 @@
             in_flight: Cell::new(0),
             stopping_since: Cell::new(None),
             stopping: CancellationToken::new(),
-            ended: CancellationToken::new(),
+            has_drained: Cell::new(false),
         })
     }
 
--- a/wagtaildoor_front/src/request_log.rs
+++ b/wagtaildoor_front/src/request_log.rs
@@ -20,6 +20,11 @@
 /// line short.
 const MAX_DECISIONS_BYTES: usize = 800;
 
+/// Outcome of a request that was dropped before another outcome was set.
+const CALLER_LEFT: &str = "caller_left";
+/// Outcome of a request that was in progress when the process ended.
+const CUT_BY_EXIT: &str = "cut_by_exit";
+
 /// Collects the fields of a request's log line, which is written when this is dropped.
 #[derive(Debug)]
 pub struct RequestLog {
@@ -40,8 +45,8 @@
     endpoint: Option<EndpointId>,
     /// Time from the request's arrival to the first part of the response.
     first_part_latency: Option<Duration>,
-    /// Outcome of the request. If the caller disconnects, the request is dropped before another
-    /// outcome is set.
+    /// Outcome of the request. If the caller disconnects or the process ends, the request is dropped
+    /// before another outcome is set.
     outcome: &'static str,
 }
 
@@ -59,7 +64,7 @@
             decisions: String::new(),
             endpoint: None,
             first_part_latency: None,
-            outcome: "caller_left",
+            outcome: CALLER_LEFT,
         }
     }
 
@@ -107,6 +112,9 @@
         let front = &self.front;
         front.in_flight.set(front.in_flight.get().saturating_sub(1));
         let total_latency = self.arrived.elapsed();
+        if front.has_drained.get() && self.outcome == CALLER_LEFT {
+            self.outcome = CUT_BY_EXIT;
+        }
         front
             .metrics
             .record_request(self.outcome, self.first_part_latency, total_latency);
