Take and answer requests of a stopping host by one schedule

Cause: a request was taken if its deadline lay within the grace period (8 s), while the process ended 500 ms before it. Two places had their own bound.

Change: DrainSchedule plans a stop for any grace period: until when requests are taken, when the last answers are due, and the exit. Related paths: a long request that was taken early and is unanswered when the last answers are due is told so (503 if it was never sent, else 504), where its connection was closed before; a connection counts from its acceptance, so that the drain cannot end before its task begins.

--- a/wagtaildoor_front/src/caller_request.rs
+++ b/wagtaildoor_front/src/caller_request.rs
@@ -18,16 +18,10 @@
     StatusCode, //
 };
 use hyper::body::Incoming;
-use tokio::time::{
-    self,
-    Instant, //
-};
+use tokio::time::Instant;
 use wagtaildoor::{
     boot_clock::BootInstant,
-    error::{
-        ErrorKind,
-        RequestError, //
-    },
+    error::RequestError,
     ids::{
         EndpointId,
         PartId,
@@ -41,6 +35,7 @@
         request_admission::AdmittedRequest,
         response_read::UnconfirmedAnswer, //
     },
+    drain_schedule::DrainSchedule,
     end_witness::EndWitness,
     endpoint::{
         EndpointKey,
@@ -73,6 +68,7 @@
 };
 
 mod answer_end;
+mod answer_limit;
 mod blocked_prompt;
 mod caller_refusal;
 mod connection_headers;
@@ -87,9 +83,6 @@
 
 /// Maximum number of sends per request, including sends that the endpoint refused.
 const MAX_SENDS: u32 = 6;
-/// Time after SIGTERM during which requests with a deadline beyond the grace period are still
-/// accepted, because the balancer may not have another host for them yet.
-const LONG_REQUEST_ACCEPT_TIME: Duration = Duration::from_millis(2_500);
 
 /// A caller request and the state of its attempts.
 pub struct CallerRequest<C> {
@@ -236,21 +229,20 @@
     async fn execute(mut self) -> Response<ResponseBody> {
         let now = BootInstant::now();
         if !self.fits_in_grace(now) {
-            let detail = "this host is stopping, others are not";
-            let error = RequestError::new(ErrorKind::Overloaded, detail);
+            let error = self.stopping_error();
             return caller_refusal::refuse(&mut self.log, &error, Some(Duration::ZERO));
         }
         if let Some(service) = self.target_services().first() {
             self.front.retries.borrow_mut().record_request(service, now);
         }
-        let deadline = self.deadline;
-        let started = match time::timeout_at(deadline, self.send_until_answered(None)).await {
-            Ok(Ok(Some(started))) => started,
-            Ok(Ok(None)) => return self.respond_with_failure(),
-            Ok(Err(error)) => {
+        let limit = self.answer_limit();
+        let started = match limit.apply(self.send_until_answered(None)).await {
+            Some(Ok(Some(started))) => started,
+            Some(Ok(None)) => return self.respond_with_failure(),
+            Some(Err(error)) => {
                 return caller_refusal::refuse(&mut self.log, &error, self.retry_after);
             }
-            Err(_) => return self.respond_at_deadline(),
+            None => return self.respond_at_limit(),
         };
         if self.route.kind.is_stream() && started.response.status() == StatusCode::OK {
             return self.respond_stream(started);
@@ -324,15 +316,13 @@
         self.route.kind.is_repeatable() && self.possible_runs < self.route.attempts.max(1)
     }
 
-    /// Whether the request can be accepted. After SIGTERM it must end within the grace period,
-    /// except in the first [`LONG_REQUEST_ACCEPT_TIME`].
+    /// Whether this host can answer the request before it exits.
     fn fits_in_grace(&self, now: BootInstant) -> bool {
         let Some(since) = self.front.stopping_since() else {
             return true;
         };
-        let stopping = now.since(since);
         let left = self.deadline.saturating_duration_since(Instant::now());
-        stopping < LONG_REQUEST_ACCEPT_TIME || stopping + left < self.front.settings.times.grace
+        DrainSchedule::from(self.front.settings.times.grace).accepts(now.since(since), left)
     }
 
     /// Services that can serve the request, in order of preference.
--- a/wagtaildoor_front/src/caller_request/request_outcome.rs
+++ b/wagtaildoor_front/src/caller_request/request_outcome.rs
@@ -1,5 +1,7 @@
 //! What a caller gets when no endpoint gave a sound response.
 
+use std::time::Duration;
+
 use http::Response;
 use wagtaildoor::error::{
     ErrorKind,
@@ -39,24 +41,36 @@
         })
     }
 
-    /// Responds at the deadline; prefers a stored error response of an endpoint.
-    pub(super) fn respond_at_deadline(mut self) -> Response<ResponseBody> {
+    /// Responds at the deadline, or with the last answers of a host that stops; prefers a stored error
+    /// response of an endpoint.
+    pub(super) fn respond_at_limit(mut self) -> Response<ResponseBody> {
         if self.failure.is_some() {
             return self.respond_with_failure();
         }
-        let error = self.deadline_error();
-        caller_refusal::refuse(&mut self.log, &error, None)
+        let is_stopping = self.front.answers_due.is_cancelled();
+        let error = match (is_stopping, self.delivered_sends) {
+            (true, 0) => self.stopping_error(),
+            (true, _) => {
+                let detail = "this host stops before the answer came";
+                RequestError::new(ErrorKind::DeadlinePassed, detail)
+            }
+            (false, 0) => {
+                let detail = "no endpoint could be reached before the deadline";
+                RequestError::new(ErrorKind::DeadlineUnreachable, detail)
+            }
+            (false, _) => {
+                let detail = "no answer came before the deadline";
+                RequestError::new(ErrorKind::DeadlinePassed, detail)
+            }
+        };
+        let retry_after = is_stopping.then_some(Duration::ZERO);
+        caller_refusal::refuse(&mut self.log, &error, retry_after)
     }
 
-    /// Error at the deadline, by whether an endpoint was reached.
-    fn deadline_error(&self) -> RequestError {
-        if self.delivered_sends == 0 {
-            let detail = "no endpoint could be reached before the deadline";
-            RequestError::new(ErrorKind::DeadlineUnreachable, detail)
-        } else {
-            let detail = "no answer came before the deadline";
-            RequestError::new(ErrorKind::DeadlinePassed, detail)
-        }
+    /// Error of a host that stops for a request that it has not sent.
+    pub(super) fn stopping_error(&self) -> RequestError {
+        let detail = "this host is stopping, others are not";
+        RequestError::new(ErrorKind::Overloaded, detail)
     }
 
     /// Whether to retry after an error response of an endpoint.
--- a/wagtaildoor_front/src/caller_request/response_read.rs
+++ b/wagtaildoor_front/src/caller_request/response_read.rs
@@ -10,10 +10,7 @@
 };
 use http_body_util::BodyExt;
 use hyper::body::Incoming;
-use tokio::{
-    task,
-    time, //
-};
+use tokio::task;
 use wagtaildoor::boot_clock::BootInstant;
 use wagtaildoor_daemon::response_body::{
     ResponseBody,
@@ -82,9 +79,9 @@
         loop {
             let endpoint = started.guard.endpoint().clone();
             let begun_at = started.begun_at;
-            let deadline = self.deadline;
-            let reason = match time::timeout_at(deadline, self.read_response(started)).await {
-                Ok(Ok(ReadAnswer::Whole(response))) => {
+            let limit = self.answer_limit();
+            let reason = match limit.apply(self.read_response(started)).await {
+                Some(Ok(ReadAnswer::Whole(response))) => {
                     self.log.set_answering_endpoint(&endpoint.id);
                     self.log.record_first_part();
                     self.log.set_outcome(match response.status().is_success() {
@@ -93,14 +90,14 @@
                     });
                     return response;
                 }
-                Ok(Ok(ReadAnswer::Unconfirmed(answer))) => {
+                Some(Ok(ReadAnswer::Unconfirmed(answer))) => {
                     self.unconfirmed = Some(answer);
                     "the end of the answer is not confirmed".into()
                 }
-                Ok(Err(reason)) => reason,
-                Err(_) => match self.unconfirmed.take() {
+                Some(Err(reason)) => reason,
+                None => match self.unconfirmed.take() {
                     Some(answer) => return self.respond_unconfirmed(answer),
-                    None => return self.respond_at_deadline(),
+                    None => return self.respond_at_limit(),
                 },
             };
             self.log.add_decision(format_args!("broke off: {reason}"));
@@ -111,10 +108,10 @@
             self.inspect_broken_answer(&endpoint, begun_at, false).await;
             self.record_broken_response(endpoint.key);
             let next = match self.may_run_again() {
-                true => time::timeout_at(deadline, self.send_until_answered(None)).await,
-                false => Ok(self.no_endpoint_outcome()),
+                true => limit.apply(self.send_until_answered(None)).await,
+                false => Some(self.no_endpoint_outcome()),
             };
-            if let Ok(Ok(Some(next))) = next {
+            if let Some(Ok(Some(next))) = next {
                 started = next;
                 continue;
             }
@@ -122,9 +119,9 @@
                 return self.respond_unconfirmed(answer);
             }
             return match next {
-                Ok(Err(error)) => caller_refusal::refuse(&mut self.log, &error, None),
-                Ok(Ok(_)) => self.respond_with_failure(),
-                Err(_) => self.respond_at_deadline(),
+                Some(Err(error)) => caller_refusal::refuse(&mut self.log, &error, None),
+                Some(Ok(_)) => self.respond_with_failure(),
+                None => self.respond_at_limit(),
             };
         }
     }
--- a/wagtaildoor_front/src/caller_server.rs
+++ b/wagtaildoor_front/src/caller_server.rs
@@ -36,6 +36,7 @@
 
 use crate::{
     caller_request,
+    drain_schedule::DrainSchedule,
     endpoint_connection,
     front::Front,
     wire_codec::WireCodec, //
@@ -48,8 +49,6 @@
 const IDLE_TIMEOUT_FACTOR: u32 = 2;
 /// Time after SIGTERM during which the balancer may still open new connections.
 const BALANCER_DRAIN_TIME: Duration = Duration::from_millis(3_200);
-/// Time before the end of the grace period at which the drain stops waiting.
-const SHUTDOWN_MARGIN: Duration = Duration::from_millis(500);
 /// Interval between checks for open connections and requests.
 const DRAIN_POLL_INTERVAL: Duration = Duration::from_millis(50);
 /// Minimum size of the HTTP read buffer, in bytes.
@@ -72,6 +71,8 @@
     let accept = accept_connections(&front, &listener, |stream| {
         let front = front.clone();
         let open_connections = open_connections.clone();
+        // Counted here, so that the drain does not end before the connection's task begins.
+        open_connections.set(open_connections.get() + 1);
         let closing = closing.clone();
         async move {
             // Connections accepted during the drain are served too, because the balancer may have
@@ -80,7 +81,6 @@
                 true => CancellationToken::new(),
                 false => closing,
             };
-            open_connections.set(open_connections.get() + 1);
             serve_connection::<C>(front, stream, closing).await;
             open_connections.set(open_connections.get() - 1);
         }
@@ -91,18 +91,24 @@
     }
 }
 
-/// Waits for SIGTERM, then for all requests and connections to end within the grace period.
+/// Waits for SIGTERM, then for all requests and connections to end. Requests that take too long for that
+/// get an answer in time before the exit.
 async fn drain(front: &Front, open_connections: &Cell<usize>, closing: &CancellationToken) {
     front.stopping.cancelled().await;
-    let drain_started = BootInstant::now();
-    let grace = front.settings.times.grace.saturating_sub(SHUTDOWN_MARGIN);
-    while drain_started.elapsed() < grace.min(BALANCER_DRAIN_TIME) {
-        time::sleep(DRAIN_POLL_INTERVAL).await;
-    }
-    closing.cancel();
-    while drain_started.elapsed() < grace
-        && (open_connections.get() > 0 || front.in_flight.get() > 0)
-    {
+    let schedule = DrainSchedule::from(front.settings.times.grace);
+    let drain_started = front.stopping_since().unwrap_or_else(BootInstant::now);
+    while drain_started.elapsed() < schedule.exit {
+        let elapsed = drain_started.elapsed();
+        if elapsed >= schedule.answers_due && !front.answers_due.is_cancelled() {
+            slog::info!(front.log, "last answers"; "requests" => front.in_flight.get());
+            front.answers_due.cancel();
+        }
+        if elapsed >= schedule.answers_due.min(BALANCER_DRAIN_TIME) {
+            closing.cancel();
+            if open_connections.get() == 0 && front.in_flight.get() == 0 {
+                break;
+            }
+        }
         time::sleep(DRAIN_POLL_INTERVAL).await;
     }
     front.has_drained.set(true);
--- a/wagtaildoor_front/src/front.rs
+++ b/wagtaildoor_front/src/front.rs
@@ -135,6 +135,8 @@
     stopping_since: Cell<Option<BootInstant>>,
     /// Cancelled when shutdown begins.
     pub stopping: CancellationToken,
+    /// Cancelled when a host that stops must give its last answers.
+    pub answers_due: CancellationToken,
     /// Whether the drain is over, so that requests still in progress are cut by the end of the process.
     pub has_drained: Cell<bool>,
 }
@@ -182,6 +184,7 @@
             in_flight: Cell::new(0),
             stopping_since: Cell::new(None),
             stopping: CancellationToken::new(),
+            answers_due: CancellationToken::new(),
             has_drained: Cell::new(false),
         })
     }
--- a/wagtaildoor_front/src/lib.rs
+++ b/wagtaildoor_front/src/lib.rs
@@ -10,6 +10,7 @@
 pub mod control_follower;
 pub mod control_store;
 pub mod crash_reports;
+pub mod drain_schedule;
 pub mod end_witness;
 pub mod endpoint;
 pub mod endpoint_call;
