Log why a host assumes an outage of the store, and which endpoints it keeps for it

Nothing in the log told these hypotheses apart, written before any change of logic: 1. The host takes its own pause for an outage of the store, and keeps what the store removes afterwards, since it might register again. 2. It reads the removal late: reads of the list do not go on after the pause. 3. It reads the removal in time, but requests in line or on their way go there. "outage assumed" has the time without an answer, how much of it the process stood still, and whether a read failed; "endpoint missing" is the moment from which an endpoint is kept though it is not listed. No change of behaviour.

--- a/wagtaildoor_front/src/control_follower.rs
+++ b/wagtaildoor_front/src/control_follower.rs
@@ -77,6 +77,8 @@
     /// Whether the store has yielded no complete page yet, so that a peer's copy is used instead.
     is_first_read: bool,
     last_response_at: Option<BootInstant>,
+    /// Time for which this process had stood still by then.
+    paused_before: Duration,
     /// When the store first responded after an outage.
     recovered_at: Option<BootInstant>,
     /// Whether the last call to the store failed.
@@ -203,6 +205,7 @@
             snapshot: SnapshotReader::default(),
             is_first_read: true,
             last_response_at: None,
+            paused_before: Duration::ZERO,
             recovered_at: None,
             is_store_lost: false,
             retry_delay: MIN_RETRY_DELAY,
@@ -290,17 +293,25 @@
     /// Resets the retry delay, and detects the end of an outage.
     fn record_response(&mut self, front: &Front) {
         let now = BootInstant::now();
+        let paused = front.pauses.total(now);
         let was_unreachable = self
             .last_response_at
             .is_some_and(|at| now.since(at) > OUTAGE_THRESHOLD);
         if was_unreachable || (self.is_store_lost && self.last_response_at.is_none()) {
             self.recovered_at = Some(now);
         }
+        if self.recovered_at == Some(now) && self.stream == ControlStream::Endpoints {
+            slog::info!(front.log, "outage assumed";
+                "away_ms" => self.last_response_at.map(|at| now.since(at).as_millis() as u64),
+                "paused_ms" => paused.saturating_sub(self.paused_before).as_millis() as u64,
+                "read_failed" => self.is_store_lost);
+        }
         if self.is_store_lost {
             slog::info!(front.log, "store regained"; "stream" => ?self.stream,
                 "away_ms" => self.last_response_at.map(|at| now.since(at).as_millis() as u64));
         }
         self.last_response_at = Some(now);
+        self.paused_before = paused;
         self.is_store_lost = false;
         self.retry_delay = MIN_RETRY_DELAY;
     }
@@ -435,6 +446,9 @@
             {
                 slog::info!(front.log, "endpoint gone"; "endpoint" => &*id,
                     "offset" => record.position.offset);
+            } else if is_after_outage {
+                slog::info!(front.log, "endpoint missing"; "endpoint" => &*id,
+                    "offset" => record.position.offset, "by" => ?source);
             }
         }
         ControlUpdate::CrashReport(change) => crash_reports::apply_change(front, &change),
--- a/wagtaildoor_front/src/pause_monitor.rs
+++ b/wagtaildoor_front/src/pause_monitor.rs
@@ -19,6 +19,8 @@
     last_tick: Cell<BootInstant>,
     /// Start and end of the last pause.
     last_pause: Cell<Option<(BootInstant, BootInstant)>>,
+    /// Length of all pauses.
+    total: Cell<Duration>,
 }
 
 impl PauseMonitor {
@@ -27,17 +29,26 @@
         Self {
             last_tick: Cell::new(now),
             last_pause: Cell::new(None),
+            total: Cell::new(Duration::ZERO),
         }
     }
 
     /// Records that the process is running. To be called about every tenth of a second.
     pub fn tick(&self, now: BootInstant) {
         let last_tick = self.last_tick.replace(now);
-        if now.since(last_tick) >= MIN_PAUSE {
+        let gap = now.since(last_tick);
+        if gap >= MIN_PAUSE {
+            self.total.set(self.total.get() + gap);
             self.last_pause.set(Some((last_tick, now)));
         }
     }
 
+    /// Time for which this process has stood still since its start.
+    pub fn total(&self, now: BootInstant) -> Duration {
+        self.tick(now);
+        self.total.get()
+    }
+
     /// Start of a pause that has just ended; `None` if the process has been running.
     pub fn recent_pause(&self, now: BootInstant) -> Option<BootInstant> {
         self.tick(now);
