Drop removed endpoints at a fixed time, and at once after an absence of the host

Cause: the host took a gap between its own reads for an outage of the store. For 2.3 s after it, it put each removal off by 2.3 s from its reading, though live endpoints register within two seconds of the store's return.

Evidence: with the log lines of the commit before, "outage assumed" after 3,657 ms, 3,585 of them standing still and no read failed; the removal is read 0.33 s after it was written and kept for 2.3 s.

Change: OutageWatch puts removals off until 2.3 s after the store's return, and takes a gap that the host's own absence explains (it stood still, or heard no host of another failure domain) for none. That holds for any deployment and any length of the absence; after an outage, endpoints that lapsed are kept as before.

--- a/wagtaildoor_front/src/control_follower.rs
+++ b/wagtaildoor_front/src/control_follower.rs
@@ -29,6 +29,10 @@
         RELISTING_GRACE, //
     },
     front::Front,
+    outage_watch::{
+        OutageWatch,
+        ResponseGap, //
+    },
     peer_records, prefix_hash,
     record_mirror::MirrorChange,
     route_table::RouteTable,
@@ -49,10 +53,6 @@
 /// Interval of later peer fetches. When all hosts start at once, the store and the hosts need
 /// seconds to respond.
 const LATE_PEER_FETCH_INTERVAL: Duration = Duration::from_millis(500);
-/// Time without a store response that counts as an outage, during which endpoints may have been
-/// unable to register.
-const OUTAGE_THRESHOLD: Duration = Duration::from_millis(2_500);
-
 /// Time over which hosts spread the read of a list again after a restore, for each host of the group.
 const REREAD_SPREAD_PER_HOST: Duration = Duration::from_millis(2);
 
@@ -76,13 +76,8 @@
     snapshot: SnapshotReader,
     /// Whether the store has yielded no complete page yet, so that a peer's copy is used instead.
     is_first_read: bool,
-    last_response_at: Option<BootInstant>,
-    /// Time for which this process had stood still by then.
-    paused_before: Duration,
-    /// When the store first responded after an outage.
-    recovered_at: Option<BootInstant>,
-    /// Whether the last call to the store failed.
-    is_store_lost: bool,
+    /// Responses of the store.
+    outages: OutageWatch,
     /// Delay after the next failed call.
     retry_delay: Duration,
 }
@@ -133,7 +128,11 @@
                 follower.record_response(&front);
                 follower.cursor = Some(page.next);
                 follower.is_first_read = false;
-                apply_page::<C>(&front, stream, &page, source, follower.is_recovering());
+                let relisted_by = follower.outages.relisted_by(BootInstant::now());
+                apply_page::<C>(&front, stream, &page, source, relisted_by);
+                if !page.has_more {
+                    follower.outages.record_end();
+                }
                 if source == PageSource::Snapshot && !front.is_era_settled() {
                     learn_from_others::<C>(&front, stream);
                 }
@@ -149,7 +148,8 @@
             Err(error) => {
                 follower.record_failure(&front, &error);
                 peer_records::fetch_records::<C>(&front, stream).await;
-                time::sleep(follower.retry_delay).await;
+                // Without an answer to any other call until then, the timeout passes.
+                let _ = time::timeout(follower.retry_delay, front.store_answered.notified()).await;
                 follower.retry_delay = (follower.retry_delay * 2).min(MAX_RETRY_DELAY);
             }
         }
@@ -204,10 +204,7 @@
             cursor: None,
             snapshot: SnapshotReader::default(),
             is_first_read: true,
-            last_response_at: None,
-            paused_before: Duration::ZERO,
-            recovered_at: None,
-            is_store_lost: false,
+            outages: OutageWatch::default(),
             retry_delay: MIN_RETRY_DELAY,
         }
     }
@@ -236,7 +233,7 @@
     fn drop_position(&mut self) {
         self.cursor = None;
         self.snapshot = SnapshotReader::default();
-        self.recovered_at = Some(BootInstant::now());
+        self.outages.begin_relisting(BootInstant::now());
     }
 
     /// Reads the next records. Long-polls only while the store responds, and once the end of the
@@ -270,12 +267,13 @@
         let snapshot = &mut self.snapshot;
         let part = store.read_snapshot(self.stream, snapshot.after_key(), snapshot.extra_timeout());
         let part = part.await.inspect_err(|_| snapshot.record_failure())?;
+        let now = BootInstant::now();
         if front.enter_era(part.end.era) {
-            self.recovered_at = Some(BootInstant::now());
+            self.outages.begin_relisting(now);
         }
-        let is_after_outage = self.is_recovering();
+        let relisted_by = self.outages.relisted_by(now);
         let source = PageSource::Snapshot;
-        apply_records::<C>(front, self.stream, &part.records, source, is_after_outage);
+        apply_records::<C>(front, self.stream, &part.records, source, relisted_by);
         let page = self.snapshot.add_part(part);
         Ok(page.map_or(ReadOutcome::Part, |page| ReadOutcome::Page(page, source)))
     }
@@ -287,48 +285,47 @@
             ControlStream::Endpoints => false,
             ControlStream::CrashReports => true,
         };
-        waits && self.cursor.is_some() && !self.is_store_lost
+        waits && self.cursor.is_some() && !self.outages.has_failed()
     }
 
-    /// Resets the retry delay, and detects the end of an outage.
+    /// Resets the retry delay, and finds out why there was no response for long.
     fn record_response(&mut self, front: &Front) {
         let now = BootInstant::now();
-        let paused = front.pauses.total(now);
-        let was_unreachable = self
-            .last_response_at
-            .is_some_and(|at| now.since(at) > OUTAGE_THRESHOLD);
-        if was_unreachable || (self.is_store_lost && self.last_response_at.is_none()) {
-            self.recovered_at = Some(now);
-        }
-        if self.recovered_at == Some(now) && self.stream == ControlStream::Endpoints {
-            slog::info!(front.log, "outage assumed";
-                "away_ms" => self.last_response_at.map(|at| now.since(at).as_millis() as u64),
-                "paused_ms" => paused.saturating_sub(self.paused_before).as_millis() as u64,
-                "read_failed" => self.is_store_lost);
+        let away_ms = self.outages.away(now).map(|away| away.as_millis() as u64);
+        let had_failed = self.outages.has_failed();
+        let absence_since = |since| front.pauses.longest_absence(since, now);
+        let gap = self.outages.record_response(now, absence_since);
+        if self.stream == ControlStream::Endpoints {
+            log_gap(front, gap, away_ms, had_failed);
         }
-        if self.is_store_lost {
-            slog::info!(front.log, "store regained"; "stream" => ?self.stream,
-                "away_ms" => self.last_response_at.map(|at| now.since(at).as_millis() as u64));
+        if had_failed {
+            slog::info!(front.log, "store regained"; "stream" => ?self.stream, "away_ms" => away_ms);
+            front.store_answered.notify_waiters();
         }
-        self.last_response_at = Some(now);
-        self.paused_before = paused;
-        self.is_store_lost = false;
         self.retry_delay = MIN_RETRY_DELAY;
     }
 
     /// Marks the store as lost, and aborts the long polls of the other streams.
     fn record_failure(&mut self, front: &Front, error: &StoreError) {
-        if !self.is_store_lost {
+        if self.outages.record_failure() {
             slog::warn!(front.log, "store lost"; "stream" => ?self.stream, "error" => %error);
         }
-        self.is_store_lost = true;
         front.store_read_failed.notify_waiters();
     }
+}
 
-    /// Whether a store outage ended so recently that live endpoints may not have registered again.
-    fn is_recovering(&self) -> bool {
-        self.recovered_at
-            .is_some_and(|at| at.elapsed() < RELISTING_GRACE)
+/// Logs by what a long time without a response is explained, which decides whether endpoints that the
+/// store removes are kept for a while.
+fn log_gap(front: &Front, gap: Option<ResponseGap>, away_ms: Option<u64>, had_failed: bool) {
+    match gap {
+        Some(ResponseGap::Outage) => {
+            slog::info!(front.log, "outage assumed"; "away_ms" => away_ms, "read_failed" => had_failed);
+        }
+        Some(ResponseGap::Absence(absence)) => {
+            slog::info!(front.log, "host was absent"; "away_ms" => away_ms,
+                "absent_ms" => absence.length().as_millis() as u64, "read_failed" => had_failed);
+        }
+        None => {}
     }
 }
 
@@ -338,7 +335,7 @@
     stream: ControlStream,
     records: &[ControlRecord],
     source: PageSource,
-    is_after_outage: bool,
+    relisted_by: Option<BootInstant>,
 ) {
     let now = BootInstant::now();
     for record in records {
@@ -347,7 +344,7 @@
         let change = mirror.insert(stream, record, update.rank());
         drop(mirror);
         if change == MirrorChange::Inserted {
-            apply_update(front, record, update, source, is_after_outage, now);
+            apply_update(front, record, update, source, relisted_by, now);
             if stream == ControlStream::CrashReports && record.value.is_none() {
                 // Each crash has a key of its own, so deleted keys would add up.
                 front.mirror.borrow_mut().remove(stream, &record.key);
@@ -363,9 +360,9 @@
     stream: ControlStream,
     page: &ControlPage,
     source: PageSource,
-    is_after_outage: bool,
+    relisted_by: Option<BootInstant>,
 ) {
-    apply_records::<C>(front, stream, &page.records, source, is_after_outage);
+    apply_records::<C>(front, stream, &page.records, source, relisted_by);
     front.mirror.borrow_mut().advance(stream, page.next);
     match stream {
         ControlStream::Operator => {
@@ -387,8 +384,7 @@
     }
     front.list_read_at.set(Some(BootInstant::now()));
     if source == PageSource::Snapshot {
-        // Endpoints write again what the copy of a restored store lacks.
-        remove_unlisted(front, page, is_after_outage || !front.is_era_settled());
+        remove_unlisted(front, page, relisted_by);
     }
     if source != PageSource::Changes {
         slog::info!(front.log, "list of endpoints"; "by" => ?source,
@@ -399,7 +395,10 @@
 
 /// Removes endpoints that a snapshot does not contain, unless their record is newer than the
 /// snapshot.
-fn remove_unlisted(front: &Front, snapshot: &ControlPage, is_after_outage: bool) {
+fn remove_unlisted(front: &Front, snapshot: &ControlPage, relisted_by: Option<BootInstant>) {
+    let now = BootInstant::now();
+    // Endpoints write again what the copy of a restored store lacks.
+    let rewritten_by = (!front.is_era_settled()).then_some(now + RELISTING_GRACE);
     let stream = ControlStream::Endpoints;
     let listed_keys: HashSet<&str> = snapshot.records.iter().map(|r| &*r.key).collect();
     let mut mirror = front.mirror.borrow_mut();
@@ -408,7 +407,7 @@
         listed_keys.contains(key) || newer.is_some_and(|position| position >= snapshot.next)
     };
     let mut endpoints = front.endpoints.borrow_mut();
-    let gone = endpoints.retain_listed(is_kept, is_after_outage, BootInstant::now());
+    let gone = endpoints.retain_listed(is_kept, relisted_by.max(rewritten_by), now);
     for id in gone {
         mirror.mark_deleted(stream, &id);
         slog::info!(front.log, "endpoint gone"; "endpoint" => &*id, "by" => "snapshot");
@@ -420,7 +419,7 @@
     record: &ControlRecord,
     update: ControlUpdate,
     source: PageSource,
-    is_after_outage: bool,
+    relisted_by: Option<BootInstant>,
     now: BootInstant,
 ) {
     match update {
@@ -442,13 +441,14 @@
             if front
                 .endpoints
                 .borrow_mut()
-                .mark_gone(&id, is_after_outage, now)
+                .mark_gone(&id, relisted_by, now)
             {
                 slog::info!(front.log, "endpoint gone"; "endpoint" => &*id,
                     "offset" => record.position.offset);
-            } else if is_after_outage {
+            } else if let Some(until) = relisted_by {
                 slog::info!(front.log, "endpoint missing"; "endpoint" => &*id,
-                    "offset" => record.position.offset, "by" => ?source);
+                    "offset" => record.position.offset, "by" => ?source,
+                    "kept_ms" => until.since(now).as_millis() as u64);
             }
         }
         ControlUpdate::CrashReport(change) => crash_reports::apply_change(front, &change),
--- a/wagtaildoor_front/src/endpoint_directory.rs
+++ b/wagtaildoor_front/src/endpoint_directory.rs
@@ -102,25 +102,30 @@
         DirectoryChange::Appeared
     }
 
-    /// Removes an endpoint that is no longer listed. After a store outage, removal is deferred by
-    /// [`RELISTING_GRACE`], and `false` is returned.
-    pub fn mark_gone(&mut self, id: &EndpointId, is_after_outage: bool, now: BootInstant) -> bool {
+    /// Removes an endpoint that is no longer listed, and returns whether it was known. After a store
+    /// outage it may be alive until `relisted_by`; it is then removed at that time, and `false` is
+    /// returned.
+    pub fn mark_gone(
+        &mut self,
+        id: &EndpointId,
+        relisted_by: Option<BootInstant>,
+        now: BootInstant,
+    ) -> bool {
         if !self.by_id.contains_key(id) {
             return false;
         }
-        if is_after_outage {
-            let due = self.missing_until.entry(id.clone());
-            due.or_insert(now + RELISTING_GRACE);
-            return false;
-        }
-        self.remove(id)
+        let Some(until) = relisted_by.filter(|&until| now < until) else {
+            return self.remove(id);
+        };
+        self.missing_until.entry(id.clone()).or_insert(until);
+        false
     }
 
     /// Removes all endpoints that a complete list does not contain, and returns those removed now.
     pub fn retain_listed(
         &mut self,
         is_named: impl Fn(&str) -> bool,
-        is_after_outage: bool,
+        relisted_by: Option<BootInstant>,
         now: BootInstant,
     ) -> Vec<EndpointId> {
         let absent: Vec<EndpointId> = self
@@ -131,7 +136,7 @@
             .collect();
         absent
             .into_iter()
-            .filter(|id| self.mark_gone(id, is_after_outage, now))
+            .filter(|id| self.mark_gone(id, relisted_by, now))
             .collect()
     }
 
--- a/wagtaildoor_front/src/front.rs
+++ b/wagtaildoor_front/src/front.rs
@@ -125,6 +125,8 @@
     pub has_asked_others: Cell<bool>,
     /// Notified when a read of the store timed out or failed.
     pub store_read_failed: Notify,
+    /// Notified by answers of the store, so that failed reads are tried again.
+    pub store_answered: Notify,
     /// Times at which the process stood still.
     pub pauses: PauseMonitor,
     /// Time when the process started.
@@ -179,6 +181,7 @@
             store_restored: Notify::new(),
             has_asked_others: Cell::new(false),
             store_read_failed: Notify::new(),
+            store_answered: Notify::new(),
             pauses: PauseMonitor::new(BootInstant::now()),
             started: BootInstant::now(),
             in_flight: Cell::new(0),
--- a/wagtaildoor_front/src/lib.rs
+++ b/wagtaildoor_front/src/lib.rs
@@ -30,6 +30,7 @@
 pub mod front_settings;
 pub mod hint_queue;
 pub mod load_times;
+pub mod outage_watch;
 pub mod pause_monitor;
 pub mod peer_hosts;
 pub mod peer_link;
--- a/wagtaildoor_front/src/peer_link.rs
+++ b/wagtaildoor_front/src/peer_link.rs
@@ -261,6 +261,11 @@
 fn record_peers(front: &Front, hint: &FrontHint, sender: &GroupMember) {
     let now = BootInstant::now();
     let mut peers = front.peers.borrow_mut();
+    let own_domain = &front.settings.domain;
+    // The hosts of a domain that is cut off still hear each other.
+    if sender.domain != *own_domain || peers.members().all(|peer| peer.domain == *own_domain) {
+        front.pauses.record_contact(now);
+    }
     if peers.record_contact(sender, now) {
         slog::info!(front.log, "new host discovered"; "host" => &*sender.host,
             "address" => %sender.address);
--- a/wagtaildoor_front/src/peer_records.rs
+++ b/wagtaildoor_front/src/peer_records.rs
@@ -44,6 +44,7 @@
         GroupMember, //
     },
     endpoint_connection,
+    endpoint_directory::RELISTING_GRACE,
     front::Front,
     stream_position::StreamPosition,
     wire_codec::WireCodec, //
@@ -121,7 +122,10 @@
                 slog::info!(front.log, "records from a peer"; "stream" => ?stream,
                     "peer" => %peer, "from" => from.offset, "era" => page.next.era,
                     "next" => page.next.offset);
-                control_follower::apply_page::<C>(front, stream, &page, PageSource::Peer, true);
+                // While this host reads from others, the store may be away for endpoints, too.
+                let relisted_by = Some(BootInstant::now() + RELISTING_GRACE);
+                let source = PageSource::Peer;
+                control_follower::apply_page::<C>(front, stream, &page, source, relisted_by);
             }
         }
         Ok(Err(error)) => {
--- a/wagtaildoor_front/src/shard_leases.rs
+++ b/wagtaildoor_front/src/shard_leases.rs
@@ -34,6 +34,10 @@
 /// have sent its last order this shortly before the restart.
 const RESTART_WAIT: Duration = Duration::from_millis(1_000);
 
+/// Divisor of the renewal interval after a failed renewal. The first renewal that succeeds also shows
+/// the other readers that the store is back.
+const RETRY_DIVISOR: u32 = 2;
+
 /// Number of bits of a fencing token for the group's generation; the store's era takes the others.
 const GENERATION_BITS: u32 = 32;
 
@@ -303,9 +307,11 @@
     era_watch::read_settled(&front, &store).await;
     let mut era = front.store_era();
     loop {
+        let mut interval = policy.lease_renewal_interval;
         let sent_at = BootInstant::now();
         match store.join_group(&own, generation, times.expiry).await {
             Ok(assignment) => {
+                front.store_answered.notify_waiters();
                 front.enter_era(assignment.era);
                 if assignment.era != era {
                     // Owners from a copy of the store are not the last ones, and who was may be live.
@@ -351,9 +357,10 @@
                 slog::debug!(front.log, "failed to renew group membership"; "error" => %error);
                 // The group may have lost its generations in an outage.
                 generation = 0;
+                interval /= RETRY_DIVISOR;
             }
         }
-        time::sleep(policy.lease_renewal_interval).await;
+        time::sleep(interval).await;
     }
 }
 
--- a/wagtaildoor_front/tests/endpoint_directory.rs
+++ b/wagtaildoor_front/tests/endpoint_directory.rs
@@ -72,7 +72,7 @@
     let mut directory = EndpointDirectory::default();
     directory.apply_record(record("a", 1, 1, EndpointState::Ready), NOW);
     let held = directory.get("a").expect("known").clone();
-    assert!(directory.mark_gone(&"a".into(), false, NOW));
+    assert!(directory.mark_gone(&"a".into(), None, NOW));
     assert!(!held.is_accepting_requests());
     assert!(directory.service_endpoints("drafters").is_empty());
 }
@@ -82,7 +82,7 @@
     let mut directory = EndpointDirectory::default();
     for id in ["back", "gone"] {
         directory.apply_record(record(id, 1, 1, EndpointState::Ready), NOW);
-        assert!(!directory.mark_gone(&id.into(), true, NOW));
+        assert!(!directory.mark_gone(&id.into(), Some(NOW + RELISTING_GRACE), NOW));
     }
     directory.apply_record(record("back", 1, 2, EndpointState::Ready), NOW);
     let just_before = NOW + (RELISTING_GRACE - Duration::from_millis(1));
@@ -99,7 +99,7 @@
     for id in ["a", "b", "c"] {
         directory.apply_record(record(id, 1, 1, EndpointState::Ready), NOW);
     }
-    let gone = directory.retain_listed(|id| id == "b", false, NOW);
+    let gone = directory.retain_listed(|id| id == "b", None, NOW);
     assert_eq!(gone.len(), 2);
     assert_eq!(directory.len(), 1);
 }
