Believe a refusal only if it names the request

Another operator's report: a faulty replica wrote an earlier refusal once more on a kept connection; requests that ran were called "not run" or ran twice.

What callers would see: an order runs at two replicas (TWICE), or 503 and "not run" for an order that runs (REFUSED).

Cause: an answer without an attempt's id counted as that of the request under way, also if it said "not run".

Evidence: an_earlier_refusal_on_a_kept_connection_is_not_that_of_an_order_that_runs fails on the code before ("None: second0 ran 2 times"); with the id of another request, the order ended as unknown before, too.

Change: a refusal without the request's id is an answer to something else. A request goes to a replica that has refused it on a new connection only, since the same refusal, once more, would name it as well.

--- a/wagtaildoor_front/src/caller_request.rs
+++ b/wagtaildoor_front/src/caller_request.rs
@@ -109,6 +109,8 @@
     pub(crate) log: RequestLog,
     /// Endpoints that are excluded from further attempts.
     tried: Vec<EndpointKey>,
+    /// Endpoints that have refused the request.
+    refused_by: Vec<EndpointKey>,
     /// Sends that reached an endpoint.
     delivered_sends: u32,
     /// All sends, including those that did not reach an endpoint.
@@ -214,6 +216,7 @@
             sent_parts: Box::default(),
             log,
             tried: Vec::new(),
+            refused_by: Vec::new(),
             delivered_sends: 0,
             sends: 0,
             possible_runs: 0,
@@ -419,6 +422,7 @@
     ) {
         self.undo_placement(placement);
         let endpoint = &placement.endpoint;
+        self.refused_by.push(endpoint.key);
         if !head.misdirected {
             self.log.add_decision(format_args!("refused: no room"));
             endpoint.load.borrow_mut().mark_full(now);
--- a/wagtaildoor_front/src/caller_request/request_send.rs
+++ b/wagtaildoor_front/src/caller_request/request_send.rs
@@ -139,6 +139,10 @@
     /// Takes an idle connection to the endpoint or opens a new one.
     async fn acquire_connection(&self, placement: &RequestPlacement) -> Result<EndpointConnection> {
         let endpoint = &placement.endpoint;
+        // The same refusal, once more on a kept connection, would name this request as well.
+        if self.refused_by.contains(&endpoint.key) {
+            return self.connect(placement).await;
+        }
         let usage = match self.route.kind.is_repeatable() {
             true => ConnectionUse::Repeatable,
             false => {
@@ -149,6 +153,12 @@
         if let Some(idle) = endpoint.connections.take_idle(usage, BootInstant::now()) {
             return Ok(idle);
         }
+        self.connect(placement).await
+    }
+
+    /// Opens a connection to the endpoint.
+    async fn connect(&self, placement: &RequestPlacement) -> Result<EndpointConnection> {
+        let endpoint = &placement.endpoint;
         endpoint.connections.connect().await.map_err(|error| {
             let now = BootInstant::now();
             endpoint.health.borrow_mut().mark_unreachable(now);
@@ -211,7 +221,12 @@
         now: BootInstant,
     ) -> Result<StartedResponse> {
         let head = C::parse_answer_head(response.status(), response.headers());
-        let is_foreign = head.attempt.is_some() && head.attempt != self.head.attempt;
+        let is_refusal = head.not_run || head.misdirected;
+        let is_foreign = match &head.attempt {
+            Some(attempt) => Some(attempt) != self.head.attempt.as_ref(),
+            // An earlier refusal may have been written once more. Endpoints name the request.
+            None => is_refusal,
+        };
         if is_foreign {
             return Err(SendFailure::Lost(
                 "the response belongs to another request".into(),
@@ -221,7 +236,7 @@
         if let Some(load) = head.load {
             endpoint.record_load(load, now);
         }
-        if head.not_run || head.misdirected {
+        if is_refusal {
             return Err(SendFailure::Refused(head));
         }
         if let (Some(engine), Some(weights)) = (&placement.engine, head.weights) {
