End a stream at what is no event of it

Another operator's report: a stream had begun and broke off, the next replica answered with an error, and clients found its text or its head in their stream.

Cause: whatever ended with an empty line was passed on as an event.

Evidence: what_is_no_event_of_a_stream_that_has_begun_ends_it fails on the code before (without its assertions on the new method): "HTTP/1.1 503 ..." is forwarded between events 3 and 4.

Change: once an event had an id, one without an id or with none beyond the last one ends the source as broken, so that the stream is resumed after the last event or breaks off. Comments are passed on.

--- a/wagtaildoor_front/src/stream_relay.rs
+++ b/wagtaildoor_front/src/stream_relay.rs
@@ -197,6 +197,9 @@
         record_weights(request, source, &data);
         let complete = events.push(data);
         if complete.is_empty() {
+            if events.is_foreign() {
+                return SourceEnd::Broken("an event does not belong to the stream".into());
+            }
             continue;
         }
         stalled_at = time::Instant::now() + stall_timeout;
@@ -209,6 +212,9 @@
         if parts.send(Ok(complete)).await.is_err() {
             return SourceEnd::CallerLeft;
         }
+        if events.is_foreign() {
+            return SourceEnd::Broken("an event does not belong to the stream".into());
+        }
     }
 }
 
--- a/wagtaildoor_front/tests/event_splitter.rs
+++ b/wagtaildoor_front/tests/event_splitter.rs
@@ -69,3 +69,48 @@
         .tests(2_000)
         .quickcheck(skips_known as fn(u8, u8, Vec<usize>) -> bool);
 }
+
+/// Guards against ORDER and MIXED: the head and the text of an error arrive in the middle of a stream,
+/// or instead of its rest, and are passed on as events.
+#[test]
+fn what_is_no_event_of_a_stream_that_has_begun_ends_it() {
+    let head = "HTTP/1.1 503 Service Unavailable\r\ncontent-length: 8\r\n\r\nnot run\n";
+    let cases = [
+        ("the head of an answer", head),
+        ("a text", "no engine can take the request now\n\n"),
+        (
+            "an event without an id",
+            "data: {\"error\":\"overloaded\"}\n\n",
+        ),
+        ("an earlier event", "id: 2\ndata: piece 2\n\n"),
+        ("the same event again", "id: 3\ndata: piece 3\n\n"),
+    ];
+    for (name, foreign) in cases {
+        for cut in 0..foreign.len() {
+            let begun = stream(3, "\n");
+            let text = format!("{begun}{foreign}id: 4\ndata: piece 4\n\n");
+            let mut splitter = EventSplitter::default();
+            let forwarded = push_all(&mut splitter, &text, &[begun.len() + cut]);
+            assert_eq!(forwarded, begun, "{name}, cut at {cut}");
+            assert!(splitter.is_foreign(), "{name}, cut at {cut}");
+            assert_eq!(splitter.last_id(), Some(3), "{name}, cut at {cut}");
+        }
+    }
+    for foreign in ["no engine can take the request now\n\n", "data: error\n\n"] {
+        let mut splitter = EventSplitter::resumed_after(Some(3));
+        assert_eq!(push_all(&mut splitter, foreign, &[]), "");
+        assert!(splitter.is_foreign(), "{foreign}");
+    }
+}
+
+#[test]
+fn comments_are_passed_on_and_streams_without_ids_are_left_alone() {
+    let text = ": hello\n\nid: 1\ndata: a\n\n: still here\n\nid: 4\ndata: b\n\n";
+    let mut splitter = EventSplitter::default();
+    assert_eq!(push_all(&mut splitter, text, &[]), text);
+    assert!(!splitter.is_foreign());
+    let text = "data: a\n\ndata: b\n\n";
+    let mut splitter = EventSplitter::default();
+    assert_eq!(push_all(&mut splitter, text, &[9]), text);
+    assert!(!splitter.is_foreign());
+}
