--- a/wagtaildoor_front/src/front_host.rs
+++ b/wagtaildoor_front/src/front_host.rs
@@ -17,8 +17,8 @@
     front::Front,
     peer_link, peer_records,
     shard_leases::{
-        self,
         lease_records,
+        lease_renewal,
         ShardLeases, //
     },
     weights_rollout,
@@ -70,7 +70,7 @@
             store.clone(),
             leases.clone(),
         )),
-        task::spawn_local(shard_leases::renew_leases(
+        task::spawn_local(lease_renewal::renew_leases(
             front.clone(),
             store,
             leases.clone(),
--- a/wagtaildoor_front/src/lib.rs
+++ b/wagtaildoor_front/src/lib.rs
@@ -41,6 +41,7 @@
 pub mod prefix_hash;
 pub mod prefix_index;
 pub mod record_mirror;
+pub mod record_updates;
 pub mod request_log;
 pub mod request_placement;
 pub mod retry_allowance;
--- a/wagtaildoor_front/src/peer_records.rs
+++ b/wagtaildoor_front/src/peer_records.rs
@@ -33,10 +33,6 @@
 };
 
 use crate::{
-    control_follower::{
-        self,
-        PageSource, //
-    },
     control_store::{
         ControlPage,
         ControlRecord,
@@ -46,6 +42,10 @@
     endpoint_connection,
     endpoint_directory::RELISTING_GRACE,
     front::Front,
+    record_updates::{
+        self,
+        PageSource, //
+    },
     stream_position::StreamPosition,
     wire_codec::WireCodec, //
 };
@@ -125,7 +125,7 @@
                 // While this host reads from others, the store may be away for endpoints, too.
                 let relisted_by = Some(BootInstant::now() + RELISTING_GRACE);
                 let source = PageSource::Peer;
-                control_follower::apply_page::<C>(front, stream, &page, source, relisted_by);
+                record_updates::apply_page::<C>(front, stream, &page, source, relisted_by);
             }
         }
         Ok(Err(error)) => {
--- a/wagtaildoor_front/src/shard_leases.rs
+++ b/wagtaildoor_front/src/shard_leases.rs
@@ -6,38 +6,30 @@
         RefCell, //
     },
     collections::HashMap,
-    rc::Rc,
-    time::Duration,
+    time::Duration, //
 };
 
-use tokio::time;
 use wagtaildoor::boot_clock::BootInstant;
 
 use crate::{
     control_store::{
-        ControlStore,
         GroupMember,
         LeaseRecord,
         ShardAssignment,
         ShardId, //
-        ShardOwners,
     },
     endpoint::EndpointKey,
-    era_watch,
-    front::Front,
     stream_position::StoreEra,
 };
 
 pub mod lease_records;
+pub mod lease_renewal;
+pub mod owner_history;
 
 /// Wait for a shard that this host owned before its process restarted. The previous process may
 /// have sent its last order this shortly before the restart.
 const RESTART_WAIT: Duration = Duration::from_millis(1_000);
 
-/// Divisor of the renewal interval after a failed renewal. The first renewal that succeeds also shows
-/// the other readers that the store is back.
-const RETRY_DIVISOR: u32 = 2;
-
 /// Number of bits of a fencing token for the group's generation; the store's era takes the others.
 const GENERATION_BITS: u32 = 32;
 
@@ -227,188 +219,3 @@
         PreviousOwner::LiveHost => times.handover + times.validity,
     }
 }
-
-/// Owners of all shards as last read by this host.
-#[derive(Debug, Default)]
-pub struct OwnerHistory {
-    /// Owner of each shard, and when the owner was first seen.
-    owners: HashMap<ShardId, (GroupMember, BootInstant)>,
-    /// Generation of the group before the owners were read.
-    generation: u64,
-}
-
-impl OwnerHistory {
-    /// Records owners that were read after the group reached a generation. If a generation was
-    /// missed in between, the earlier owners are dropped, since they may not be the previous ones.
-    pub fn record_owners(
-        &mut self,
-        current_owners: &ShardOwners,
-        generation: u64,
-        now: BootInstant,
-    ) {
-        let mut before = std::mem::take(&mut self.owners);
-        if generation > self.generation + 1 || generation < self.generation {
-            before.clear();
-        }
-        self.generation = generation;
-        for (shard, member) in &current_owners.owners {
-            let known_owner = before.get(shard).filter(|(owner, _)| owner == member);
-            let since = known_owner.map_or(now, |&(_, since)| since);
-            self.owners.insert(*shard, (member.clone(), since));
-        }
-    }
-
-    /// Drops the owners unless they were read in this generation or the one before it.
-    pub fn discard_stale(&mut self, generation: u64) {
-        if generation > self.generation + 1 || generation < self.generation {
-            self.owners.clear();
-        }
-    }
-
-    /// Owner of a shard before the group's last reassignment, whose result is `after`.
-    pub fn previous_owner(
-        &self,
-        shard: ShardId,
-        own: &GroupMember,
-        after: &ShardOwners,
-        now: BootInstant,
-    ) -> PreviousOwner {
-        let Some((owner, since)) = self.owners.get(&shard) else {
-            return PreviousOwner::LiveHost;
-        };
-        if owner == own {
-            // The group may have reassigned the shard twice since.
-            return PreviousOwner::LiveHost;
-        }
-        // With as many hosts as shards, a host that is still in the group may own none.
-        let has_all_members = after.members().len() < after.owners.len();
-        let is_gone = has_all_members && after.owners.iter().all(|(_, member)| member != owner);
-        if is_gone {
-            let owned_for = now.since(*since);
-            PreviousOwner::ExpiredHost { owned_for }
-        } else {
-            PreviousOwner::LiveHost
-        }
-    }
-}
-
-/// Renews this host's group membership until the process ends.
-pub async fn renew_leases<S: ControlStore>(front: Rc<Front>, store: S, leases: Rc<ShardLeases>) {
-    let policy = &front.settings.rollout;
-    let times = LeaseTimes {
-        expiry: policy.lease_expiry,
-        validity: policy.lease_validity,
-        handover: policy.handover,
-    };
-    let own = front.own_member();
-    let mut known_generation = None;
-    let mut generation = 0;
-    let mut history = OwnerHistory::default();
-    era_watch::read_settled(&front, &store).await;
-    let mut era = front.store_era();
-    loop {
-        let mut interval = policy.lease_renewal_interval;
-        let sent_at = BootInstant::now();
-        match store.join_group(&own, generation, times.expiry).await {
-            Ok(assignment) => {
-                front.store_answered.notify_waiters();
-                front.enter_era(assignment.era);
-                if assignment.era != era {
-                    // Owners from a copy of the store are not the last ones, and who was may be live.
-                    history = OwnerHistory::default();
-                    known_generation = None;
-                    era = assignment.era;
-                }
-                let changed = known_generation != Some(assignment.generation);
-                let mut after = None;
-                if changed || leases.has_new_shard(&assignment) {
-                    after = read_owners(&front, &store).await;
-                }
-                let no_owners = ShardOwners::default();
-                let listed = after.as_ref().unwrap_or(&no_owners);
-                // Of the time before its start, a host knows only what was recorded.
-                let records = match leases.has_joined() {
-                    true => Vec::new(),
-                    false => read_lease_records(&front, &store).await,
-                };
-                let now = BootInstant::now();
-                history.discard_stale(assignment.generation);
-                let previous_owner = |shard| match lease_records::is_kept_shard(
-                    &records,
-                    &own,
-                    shard,
-                    &assignment,
-                ) {
-                    true => PreviousOwner::OwnHost,
-                    false => history.previous_owner(shard, &own, listed, now),
-                };
-                let taken =
-                    leases.apply_assignment(&assignment, previous_owner, sent_at, now, &times);
-                if changed || !taken.is_empty() {
-                    log_assignment(&front, &assignment, listed, &taken);
-                }
-                generation = assignment.generation;
-                known_generation = Some(generation);
-                if let Some(after) = &after {
-                    history.record_owners(after, assignment.generation, now);
-                }
-            }
-            Err(error) => {
-                slog::debug!(front.log, "failed to renew group membership"; "error" => %error);
-                // The group may have lost its generations in an outage.
-                generation = 0;
-                interval /= RETRY_DIVISOR;
-            }
-        }
-        time::sleep(interval).await;
-    }
-}
-
-/// Logs an assignment, and by which previous owners the waits for new shards were chosen.
-fn log_assignment(
-    front: &Front,
-    assignment: &ShardAssignment,
-    listed: &ShardOwners,
-    taken: &[TakenShard],
-) {
-    let count = |is_counted: fn(&PreviousOwner) -> bool| {
-        let owners = taken.iter().map(|shard| shard.previous_owner);
-        owners.filter(is_counted).count()
-    };
-    let longest_wait = taken.iter().map(|shard| shard.wait).max();
-    slog::info!(front.log, "shards dealt"; "generation" => assignment.generation,
-        "era" => assignment.era, "own" => assignment.shards.len(),
-        "hosts" => listed.members().len(),
-        "from_self" => count(|owner| *owner == PreviousOwner::OwnHost),
-        "from_expired" => count(|owner| matches!(owner, PreviousOwner::ExpiredHost { .. })),
-        "from_live" => count(|owner| *owner == PreviousOwner::LiveHost),
-        "longest_wait_ms" => longest_wait.map(|wait| wait.as_millis() as u64));
-}
-
-/// Reads the owners of all shards, and updates the known hosts from them.
-async fn read_owners<S: ControlStore>(front: &Front, store: &S) -> Option<ShardOwners> {
-    match store.read_owners().await {
-        Ok(owners) => {
-            front
-                .peers
-                .borrow_mut()
-                .apply_group_list(owners.members(), BootInstant::now());
-            Some(owners)
-        }
-        Err(error) => {
-            slog::info!(front.log, "failed to read shard owners"; "error" => %error);
-            None
-        }
-    }
-}
-
-/// Reads the leases that were recorded before this host's start.
-async fn read_lease_records<S: ControlStore>(front: &Front, store: &S) -> Vec<LeaseRecord> {
-    match store.read_lease_records().await {
-        Ok(records) => records,
-        Err(error) => {
-            slog::info!(front.log, "failed to read lease records"; "error" => %error);
-            Vec::new()
-        }
-    }
-}
--- a/wagtaildoor_front/tests/control_follower.rs
+++ b/wagtaildoor_front/tests/control_follower.rs
@@ -24,10 +24,6 @@
     },
 };
 use wagtaildoor_front::{
-    control_follower::{
-        self,
-        PageSource, //
-    },
     control_store::{
         ControlPage,
         ControlRecord,
@@ -35,6 +31,10 @@
     },
     front::Front,
     peer_link,
+    record_updates::{
+        self,
+        PageSource, //
+    },
     stream_position::StreamPosition,
 };
 
@@ -67,7 +67,7 @@
         next,
         has_more: false,
     };
-    control_follower::apply_page::<TextCodec>(front, stream, &page, source, None);
+    record_updates::apply_page::<TextCodec>(front, stream, &page, source, None);
 }
 
 #[test]
@@ -159,7 +159,7 @@
         next: StreamPosition::new(0, 5),
         has_more: false,
     };
-    control_follower::apply_page::<TextCodec>(&front, stream, &older, PageSource::Snapshot, None);
+    record_updates::apply_page::<TextCodec>(&front, stream, &older, PageSource::Snapshot, None);
     let endpoints = front.endpoints.borrow();
     assert!(
         endpoints.get("b").is_none(),
--- a/wagtaildoor_front/tests/shard_leases.rs
+++ b/wagtaildoor_front/tests/shard_leases.rs
@@ -18,8 +18,8 @@
     },
     shard_leases::{
         lease_records,
+        owner_history::OwnerHistory,
         LeaseTimes,
-        OwnerHistory,
         PreviousOwner, //
         ShardLeases,
     },
