Keep quotas of client accounts over all hosts

Callers of one account that sent several times its usual took the engines from all others: no key of a quota was read, and no host counted.

Each host now has a copy of each account's token bucket, takes own grants off at once and other hosts' when hints report their sums. Silent hosts keep their part of each quota, so that hosts cut off from each other do not grant it twice. A request beyond its quota gets 429 with the time at which there is enough.

--- a/wagtaildoor/src/error.rs
+++ b/wagtaildoor/src/error.rs
@@ -67,6 +67,9 @@
     /// The account exceeds its request limit.
     #[display("account_limited")]
     AccountLimited,
+    /// The request costs more than the account's quota can ever grant.
+    #[display("larger_than_quota")]
+    LargerThanQuota,
     /// Too many requests are queued.
     #[display("overloaded")]
     Overloaded,
@@ -126,7 +129,7 @@
 
 impl ErrorKind {
     /// All kinds, in the order of the documentation.
-    pub const ALL: [ErrorKind; 27] = [
+    pub const ALL: [ErrorKind; 28] = [
         ErrorKind::BadRequest,
         ErrorKind::BodyTooLarge,
         ErrorKind::BodyTimeout,
@@ -142,6 +145,7 @@
         ErrorKind::KeyInProgress,
         ErrorKind::AnswerNotKept,
         ErrorKind::AccountLimited,
+        ErrorKind::LargerThanQuota,
         ErrorKind::Overloaded,
         ErrorKind::DeadlineUnreachable,
         ErrorKind::NoEndpoint,
@@ -175,6 +179,7 @@
             ErrorKind::KeyInProgress => (409, Unknown, RETRY_SOON),
             ErrorKind::AnswerNotKept => (409, Ran, RETRY_NEVER),
             ErrorKind::AccountLimited => (429, NotRun, RETRY_SOON),
+            ErrorKind::LargerThanQuota => (429, NotRun, RETRY_NEVER),
             ErrorKind::Overloaded => (503, NotRun, RETRY_SOON),
             ErrorKind::DeadlineUnreachable => (503, NotRun, RETRY_SOON),
             ErrorKind::NoEndpoint => (503, NotRun, RETRY_SOON),
--- a/wagtaildoor/src/schema.rs
+++ b/wagtaildoor/src/schema.rs
@@ -56,6 +56,22 @@
         value.clone()
     }
 }
+///What one host has granted to a client account since its start, less what it took back, in the unit of the account's quota.
+#[derive(::serde::Deserialize, ::serde::Serialize, Clone, Debug, PartialEq)]
+#[serde(deny_unknown_fields)]
+pub struct AccountUsage {
+    ///Hash of the account's id.
+    pub account: u64,
+    ///Sum at the host's previous report.
+    pub before: u64,
+    ///Sum now.
+    pub granted: u64,
+}
+impl ::std::convert::From<&AccountUsage> for AccountUsage {
+    fn from(value: &AccountUsage) -> Self {
+        value.clone()
+    }
+}
 ///A change in an engine's prompt cache.
 #[derive(::serde::Deserialize, ::serde::Serialize, Clone, Debug, PartialEq)]
 #[serde(deny_unknown_fields)]
@@ -1241,8 +1257,12 @@
     pub pass_on: bool,
     ///Prefixes that were placed at engines.
     pub placed: ::std::vec::Vec<PlacedPrefix>,
+    ///Number that differs between the starts of the sender.
+    pub process: u64,
     ///Host that the hint is from.
     pub sender: FrontHost,
+    ///What the sender granted to client accounts with a quota.
+    pub usage: ::std::vec::Vec<AccountUsage>,
     ///Weights of engines.
     pub weights: ::std::vec::Vec<EngineWeights>,
     ///Outstanding prefill work of the sender at engines where it has changed.
--- a/wagtaildoor_front/src/caller_request.rs
+++ b/wagtaildoor_front/src/caller_request.rs
@@ -31,6 +31,7 @@
 use wagtaildoor_daemon::response_body::ResponseBody;
 
 use crate::{
+    account_quota::quota_grant::QuotaGrant,
     caller_request::{
         request_admission::AdmittedRequest,
         response_read::UnconfirmedAnswer, //
@@ -75,8 +76,10 @@
 mod engine_wait;
 mod request_admission;
 mod request_outcome;
+mod request_quota;
 mod request_send;
 mod response_read;
+mod return_time;
 
 /// Result type for request handling.
 pub type Result<T> = std::result::Result<T, RequestError>;
@@ -105,6 +108,8 @@
     sent_parts: Box<[SharedPart]>,
     /// Earliest of the caller's deadline and the route's timeout.
     pub(crate) deadline: Instant,
+    /// Units of the account's quota that the request holds; `None` before they are granted.
+    grant: Option<QuotaGrant>,
     /// Log line of the request.
     pub(crate) log: RequestLog,
     /// Endpoints that are excluded from further attempts.
@@ -213,6 +218,7 @@
             headers,
             body,
             parts,
+            grant: None,
             sent_parts: Box::default(),
             log,
             tried: Vec::new(),
@@ -235,6 +241,9 @@
             let error = self.stopping_error();
             return caller_refusal::refuse(&mut self.log, &error, Some(Duration::ZERO));
         }
+        if let Err(error) = self.acquire_quota(now) {
+            return caller_refusal::refuse(&mut self.log, &error, self.retry_after);
+        }
         if let Some(service) = self.target_services().first() {
             self.front.retries.borrow_mut().record_request(service, now);
         }
@@ -278,12 +287,14 @@
                     return Ok(Some(started));
                 }
                 Err(SendFailure::NotSent(reason)) => {
+                    self.release_grant();
                     self.front.metrics.record_send("not_sent");
                     self.log.add_decision(format_args!("not sent: {reason}"));
                     self.undo_placement(&placement);
                     self.tried.push(placement.endpoint.key);
                 }
                 Err(SendFailure::Refused(head)) => {
+                    self.release_grant();
                     self.front.metrics.record_send("refused");
                     self.handle_refusal(&placement, &head, now);
                 }
--- a/wagtaildoor_front/src/caller_request/caller_refusal.rs
+++ b/wagtaildoor_front/src/caller_request/caller_refusal.rs
@@ -51,6 +51,8 @@
         ErrorKind::BodyTimeout => "body_timeout",
         ErrorKind::Unauthorized => "unauthorized",
         ErrorKind::UnknownRoute => "unknown_route",
+        ErrorKind::AccountLimited => "account_limited",
+        ErrorKind::LargerThanQuota => "larger_than_quota",
         ErrorKind::Overloaded => "overloaded",
         ErrorKind::DeadlineUnreachable => "deadline_unreachable",
         ErrorKind::NoEndpoint => "no_endpoint",
--- a/wagtaildoor_front/src/caller_request/engine_wait.rs
+++ b/wagtaildoor_front/src/caller_request/engine_wait.rs
@@ -22,10 +22,10 @@
         WaitTicket, //
     },
     caller_request::{
+        return_time,
         CallerRequest,
         Result, //
     },
-    prefix_hash,
     request_placement::RequestPlacement,
     wire_codec::WireCodec,
 };
@@ -43,15 +43,6 @@
 const LATE_ENGINE_QUEUE_SHARE: f64 = 0.3;
 /// Waiting is given up when less than this share of the caller's patience is left.
 const MIN_TIME_LEFT: f64 = 0.15;
-/// Shortest time after which a refused caller is asked to return.
-const MIN_RETRY_AFTER: Duration = Duration::from_millis(400);
-/// Part of the time that a caller has left, as a divisor, after which it is asked to return at the
-/// earliest.
-const RETRY_AFTER_DIVISOR: u32 = 8;
-/// Part of the time that a caller has left, as a divisor, up to which it waits before it returns.
-const MAX_RETRY_AFTER_DIVISOR: u32 = 3;
-/// Largest random extension of the time after which callers return, as a share of it.
-const RETRY_AFTER_SPREAD: f64 = 0.5;
 
 impl<C: WireCodec> CallerRequest<C> {
     /// Chooses an endpoint. While the engines have no room, the request waits in line; it is refused
@@ -198,11 +189,11 @@
         };
         let speed = self.front.prefill_speeds.borrow().tokens_per_ms(&service);
         let left = self.deadline.saturating_duration_since(Instant::now());
-        let draw = prefix_hash::text_hash(self.head.attempt.as_deref().unwrap_or_default());
-        let spread = 1.0 + draw as f64 / u64::MAX as f64 * RETRY_AFTER_SPREAD;
-        let after = clear.max(left / RETRY_AFTER_DIVISOR).max(MIN_RETRY_AFTER);
-        let after = after.mul_f64(spread).min(left / MAX_RETRY_AFTER_DIVISOR);
-        self.retry_after = Some(after);
+        self.retry_after = Some(return_time::spread(
+            clear,
+            left,
+            self.head.attempt.as_deref(),
+        ));
         self.front
             .metrics
             .record_admission("refused", self.log.arrived().elapsed());
--- a/wagtaildoor_front/src/caller_request/request_send.rs
+++ b/wagtaildoor_front/src/caller_request/request_send.rs
@@ -80,6 +80,9 @@
             let reused = connection.is_reused();
             let request = self.build_request(placement, resume_after);
             self.delivered_sends += 1;
+            if let Some(grant) = &mut self.grant {
+                grant.mark_sent();
+            }
             self.sent_parts = engine_crash::known_crashes(&self.front, &self.parts);
             let sent_at = Instant::now();
             let exchange = self.exchange(placement, &mut connection, &guard, request);
--- a/wagtaildoor_front/src/front.rs
+++ b/wagtaildoor_front/src/front.rs
@@ -8,7 +8,10 @@
     collections::HashMap,
     rc::Rc,
     sync::Arc,
-    time::Duration,
+    time::{
+        Duration,
+        SystemTime, //
+    },
 };
 
 use slog::Logger;
@@ -27,6 +30,10 @@
 };
 
 use crate::{
+    account_quota::{
+        quota_hosts::ProcessNumber,
+        quota_ledger::QuotaLedger, //
+    },
     admission_queue::AdmissionQueue,
     block_store::{
         self,
@@ -109,6 +116,10 @@
     pub report_queue: RefCell<ReportQueue>,
     /// Allowance for sends after the first one of each request.
     pub retries: RefCell<RetryAllowance>,
+    /// Quotas of client accounts.
+    pub quotas: Rc<RefCell<QuotaLedger>>,
+    /// Number of this process, which differs between starts of the host.
+    pub process: ProcessNumber,
     /// All known hosts, including this one.
     pub peers: RefCell<PeerHosts>,
     /// Order in which hosts are asked for the records of each stream.
@@ -149,6 +160,7 @@
         let retries = RetryAllowance::new(settings.retries);
         let prefill_speeds = PrefillSpeeds::new(settings.engines.prefill_tokens_per_ms);
         let load_times = LoadTimes::new(settings.rollout.load_time);
+        let quotas = QuotaLedger::new(settings.quota_window, BootInstant::now());
         Rc::new(Self {
             settings,
             log,
@@ -173,6 +185,8 @@
             crash_added: Notify::new(),
             report_queue: RefCell::default(),
             retries: RefCell::new(retries),
+            quotas: Rc::new(RefCell::new(quotas)),
+            process: process_number(),
             peers: RefCell::new(PeerHosts::default()),
             peer_rotations: RefCell::new(HashMap::new()),
             peer_fetch_permits: Arc::new(Semaphore::new(1)),
@@ -233,6 +247,8 @@
             *stores = block_store::configured_stores(&table, &stores);
             let mut deadlines = self.caller_deadlines.borrow_mut();
             deadlines.retain(|route| table.has_route(route));
+            let mut quotas = self.quotas.borrow_mut();
+            quotas.set_rules(table.quotas(), BootInstant::now());
             *routes = Some(Rc::new(table));
         }
         is_newer
@@ -326,3 +342,9 @@
         self.stopping_since.get()
     }
 }
+
+/// Number of this process: the time of its start in nanoseconds.
+fn process_number() -> ProcessNumber {
+    let since_epoch = SystemTime::now().duration_since(SystemTime::UNIX_EPOCH);
+    since_epoch.map_or(0, |time| time.as_nanos() as ProcessNumber)
+}
--- a/wagtaildoor_front/src/front_metrics.rs
+++ b/wagtaildoor_front/src/front_metrics.rs
@@ -27,6 +27,8 @@
     connection_ends: Counter<u64>,
     /// Calls to the platform's store by result.
     store_calls: Counter<u64>,
+    /// Units of accounts' quotas by what became of them.
+    quota_units: Counter<u64>,
     /// Orders to engines by verdict.
     orders: Counter<u64>,
     /// Time in line by result, in seconds.
@@ -51,6 +53,10 @@
                 "Answers that ended with their connection by what was found out",
             ),
             store_calls: registry.counter("front_store_calls", "Calls to the store by result"),
+            quota_units: registry.counter(
+                "front_quota_units",
+                "Units of accounts' quotas by what became of them",
+            ),
             orders: registry.counter("front_orders", "Orders to engines by verdict"),
             admissions: registry
                 .duration_histogram("front_admission_wait", "Time in line by result"),
@@ -94,6 +100,12 @@
         self.store_calls.add(1, &[KeyValue::new("result", result)]);
     }
 
+    /// Counts units of an account's quota by what became of them.
+    pub fn record_quota(&self, result: &'static str, units: u64) {
+        self.quota_units
+            .add(units, &[KeyValue::new("result", result)]);
+    }
+
     /// Records how long a request stood in line, until it was sent or refused.
     pub fn record_admission(&self, result: &'static str, waited: Duration) {
         let labels = [KeyValue::new("result", result)];
--- a/wagtaildoor_front/src/front_settings.rs
+++ b/wagtaildoor_front/src/front_settings.rs
@@ -37,6 +37,8 @@
     pub times: FrontTimes,
     /// Limit for sends after the first one of each request.
     pub retries: RetryLimit,
+    /// Time over which quotas of accounts are judged.
+    pub quota_window: Duration,
     /// Cost parameters for choosing an engine.
     pub engines: EnginePolicy,
     /// Cost parameters for choosing a plain endpoint.
--- a/wagtaildoor_front/src/lib.rs
+++ b/wagtaildoor_front/src/lib.rs
@@ -1,5 +1,6 @@
 //! Transparent front: forwards callers' requests to endpoints unchanged, and decides where to.
 
+pub mod account_quota;
 pub mod admission_queue;
 pub mod block_store;
 pub mod broken_links;
--- a/wagtaildoor_front/src/peer_link.rs
+++ b/wagtaildoor_front/src/peer_link.rs
@@ -53,6 +53,8 @@
 const MAX_PREFIXES_PER_HINT: usize = 60;
 /// Maximum number of engines per datagram.
 const MAX_ENGINES_PER_HINT: usize = 40;
+/// Maximum number of accounts per datagram.
+const MAX_ACCOUNTS_PER_HINT: usize = 40;
 /// Size of the receive buffer for datagrams, in bytes.
 const MAX_DATAGRAM_BYTES: usize = 4_096;
 /// Time for this host's own read of the store to complete before it asks a peer for the records.
@@ -71,14 +73,16 @@
     loop {
         time::sleep(HINT_INTERVAL).await;
         intervals += 1;
+        let is_report_due = update_quotas(&front);
         let lists_hosts = intervals >= HOST_LIST_INTERVALS * front.peers.borrow().size_factor();
-        if front.hints.borrow().is_empty() && !lists_hosts {
+        if front.hints.borrow().is_empty() && !is_report_due && !lists_hosts {
             continue;
         }
         let mut hint = build_hint(&front, &own);
         if lists_hosts {
             intervals = 0;
             hint.hosts = sample_hosts(&front);
+            update_quota_hosts(&front, &own);
         }
         round += 1;
         for target in hint_targets(&front, &own, round) {
@@ -88,6 +92,30 @@
     }
 }
 
+/// Keeps the quotas' time. Returns whether other hosts should be told of grants.
+fn update_quotas(front: &Front) -> bool {
+    let now = BootInstant::now();
+    let mut quotas = front.quotas.borrow_mut();
+    if quotas.tick(now) {
+        let hosts = quotas.hosts();
+        slog::info!(front.log, "share of quotas";
+            "heard" => hosts.heard(), "known" => hosts.known());
+    }
+    let returned = quotas.take_returned();
+    if returned > 0 {
+        front.metrics.record_quota("returned", returned);
+    }
+    quotas.is_datagram_due(now)
+}
+
+/// Makes the known hosts those that share the quotas.
+fn update_quota_hosts(front: &Front, own: &GroupMember) {
+    let peers = front.peers.borrow();
+    let others = peers.addresses().filter(|&address| address != own.address);
+    let mut quotas = front.quotas.borrow_mut();
+    quotas.set_members(others, BootInstant::now());
+}
+
 /// Builds a hint from the updates that are waiting to be sent.
 fn build_hint(front: &Front, own: &GroupMember) -> FrontHint {
     let work = front.hints.borrow_mut().take_changed_engines();
@@ -100,6 +128,11 @@
         weights,
         work: engine_work(front, work),
         hosts: Vec::new(),
+        process: front.process,
+        usage: {
+            let mut quotas = front.quotas.borrow_mut();
+            quotas.take_reports(MAX_ACCOUNTS_PER_HINT, BootInstant::now())
+        },
     }
 }
 
@@ -227,6 +260,9 @@
 fn apply_hint<C: WireCodec>(front: &Rc<Front>, hint: FrontHint, sender: &GroupMember) {
     let now = BootInstant::now();
     record_peers(front, &hint, sender);
+    let mut quotas = front.quotas.borrow_mut();
+    quotas.record_contact(sender.address, hint.process, &hint.usage, now);
+    drop(quotas);
     let mut homes = front.homes.borrow_mut();
     for placed in &hint.placed {
         homes.record_hint(placed.prefix, placed.endpoint, placed.is_read, now);
--- a/wagtaildoor_front/src/route_table.rs
+++ b/wagtaildoor_front/src/route_table.rs
@@ -6,6 +6,7 @@
 };
 
 use wagtaildoor::ids::{
+    AccountId,
     RouteId,
     ServiceId, //
 };
@@ -15,6 +16,7 @@
     service_config::{
         AccountRule,
         CallerLimits,
+        QuotaRule,
         RouteRule,
         ServiceConfig,
         ServiceKind,
@@ -32,6 +34,8 @@
     services: HashMap<ServiceId, ServiceRule>,
     /// Client accounts by key; `None` disables authentication.
     accounts: Option<HashMap<Box<str>, Rc<AccountRule>>>,
+    /// Accounts that have a quota.
+    quotas: Vec<(AccountId, QuotaRule)>,
     /// Limits for callers' requests and connections.
     limits: CallerLimits,
 }
@@ -57,12 +61,16 @@
         for same_host in routes.values_mut() {
             same_host.sort_by_key(|route| std::cmp::Reverse(route.path_prefix.len()));
         }
+        let accounts = config.accounts.iter().flatten();
+        let quotas = accounts.filter_map(|account| Some((account.id.clone(), account.quota?)));
+        let quotas = quotas.collect();
         let services = config.services.into_iter();
         Self {
             version: config.version,
             routes,
             services: services.map(|rule| (rule.id.clone(), rule)).collect(),
             accounts: config.accounts.map(accounts_by_key),
+            quotas,
             limits: config.limits,
         }
     }
@@ -99,6 +107,11 @@
         }
     }
 
+    /// Accounts that have a quota.
+    pub fn quotas(&self) -> impl Iterator<Item = (&AccountId, QuotaRule)> {
+        self.quotas.iter().map(|(account, quota)| (account, *quota))
+    }
+
     /// Returns a service by its id, if the configuration names it.
     pub fn service(&self, id: &str) -> Option<&ServiceRule> {
         self.services.get(id)
--- a/wagtaildoor_front/src/service_config.rs
+++ b/wagtaildoor_front/src/service_config.rs
@@ -144,8 +144,46 @@
     pub domain: DomainId,
 }
 
+/// What requests of an account are counted in.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum QuotaUnit {
+    /// Each request counts 1.
+    Requests,
+    /// A request counts its prompt tokens and its maximum response tokens.
+    Tokens {
+        /// What a request counts that states no numbers of tokens.
+        unstated: u64,
+    },
+}
+
+/// Limit on what an account's requests may take of all hosts together: a token bucket.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct QuotaRule {
+    /// What requests are counted in.
+    pub unit: QuotaUnit,
+    /// Units that flow in per second, above 0.
+    pub rate_per_s: f64,
+    /// Units that an unused quota holds.
+    pub burst: f64,
+}
+
+impl QuotaRule {
+    /// Units that a request costs; `tokens` are those that it states.
+    pub fn cost(&self, tokens: Option<u64>) -> u64 {
+        match self.unit {
+            QuotaUnit::Requests => 1,
+            QuotaUnit::Tokens { unstated } => tokens.unwrap_or(unstated),
+        }
+    }
+
+    /// Highest cost of a request that the quota can hold, judged over `window`.
+    pub fn largest_cost(&self, window: Duration) -> f64 {
+        self.rate_per_s * window.as_secs_f64() + self.burst
+    }
+}
+
 /// Rules for a client account.
-#[derive(Clone, Debug, Eq, PartialEq)]
+#[derive(Clone, Debug, PartialEq)]
 pub struct AccountRule {
     /// Id of the client account in the configuration.
     pub id: AccountId,
@@ -155,6 +193,8 @@
     pub urgency: Option<u8>,
     /// Whether the account's cached blocks are not shared with other accounts.
     pub isolated: bool,
+    /// Limit on what its requests may take; `None` without one.
+    pub quota: Option<QuotaRule>,
 }
 
 /// Limits for callers' requests and connections.
--- a/wagtaildoor_front/src/wire_codec.rs
+++ b/wagtaildoor_front/src/wire_codec.rs
@@ -36,6 +36,8 @@
     pub key: Option<Box<str>>,
     /// Prompt of the request; `None` for requests to plain services.
     pub prompt: Option<PromptHead>,
+    /// Prompt tokens and maximum response tokens together; `None` if the request states none.
+    pub stated_tokens: Option<u64>,
     /// Id of the last event that the caller received; the response continues after it.
     pub resume_after: Option<u64>,
 }
--- a/wagtaildoor_front/tests/control_follower.rs
+++ b/wagtaildoor_front/tests/control_follower.rs
@@ -251,6 +251,8 @@
         weights: Vec::new(),
         work: Vec::new(),
         hosts: Vec::new(),
+        process: 1,
+        usage: Vec::new(),
     };
     let datagram = frame::encode(&hint).expect("a frame");
     task::spawn_local(async move {
--- a/wagtaildoor_front/tests/route_table.rs
+++ b/wagtaildoor_front/tests/route_table.rs
@@ -83,6 +83,7 @@
         keys: vec!["k1".into(), "k2".into()],
         urgency: None,
         isolated: false,
+        quota: None,
     };
     let table = table(Vec::new(), Some(vec![account]));
     let mut closed = route("r", "h", "/", &[]);
--- a/wagtaildoor_front/tests/support/test_host.rs
+++ b/wagtaildoor_front/tests/support/test_host.rs
@@ -170,6 +170,7 @@
             slack: 56.0,
             window: Duration::from_secs(10),
         },
+        quota_window: Duration::from_secs(8),
         engines: EnginePolicy {
             prefill_tokens_per_ms: 90.0,
             pair_tokens_per_million: 20.0,
