--- a/wagtaildoor_front/src/admission_queue.rs
+++ b/wagtaildoor_front/src/admission_queue.rs
@@ -16,6 +16,11 @@
     ids::ServiceId, //
 };
 
+use crate::request_ranking::{
+    RankedRequest,
+    RequestRanking, //
+};
+
 /// Requests at the head of the line that look for an engine. More than one, since the engine that
 /// the first one needs may be busy while others are not.
 const HEAD_LENGTH: usize = 4;
@@ -29,10 +34,6 @@
 const MIN_RATE_PER_S: f64 = 1.0;
 /// Number of levels of urgency that engines know.
 const URGENCY_LEVELS: usize = 10;
-/// Head start in the line for each step of urgency.
-const URGENCY_STEP: Duration = Duration::from_millis(250);
-/// Time by which a request that can no longer be on time stands behind the others.
-const LATE_STEP: Duration = Duration::from_millis(1_000);
 /// Share of its target time for the first part that a request may wait while it is on time.
 const ON_TIME_WAIT_SHARE: f64 = 0.5;
 /// Share of the time until its caller leaves that a late request may wait.
@@ -44,12 +45,10 @@
 /// How long a request may wait, and how it stands in the line.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct WaitTerms {
-    /// Urgency; 0 is the most urgent.
-    pub urgency: u8,
-    /// Time since the caller's first attempt, as far as it is known.
-    pub age: Duration,
-    /// Target time for the first part of the response, from the caller's first attempt.
-    pub target: Duration,
+    /// What its place depends on.
+    pub request: RankedRequest,
+    /// By what it is ranked.
+    pub ranking: RequestRanking,
     /// Time left until the caller leaves without a first part.
     pub left: Duration,
 }
@@ -57,13 +56,13 @@
 impl WaitTerms {
     /// Whether the request can still be answered on time.
     pub fn is_on_time(&self) -> bool {
-        self.age < self.target
+        self.ranking.is_on_time(&self.request)
     }
 
     /// Longest expected wait with which the request is let into the line.
     pub fn longest_wait(&self) -> Duration {
         match self.is_on_time() {
-            true => self.target.mul_f64(ON_TIME_WAIT_SHARE),
+            true => self.request.target.mul_f64(ON_TIME_WAIT_SHARE),
             false => self.left.mul_f64(LATE_WAIT_SHARE),
         }
     }
@@ -175,11 +174,7 @@
 impl WaitTerms {
     /// Time by which the request is sorted into the line.
     fn place_time(&self, now: BootInstant) -> BootInstant {
-        let penalty = match self.is_on_time() {
-            true => Duration::ZERO,
-            false => LATE_STEP,
-        };
-        now + URGENCY_STEP * u32::from(self.urgency) + penalty
+        now + self.ranking.handicap(&self.request)
     }
 }
 
@@ -232,6 +227,15 @@
 }
 
 impl WaitTicket {
+    /// Expected time until the request is sent, by those that stand before it now.
+    pub fn expected_wait(&self, now: BootInstant) -> Duration {
+        let queue = self.queue.borrow();
+        let line = queue.lines.get(&self.service);
+        line.map_or(Duration::ZERO, |line| {
+            line.time_for(line.places.range(..self.place).count(), now)
+        })
+    }
+
     /// Whether the request is so far ahead that it may look for an engine.
     pub fn is_at_head(&self) -> bool {
         let queue = self.queue.borrow();
--- a/wagtaildoor_front/src/caller_request/engine_wait.rs
+++ b/wagtaildoor_front/src/caller_request/engine_wait.rs
@@ -27,6 +27,10 @@
         Result, //
     },
     request_placement::RequestPlacement,
+    request_ranking::{
+        RankedRequest,
+        RequestRanking, //
+    },
     wire_codec::WireCodec,
 };
 
@@ -73,7 +77,7 @@
                     if placement.engine.is_some() {
                         let mut line = self.front.admission_queue.borrow_mut();
                         let tokens = placement.prefill_tokens as f64;
-                        let urgency = self.wait_terms().urgency;
+                        let urgency = self.wait_terms().request.urgency;
                         line.record_admission(&placement.endpoint.service, urgency, tokens, now);
                     }
                     if ticket.is_some() {
@@ -90,13 +94,30 @@
                 ticket = Some(self.join_line(now)?);
             }
             let patience = self.route.caller_patience;
-            if self.wait_terms().left < patience.mul_f64(MIN_TIME_LEFT) {
+            let left = self.wait_terms().left;
+            if left < patience.mul_f64(MIN_TIME_LEFT)
+                || self.has_lost_its_chance(&ticket, left, now)
+            {
                 return Err(self.refuse_busy(now));
             }
             time::sleep(LINE_POLL_INTERVAL).await;
         }
     }
 
+    /// Whether so many more urgent requests have come that a waiting one would not be sent before its
+    /// caller leaves.
+    fn has_lost_its_chance(
+        &self,
+        ticket: &Option<WaitTicket>,
+        left: Duration,
+        now: BootInstant,
+    ) -> bool {
+        self.front.settings.ranking == RequestRanking::ByLoss
+            && ticket
+                .as_ref()
+                .is_some_and(|ticket| ticket.expected_wait(now) > left)
+    }
+
     /// Whether nobody waits for the service that the request would go to first.
     fn is_first_in_line(&self) -> bool {
         let services = self.target_services();
@@ -114,13 +135,14 @@
         let service = &placement.endpoint.service;
         let terms = self.wait_terms();
         let line = self.front.admission_queue.borrow();
-        let queued_tokens = engine.queued_tokens * line.urgent_share(service, terms.urgency);
+        let queued_tokens =
+            engine.queued_tokens * line.urgent_share(service, terms.request.urgency);
         let speed = self.front.prefill_speeds.borrow().tokens_per_ms(service);
         let share = match terms.is_on_time() {
             true => ENGINE_QUEUE_SHARE,
             false => LATE_ENGINE_QUEUE_SHARE,
         };
-        queued_tokens <= speed * terms.target.as_secs_f64() * 1000.0 * share
+        queued_tokens <= speed * terms.request.target.as_secs_f64() * 1000.0 * share
     }
 
     /// Takes a place in line, or refuses the request.
@@ -157,17 +179,32 @@
         self.target_services().first().copied().cloned()
     }
 
-    /// How long the request may still wait.
-    fn wait_terms(&self) -> WaitTerms {
+    /// What the request's rank depends on.
+    pub(super) fn ranked_request(&self) -> RankedRequest {
         let account = self.account.as_ref();
-        let held = self.log.arrived().elapsed();
-        let deadline = self.deadline.saturating_duration_since(Instant::now());
-        WaitTerms {
+        let own_part = self.head.prompt.as_ref();
+        let own_part = own_part.and_then(|prompt| prompt.parts.last());
+        let own_work = own_part.zip(self.first_service()).map(|(part, service)| {
+            let speed = self.front.prefill_speeds.borrow().tokens_per_ms(&service);
+            Duration::from_secs_f64(part.tokens as f64 / speed.max(1.0) / 1000.0)
+        });
+        RankedRequest {
             urgency: account
                 .and_then(|account| account.urgency)
                 .unwrap_or(self.route.urgency),
-            age: self.age_at_arrival + held,
+            age: self.age_at_arrival + self.log.arrived().elapsed(),
             target: self.route.first_answer_target,
+            own_work: own_work.unwrap_or(Duration::ZERO),
+        }
+    }
+
+    /// How long the request may still wait.
+    fn wait_terms(&self) -> WaitTerms {
+        let held = self.log.arrived().elapsed();
+        let deadline = self.deadline.saturating_duration_since(Instant::now());
+        WaitTerms {
+            request: self.ranked_request(),
+            ranking: self.front.settings.ranking,
             left: self
                 .route
                 .caller_patience
--- a/wagtaildoor_front/src/caller_request/request_send.rs
+++ b/wagtaildoor_front/src/caller_request/request_send.rs
@@ -288,7 +288,7 @@
         *request.uri_mut() = Uri::from(self.target.clone());
         let mut headers = self.headers.clone();
         let account = self.account.as_ref();
-        let account_urgency = account.and_then(|account| account.urgency);
+        let ranking = self.front.settings.ranking;
         let engine = placement.engine.as_ref().map(|engine| EngineHead {
             weights: engine.weights,
             cache_salt: &engine.cache_salt,
@@ -299,7 +299,7 @@
             endpoint: &placement.endpoint.id,
             time_left: self.deadline.saturating_duration_since(Instant::now()),
             account: account.map(|account| &account.id),
-            urgency: account_urgency.unwrap_or(self.route.urgency),
+            urgency: ranking.engine_urgency(&self.ranked_request()),
             engine,
             resume_after,
         };
--- a/wagtaildoor_front/src/front_settings.rs
+++ b/wagtaildoor_front/src/front_settings.rs
@@ -13,6 +13,7 @@
 use crate::{
     engine_placement::EnginePolicy,
     plain_placement::PlainPolicy,
+    request_ranking::RequestRanking,
     retry_allowance::RetryLimit, //
 };
 
@@ -37,6 +38,8 @@
     pub times: FrontTimes,
     /// Limit for sends after the first one of each request.
     pub retries: RetryLimit,
+    /// By what requests are ranked where there is too little room.
+    pub ranking: RequestRanking,
     /// Time over which quotas of accounts are judged.
     pub quota_window: Duration,
     /// Cost parameters for choosing an engine.
--- a/wagtaildoor_front/src/lib.rs
+++ b/wagtaildoor_front/src/lib.rs
@@ -45,6 +45,7 @@
 pub mod record_updates;
 pub mod request_log;
 pub mod request_placement;
+pub mod request_ranking;
 pub mod retry_allowance;
 pub mod route_table;
 pub mod service_config;
--- a/wagtaildoor_front/tests/account_quota.rs
+++ b/wagtaildoor_front/tests/account_quota.rs
@@ -103,6 +103,18 @@
     assert!(fleet.largest_window(WINDOW) <= allowed(&RULE));
 }
 
+/// Guards against a quota that is granted twice around the loss of all that hosts know.
+#[test]
+fn a_surge_before_and_after_all_hosts_are_killed_keeps_the_quota() {
+    let mut fleet = QuotaFleet::new(24, RULE, 8);
+    fleet.run(6_000, |_, _| 5_000_000.0 / 24.0);
+    fleet.restart(|_| true);
+    fleet.run(10_000, |_, _| 5_000_000.0 / 24.0);
+    assert!(fleet.largest_window(WINDOW) <= allowed(&RULE));
+    // Callers are served again soon.
+    assert!(fleet.granted() > 0.9 * 12.0 * RULE.rate_per_s);
+}
+
 #[test]
 fn a_limit_that_is_lowered_in_a_burst_binds_at_once() {
     let mut fleet = QuotaFleet::new(24, RULE, 7);
--- a/wagtaildoor_front/tests/admission_queue.rs
+++ b/wagtaildoor_front/tests/admission_queue.rs
@@ -11,11 +11,17 @@
     boot_clock::BootInstant,
     ids::ServiceId, //
 };
-use wagtaildoor_front::admission_queue::{
-    self,
-    AdmissionQueue,
-    WaitTerms,
-    WaitTicket, //
+use wagtaildoor_front::{
+    admission_queue::{
+        self,
+        AdmissionQueue,
+        WaitTerms,
+        WaitTicket, //
+    },
+    request_ranking::{
+        RankedRequest,
+        RequestRanking, //
+    },
 };
 
 /// Work of each request, in tokens.
@@ -35,20 +41,23 @@
 /// A fresh request with a target of 600 ms, whose caller waits for 2.4 s.
 fn fresh(urgency: u8) -> WaitTerms {
     WaitTerms {
-        urgency,
-        age: Duration::ZERO,
-        target: ms(600),
+        request: RankedRequest {
+            urgency,
+            age: Duration::ZERO,
+            target: ms(600),
+            own_work: Duration::ZERO,
+        },
+        ranking: RequestRanking::ByArrival,
         left: ms(2_400),
     }
 }
 
 /// A request whose caller first came longer ago than the target.
 fn late() -> WaitTerms {
-    WaitTerms {
-        age: ms(1_500),
-        left: ms(1_000),
-        ..fresh(0)
-    }
+    let mut terms = fresh(0);
+    terms.request.age = ms(1_500);
+    terms.left = ms(1_000);
+    terms
 }
 
 /// A line before engines that can do [`CAPACITY`].
--- a/wagtaildoor_front/tests/support/test_host.rs
+++ b/wagtaildoor_front/tests/support/test_host.rs
@@ -33,6 +33,7 @@
         RolloutPolicy, //
     },
     plain_placement::PlainPolicy,
+    request_ranking::RequestRanking,
     retry_allowance::RetryLimit,
     service_config::{
         CallerLimits,
@@ -170,6 +171,7 @@
             slack: 56.0,
             window: Duration::from_secs(10),
         },
+        ranking: RequestRanking::ByArrival,
         quota_window: Duration::from_secs(8),
         engines: EnginePolicy {
             prefill_tokens_per_ms: 90.0,
