Read crash reports at intervals that grow with the number of hosts

Hosts now pause 5 ms a host, half a second at most, between two reads of the reports, and wait up to 10 ms a host before they write withdrawals, since most find them written by then. Crashes are written at once. With five hosts the pause is 25 ms; parts that crash engines end about one a second.

--- a/wagtaildoor_front/src/control_follower.rs
+++ b/wagtaildoor_front/src/control_follower.rs
@@ -46,6 +46,11 @@
 const LATE_PEER_FETCH_INTERVAL: Duration = Duration::from_millis(500);
 /// Time over which hosts spread the read of a list again after a restore, for each host of the group.
 const REREAD_SPREAD_PER_HOST: Duration = Duration::from_millis(2);
+/// Pause of each host between two reads of crash reports, for each host. Without it, each report
+/// ends the long polls of all hosts, so that the calls grow with the square of the number of hosts.
+const REPORT_PAUSE_PER_HOST: Duration = Duration::from_millis(5);
+/// Longest such pause. Engines that a part of a prompt crashes end about one a second.
+const MAX_REPORT_PAUSE: Duration = Duration::from_millis(500);
 
 /// Read position of one stream, and the state of the store as seen by its reads.
 struct StreamFollower {
@@ -116,8 +121,8 @@
                 if source == PageSource::Snapshot && !front.is_era_settled() {
                     learn_from_others::<C>(&front, stream);
                 }
-                if stream == ControlStream::Endpoints && !page.has_more {
-                    time::sleep(front.settings.times.list_poll_interval).await;
+                if !page.has_more {
+                    time::sleep(pause_after_read(&front, stream)).await;
                 }
             }
             Err(StoreError::Expired) => {
@@ -149,6 +154,18 @@
     }
 }
 
+/// Time after a page of a stream until the next read.
+fn pause_after_read(front: &Front, stream: ControlStream) -> Duration {
+    match stream {
+        ControlStream::Operator => Duration::ZERO,
+        ControlStream::Endpoints => front.settings.times.list_poll_interval,
+        ControlStream::CrashReports => {
+            let pause = REPORT_PAUSE_PER_HOST * front.host_count() as u32;
+            pause.min(MAX_REPORT_PAUSE)
+        }
+    }
+}
+
 /// Time by which this host reads the list of endpoints again later than the first.
 fn reread_delay(front: &Front) -> Duration {
     let spread = REREAD_SPREAD_PER_HOST * front.host_count() as u32;
--- a/wagtaildoor_front/src/crash_reports.rs
+++ b/wagtaildoor_front/src/crash_reports.rs
@@ -11,7 +11,10 @@
 
 use tokio::{
     sync::Notify,
-    time, //
+    time::{
+        self,
+        Instant, //
+    },
 };
 use wagtaildoor::{
     boot_clock::BootInstant,
@@ -46,6 +49,9 @@
 /// Time over which hosts spread the check of a restored store, for each host of the group. A write
 /// reaches the others within that time.
 const RESTORE_SPREAD_PER_HOST: Duration = Duration::from_millis(25);
+/// Time over which hosts spread the withdrawal of crashes, for each host of the group: about the time
+/// between two reads of the reports.
+const WITHDRAWAL_SPREAD_PER_HOST: Duration = Duration::from_millis(10);
 /// Number of changes in one call.
 const MAX_CHANGES_PER_CALL: usize = 128;
 /// Interval at which expired evidence is removed.
@@ -95,7 +101,13 @@
         self.withdrawn.push_back(crash);
     }
 
-    /// Whether a crash is waiting to be written.
+    /// Whether any crash is waiting to be written.
+    fn has_crash(&self) -> bool {
+        let mut changes = self.changes.iter();
+        changes.any(|change| matches!(change, ReportChange::Crash(_)))
+    }
+
+    /// Whether a given crash is waiting to be written.
     fn contains(&self, part: PartId, engine: EngineStart) -> bool {
         let mut changes = self.changes.iter();
         changes.any(|change| change.crash() == (part, engine))
@@ -285,6 +297,18 @@
     }
 }
 
+/// Waits while there are only withdrawals to write, so that most hosts find them written by another one.
+/// Crashes are written at once.
+async fn await_withdrawals(front: &Front, added: &Notify) {
+    let spread = WITHDRAWAL_SPREAD_PER_HOST * front.host_count() as u32;
+    let wait = prefix_hash::spread_host(&front.settings.host, spread);
+    let until = Instant::now() + wait;
+    while Instant::now() < until && !front.report_queue.borrow().has_crash() {
+        // A timeout means that the wait is over.
+        let _ = time::timeout_at(until, added.notified()).await;
+    }
+}
+
 /// Writes queued changes to the store and removes expired evidence until the process ends.
 pub async fn publish_reports<S: ControlStore>(front: Rc<Front>, store: S) {
     let added = front.report_queue.borrow().added.clone();
@@ -294,6 +318,7 @@
         let _ = time::timeout(EXPIRY_INTERVAL, added.notified()).await;
         let expired = front.crash_ledger.borrow_mut().expire(BootInstant::now());
         withdraw(&front, expired.into_iter());
+        await_withdrawals(&front, &added).await;
         loop {
             let batch: Vec<ReportChange> = {
                 let queue = front.report_queue.borrow();
--- a/wagtaildoor_front/src/front_metrics.rs
+++ b/wagtaildoor_front/src/front_metrics.rs
@@ -25,7 +25,7 @@
     sends: Counter<u64>,
     /// Answers that ended with their connection, by what was found out about their end.
     connection_ends: Counter<u64>,
-    /// Calls to the platform's store by result.
+    /// Calls to the platform's store by purpose and result.
     store_calls: Counter<u64>,
     /// Units of accounts' quotas by what became of them.
     quota_units: Counter<u64>,
@@ -52,7 +52,10 @@
                 "front_connection_ends",
                 "Answers that ended with their connection by what was found out",
             ),
-            store_calls: registry.counter("front_store_calls", "Calls to the store by result"),
+            store_calls: registry.counter(
+                "front_store_calls",
+                "Calls to the store by purpose and result",
+            ),
             quota_units: registry.counter(
                 "front_quota_units",
                 "Units of accounts' quotas by what became of them",
@@ -95,9 +98,13 @@
             .add(1, &[KeyValue::new("finding", finding)]);
     }
 
-    /// Counts a call to the store by its result.
-    pub fn record_store_call(&self, result: &'static str) {
-        self.store_calls.add(1, &[KeyValue::new("result", result)]);
+    /// Counts a call to the store by what it is for, and by its result.
+    pub fn record_store_call(&self, purpose: &'static str, result: &'static str) {
+        let labels = [
+            KeyValue::new("purpose", purpose),
+            KeyValue::new("result", result),
+        ];
+        self.store_calls.add(1, &labels);
     }
 
     /// Counts units of an account's quota by what became of them.
