--- a/wagtaildoor_front/src/caller_request/engine_wait.rs
+++ b/wagtaildoor_front/src/caller_request/engine_wait.rs
@@ -16,21 +16,23 @@
 };
 
 use crate::{
-    admission_queue::{
-        self,
-        WaitTerms,
-        WaitTicket, //
-    },
     caller_request::{
         return_time,
         CallerRequest,
         Result, //
     },
-    request_placement::RequestPlacement,
-    request_ranking::{
-        RankedRequest,
-        RequestRanking, //
+    overload::{
+        admission_queue::{
+            self,
+            WaitTerms,
+            WaitTicket, //
+        },
+        request_ranking::{
+            RankedRequest,
+            RequestRanking, //
+        },
     },
+    request_placement::RequestPlacement,
     wire_codec::WireCodec,
 };
 
--- a/wagtaildoor_front/src/front.rs
+++ b/wagtaildoor_front/src/front.rs
@@ -34,7 +34,6 @@
         quota_hosts::ProcessNumber,
         quota_ledger::QuotaLedger, //
     },
-    admission_queue::AdmissionQueue,
     block_store::{
         self,
         BlockStore, //
@@ -52,6 +51,7 @@
     front_settings::FrontSettings,
     hint_queue::HintQueue,
     load_times::LoadTimes,
+    overload::admission_queue::AdmissionQueue,
     pause_monitor::PauseMonitor,
     peer_hosts::PeerHosts,
     peer_rotation::PeerRotation,
--- a/wagtaildoor_front/src/front_settings.rs
+++ b/wagtaildoor_front/src/front_settings.rs
@@ -12,8 +12,8 @@
 
 use crate::{
     engine_placement::EnginePolicy,
+    overload::request_ranking::RequestRanking,
     plain_placement::PlainPolicy,
-    request_ranking::RequestRanking,
     retry_allowance::RetryLimit, //
 };
 
--- a/wagtaildoor_front/src/lib.rs
+++ b/wagtaildoor_front/src/lib.rs
@@ -1,7 +1,6 @@
 //! Transparent front: forwards callers' requests to endpoints unchanged, and decides where to.
 
 pub mod account_quota;
-pub mod admission_queue;
 pub mod block_store;
 pub mod broken_links;
 pub mod buffer_budget;
@@ -32,6 +31,7 @@
 pub mod hint_queue;
 pub mod load_times;
 pub mod outage_watch;
+pub mod overload;
 pub mod pause_monitor;
 pub mod peer_hosts;
 pub mod peer_link;
@@ -45,7 +45,6 @@
 pub mod record_updates;
 pub mod request_log;
 pub mod request_placement;
-pub mod request_ranking;
 pub mod retry_allowance;
 pub mod route_table;
 pub mod service_config;
--- a/wagtaildoor_front/src/admission_queue.rs
+++ b/wagtaildoor_front/src/overload/admission_queue.rs
@@ -16,7 +16,7 @@
     ids::ServiceId, //
 };
 
-use crate::request_ranking::{
+use crate::overload::request_ranking::{
     RankedRequest,
     RequestRanking, //
 };
--- a/wagtaildoor_front/tests/request_ranking.rs
+++ b/wagtaildoor_front/tests/request_ranking.rs
@@ -10,7 +10,7 @@
     boot_clock::BootInstant,
     ids::ServiceId, //
 };
-use wagtaildoor_front::{
+use wagtaildoor_front::overload::{
     admission_queue::{
         self,
         AdmissionQueue,
--- a/wagtaildoor_front/tests/support/test_host.rs
+++ b/wagtaildoor_front/tests/support/test_host.rs
@@ -32,8 +32,8 @@
         FrontTimes,
         RolloutPolicy, //
     },
+    overload::request_ranking::RequestRanking,
     plain_placement::PlainPolicy,
-    request_ranking::RequestRanking,
     retry_allowance::RetryLimit,
     service_config::{
         CallerLimits,
