--- a/wagtaildoor_front/src/account_quota/quota_bucket.rs
+++ b/wagtaildoor_front/src/account_quota/quota_bucket.rs
@@ -214,7 +214,8 @@
         }
     }
 
-    /// Applies a host's report: its sum now, and at its report before.
+    /// Applies a report of another host. `granted` is the sum of its grants since its start, `before`
+    /// the same sum in its previous report, which counts where that report was not received.
     pub fn apply_report(
         &mut self,
         host: SocketAddr,
