Log when an endpoint's own answer says that it leaves, and sends after that

Nothing read what the replica itself says, so no log line could tell whether a host had not noticed it, had noticed it and then undone it, or had chosen the endpoint before and sent late. No decision depends on it yet.

--- a/wagtaildoor_front/src/caller_request.rs
+++ b/wagtaildoor_front/src/caller_request.rs
@@ -403,6 +403,11 @@
             "to {} (cost {:.0} ms, load {load:.1}, to read {}, blocks from {source})",
             placement.endpoint.id, placement.cost_ms, placement.prefill_tokens,
         ));
+        if let Some(age) = placement.endpoint.leaving_for(now) {
+            let age_ms = age.as_millis();
+            self.log
+                .add_decision(format_args!("which said {age_ms} ms ago that it leaves"));
+        }
         if let Some(engine) = &placement.engine {
             let mut homes = self.front.homes.borrow_mut();
             let mut hints = self.front.hints.borrow_mut();
--- a/wagtaildoor_front/src/caller_request/request_send.rs
+++ b/wagtaildoor_front/src/caller_request/request_send.rs
@@ -28,7 +28,10 @@
         StartedResponse, //
     },
     end_witness::EndWitness,
-    endpoint::RequestGuard,
+    endpoint::{
+        Endpoint,
+        RequestGuard, //
+    },
     endpoint_connection::{
         self,
         ConnectionUse,
@@ -239,6 +242,10 @@
         if let Some(load) = head.load {
             endpoint.record_load(load, now);
         }
+        // A misdirected request was answered by another endpoint, or not for its own sake.
+        if head.leaving && !head.misdirected {
+            self.record_leaving(endpoint, now);
+        }
         if is_refusal {
             return Err(SendFailure::Refused(head));
         }
@@ -277,6 +284,18 @@
         })
     }
 
+    /// Records and logs that an endpoint says in its answer that it leaves.
+    fn record_leaving(&self, endpoint: &Endpoint, now: BootInstant) {
+        if !endpoint.record_leaving(now) {
+            return;
+        }
+        let list_read_at = self.front.list_read_at.get();
+        let list_age_ms = list_read_at.map(|at| now.since(at).as_millis() as u64);
+        slog::info!(self.front.log, "endpoint"; "endpoint" => &*endpoint.id, "change" => "leaving",
+            "by" => "answer", "listed" => ?endpoint.published_state(),
+            "list_age_ms" => list_age_ms);
+    }
+
     /// Builds the request for the endpoint.
     fn build_request(
         &self,
--- a/wagtaildoor_front/src/endpoint.rs
+++ b/wagtaildoor_front/src/endpoint.rs
@@ -117,6 +117,8 @@
     pub connections: ConnectionPool,
     /// Further connection while answers of unknown length are in progress.
     pub end_witness: RefCell<Weak<EndWitness>>,
+    /// When an answer of the endpoint first said that it leaves.
+    leaving_since: Cell<Option<BootInstant>>,
     /// Set when the endpoint was removed or another endpoint responds at its address.
     is_retired: Cell<bool>,
 }
@@ -136,6 +138,7 @@
             health: RefCell::new(EndpointHealth::new(now)),
             connections: ConnectionPool::new(record.address),
             end_witness: RefCell::new(Weak::new()),
+            leaving_since: Cell::new(None),
             is_retired: Cell::new(false),
             loading: RefCell::new(None),
             record: RefCell::new(record),
@@ -167,6 +170,25 @@
         !self.is_retired.get() && self.record.borrow().state == EndpointState::Ready
     }
 
+    /// Records that an answer of the endpoint says that it leaves; returns whether it is the first.
+    pub fn record_leaving(&self, now: BootInstant) -> bool {
+        let is_first = self.leaving_since.get().is_none();
+        if is_first {
+            self.leaving_since.set(Some(now));
+        }
+        is_first
+    }
+
+    /// Time since an answer of the endpoint first said that it leaves; `None` if none has.
+    pub fn leaving_for(&self, now: BootInstant) -> Option<Duration> {
+        self.leaving_since.get().map(|since| now.since(since))
+    }
+
+    /// State in the endpoint's newest record.
+    pub fn published_state(&self) -> EndpointState {
+        self.record.borrow().state
+    }
+
     /// Permanently excludes the endpoint from new requests and closes its idle connections.
     pub fn retire(&self) {
         self.is_retired.set(true);
--- a/wagtaildoor_front/src/wire_codec.rs
+++ b/wagtaildoor_front/src/wire_codec.rs
@@ -111,6 +111,8 @@
     pub load: Option<LoadReading>,
     /// Weights version with which the endpoint runs the request.
     pub weights: Option<WeightsVersion>,
+    /// Whether the endpoint says that it leaves and wants no further requests.
+    pub leaving: bool,
     /// Whether the endpoint closes the connection after the response.
     pub closing: bool,
     /// Idle timeout of connections at the endpoint.
