Send nothing to an endpoint whose own answer says that it leaves

Cause: a leave was read from the store's list alone, so that a host without an answering store, or with a list that still names the replica, goes on sending. Change: the first answer that says so excludes this start of the endpoint from new requests, whatever records say, and closes its idle connections. It works without the store, since the replica itself tells each host.

--- a/wagtaildoor_front/src/endpoint.rs
+++ b/wagtaildoor_front/src/endpoint.rs
@@ -167,14 +167,18 @@
 
     /// Whether the endpoint can receive new requests.
     pub fn is_accepting_requests(&self) -> bool {
-        !self.is_retired.get() && self.record.borrow().state == EndpointState::Ready
+        !self.is_retired.get()
+            && self.leaving_since.get().is_none()
+            && self.record.borrow().state == EndpointState::Ready
     }
 
-    /// Records that an answer of the endpoint says that it leaves; returns whether it is the first.
+    /// Records that an answer of the endpoint says that it leaves, which excludes it from new requests
+    /// whatever its records say. Returns whether it is the first such answer.
     pub fn record_leaving(&self, now: BootInstant) -> bool {
         let is_first = self.leaving_since.get().is_none();
         if is_first {
             self.leaving_since.set(Some(now));
+            self.connections.close_idle();
         }
         is_first
     }
