--- a/wagtaildoor_front/src/control_follower.rs
+++ b/wagtaildoor_front/src/control_follower.rs
@@ -306,6 +306,9 @@
     fn record_failure(&mut self, front: &Front, error: &StoreError) {
         if self.outages.record_failure() {
             slog::warn!(front.log, "store lost"; "stream" => ?self.stream, "error" => %error);
+        } else {
+            slog::info!(front.log, "store read failed again"; "stream" => ?self.stream,
+                "error" => %error, "from" => self.cursor.map(|cursor| cursor.offset));
         }
         front.store_read_failed.notify_waiters();
     }
--- a/wagtaildoor_front/src/peer_records.rs
+++ b/wagtaildoor_front/src/peer_records.rs
@@ -132,7 +132,10 @@
             slog::debug!(front.log, "failed to fetch records from peer"; "peer" => %peer,
                 "error" => %error);
         }
-        Err(_) => slog::debug!(front.log, "timed out fetching records from peer"; "peer" => %peer),
+        Err(_) => {
+            slog::info!(front.log, "records from a peer came too late"; "stream" => ?stream,
+                "peer" => %peer, "from" => from.offset);
+        }
     }
 }
 
--- a/wagtaildoor_front/src/record_updates.rs
+++ b/wagtaildoor_front/src/record_updates.rs
@@ -134,7 +134,7 @@
     now: BootInstant,
 ) {
     match update {
-        ControlUpdate::Config(config) => apply_config(front, record, *config),
+        ControlUpdate::Config(config) => apply_config(front, record, *config, source),
         ControlUpdate::WantedWeights { model, version } => {
             if front.update_wanted_weights(&model, version, wanted_since(front, now)) {
                 slog::info!(front.log, "weights wanted"; "model" => &*model,
@@ -184,10 +184,11 @@
     front.pauses.recent_pause(now).unwrap_or(now)
 }
 
-fn apply_config(front: &Front, record: &ControlRecord, config: ServiceConfig) {
+fn apply_config(front: &Front, record: &ControlRecord, config: ServiceConfig, source: PageSource) {
     let version = config.version;
     let taken = front.install_routes(RouteTable::from(config));
     slog::info!(front.log, "configuration"; "version" => version, "offset" => record.position.offset,
+        "bytes" => record.value.as_ref().map(|value| value.len()), "by" => ?source,
         "in_force" => taken);
 }
 
