--- a/wagtaildoor_front/src/control_follower.rs
+++ b/wagtaildoor_front/src/control_follower.rs
@@ -52,11 +52,17 @@
 /// Longest such pause. Engines that a part of a prompt crashes end about one a second.
 const MAX_REPORT_PAUSE: Duration = Duration::from_millis(500);
 
+/// Time without an answer after which so much may have been written that the newest record of each key
+/// is read instead of all changes.
+const SNAPSHOT_AFTER: Duration = Duration::from_secs(1);
+
 /// Read position of one stream, and the state of the store as seen by its reads.
 struct StreamFollower {
     stream: ControlStream,
     /// Position of the next read; `None` reads a snapshot first.
     cursor: Option<StreamPosition>,
+    /// Read position at the last answer of the store.
+    answered_cursor: Option<StreamPosition>,
     /// Snapshot in progress.
     snapshot: SnapshotReader,
     /// Whether the store has yielded no complete page yet, so that a peer's copy is used instead.
@@ -112,6 +118,7 @@
             Ok(ReadOutcome::Page(page, source)) => {
                 follower.record_response(&front);
                 follower.cursor = Some(page.next);
+                follower.answered_cursor = follower.cursor;
                 follower.is_first_read = false;
                 let relisted_by = follower.outages.relisted_by(BootInstant::now());
                 record_updates::apply_page::<C>(&front, stream, &page, source, relisted_by);
@@ -199,6 +206,7 @@
         Self {
             stream,
             cursor: None,
+            answered_cursor: None,
             snapshot: SnapshotReader::default(),
             is_first_read: true,
             outages: OutageWatch::default(),
@@ -240,7 +248,8 @@
         front: &Front,
         store: &S,
     ) -> Result<ReadOutcome> {
-        let Some(from) = self.cursor else {
+        self.skip_known(front);
+        let Some(from) = self.cursor.filter(|_| !self.prefers_snapshot()) else {
             return self.read_snapshot::<C, S>(front, store).await;
         };
         let wait = match self.is_long_poll(front) {
@@ -255,6 +264,28 @@
         Ok(ReadOutcome::Page(page, PageSource::Changes))
     }
 
+    /// Moves the read position past what other hosts have brought meanwhile. Endpoints are read on
+    /// nevertheless, since only the store tells which of them are gone.
+    fn skip_known(&mut self, front: &Front) {
+        let known = front.mirror.borrow().next(self.stream);
+        let cursor = self.cursor.filter(|cursor| cursor.era == known.era);
+        if self.stream == ControlStream::Operator && cursor.is_some_and(|cursor| cursor < known) {
+            self.cursor = Some(known);
+            self.snapshot = SnapshotReader::default();
+        }
+    }
+
+    /// Whether to read the newest record of each key instead of all that was written since the last
+    /// answer. The operator writes the whole configuration with each version.
+    fn prefers_snapshot(&self) -> bool {
+        let away = self.outages.away(BootInstant::now());
+        let has_missed = self.outages.has_failed()
+            && away.is_some_and(|away| away > SNAPSHOT_AFTER)
+            && self.cursor == self.answered_cursor;
+        self.stream == ControlStream::Operator
+            && (has_missed || self.snapshot.after_key().is_some())
+    }
+
     /// Reads the next part of a snapshot and applies its records before the other parts arrive.
     async fn read_snapshot<C: WireCodec, S: ControlStore>(
         &mut self,
