Let records between hosts take as long as their bytes keep coming, one large answer at a time

A host sends one long answer at a time, but counted records, and each version of the configuration is one record, so that many askers shared its link. Change: an exchange ends when no byte passes for 0.6 s, or after 5 s; an answer is long by its bytes, too, and an asker that gets none asks another host. A fetch goes on beside further reads of the store, so that neither waits for the other. tokio-io-timeout gives connections these limits.

--- a/wagtaildoor_front/src/control_follower.rs
+++ b/wagtaildoor_front/src/control_follower.rs
@@ -6,8 +6,11 @@
 };
 
 use tokio::{
-    task,
-    time, //
+    task::{
+        self,
+        JoinHandle, //
+    },
+    time,
 };
 use wagtaildoor::boot_clock::BootInstant;
 
@@ -71,6 +74,8 @@
     outages: OutageWatch,
     /// Delay after the next failed call.
     retry_delay: Duration,
+    /// Fetch of records from another host, which may outlast some reads of the store.
+    peer_fetch: Option<JoinHandle<()>>,
 }
 
 enum ReadOutcome {
@@ -139,7 +144,7 @@
             }
             Err(error) => {
                 follower.record_failure(&front, &error);
-                peer_records::fetch_records::<C>(&front, stream).await;
+                follower.fetch_from_peer::<C>(&front);
                 // Without an answer to any other call until then, the timeout passes.
                 let _ = time::timeout(follower.retry_delay, front.store_answered.notified()).await;
                 follower.retry_delay = (follower.retry_delay * 2).min(MAX_RETRY_DELAY);
@@ -211,7 +216,22 @@
             is_first_read: true,
             outages: OutageWatch::default(),
             retry_delay: MIN_RETRY_DELAY,
+            peer_fetch: None,
+        }
+    }
+
+    /// Fetches records from another host in the background, unless a fetch is in progress.
+    fn fetch_from_peer<C: WireCodec>(&mut self, front: &Rc<Front>) {
+        if self
+            .peer_fetch
+            .as_ref()
+            .is_some_and(|task| !task.is_finished())
+        {
+            return;
         }
+        let (front, stream) = (front.clone(), self.stream);
+        let fetch = async move { peer_records::fetch_records::<C>(&front, stream).await };
+        self.peer_fetch = Some(task::spawn_local(fetch));
     }
 
     /// Continues from the end of a peer's copy if that arrived before the store's snapshot.
--- a/wagtaildoor_front/src/peer_records.rs
+++ b/wagtaildoor_front/src/peer_records.rs
@@ -3,6 +3,7 @@
 use std::{
     io,
     net::SocketAddr,
+    pin::Pin,
     rc::Rc,
     time::Duration, //
 };
@@ -10,6 +11,10 @@
 use bytes::Bytes;
 use tokio::{
     net::{
+        tcp::{
+            OwnedReadHalf,
+            OwnedWriteHalf, //
+        },
         TcpListener,
         TcpStream, //
     },
@@ -17,6 +22,10 @@
     task,
     time, //
 };
+use tokio_io_timeout::{
+    TimeoutReader,
+    TimeoutWriter, //
+};
 use wagtaildoor::{
     boot_clock::BootInstant,
     frame::{
@@ -50,11 +59,15 @@
     wire_codec::WireCodec, //
 };
 
-/// Timeout for one exchange of records with another host.
-const RECORDS_TIMEOUT: Duration = Duration::from_millis(600);
+/// Longest time without data in an exchange of records with another host.
+const STALL_TIMEOUT: Duration = Duration::from_millis(600);
+/// Longest time for a whole exchange, which ends one that trickles.
+const MAX_EXCHANGE_TIME: Duration = Duration::from_secs(5);
 /// Number of records above which a response occupies the host's link for long; a typical response
 /// has a few.
 const LONG_RESPONSE_RECORDS: usize = 500;
+/// Size of the records, in bytes, above which a response does so.
+const LONG_RESPONSE_BYTES: usize = 64 << 10;
 /// Maximum number of long responses that a host sends concurrently.
 const MAX_LONG_RESPONSES: usize = 1;
 /// Number of hosts that are asked for what a restored store may lack.
@@ -64,6 +77,11 @@
 /// Pause after a failed accept.
 const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(25);
 
+/// Half of a connection that reads, and fails when no data comes.
+type PatientReader = Pin<Box<TimeoutReader<OwnedReadHalf>>>;
+/// Half of a connection that writes, and fails when no data can be written.
+type PatientWriter = Pin<Box<TimeoutWriter<OwnedWriteHalf>>>;
+
 /// Fetches the whole operator's stream from some other hosts. What the operator had confirmed before
 /// the store was restored may be known only to them until it is written again.
 pub async fn fetch_confirmed_records<C: WireCodec>(front: Rc<Front>) {
@@ -115,7 +133,7 @@
         stream: encode_stream(stream),
         from: from.to_frame(),
     };
-    match time::timeout(RECORDS_TIMEOUT, request_records(peer, &ask)).await {
+    match time::timeout(MAX_EXCHANGE_TIME, request_records(peer, &ask)).await {
         Ok(Ok(records)) => {
             let page = decode_page(records);
             if page.next > from {
@@ -129,8 +147,8 @@
             }
         }
         Ok(Err(error)) => {
-            slog::debug!(front.log, "failed to fetch records from peer"; "peer" => %peer,
-                "error" => %error);
+            slog::info!(front.log, "failed to fetch records from peer"; "stream" => ?stream,
+                "peer" => %peer, "error" => %error);
         }
         Err(_) => {
             slog::info!(front.log, "records from a peer came too late"; "stream" => ?stream,
@@ -142,17 +160,27 @@
 /// Sends a record request to a peer and reads the response.
 async fn request_records(peer: SocketAddr, ask: &FrontAsk) -> io::Result<FrontRecords> {
     let stream = endpoint_connection::connect(peer).await?;
-    let (reader, writer) = stream.into_split();
-    FrameWriter::new(writer)
+    let (mut reader, mut writer) = limit_stalls(stream);
+    FrameWriter::new(&mut writer)
         .send(ask)
         .await
         .map_err(io::Error::other)?;
-    let answer = FrameReader::new(reader).next().await;
+    let answer = FrameReader::new(&mut reader).next().await;
     answer
         .map_err(io::Error::other)?
         .ok_or_else(|| io::ErrorKind::UnexpectedEof.into())
 }
 
+/// Splits a connection into halves that fail when no data passes for [`STALL_TIMEOUT`]. What is given up is
+/// sent again from its beginning, so that it may take long as long as it goes on.
+fn limit_stalls(stream: TcpStream) -> (PatientReader, PatientWriter) {
+    let (reader, writer) = stream.into_split();
+    let (mut reader, mut writer) = (TimeoutReader::new(reader), TimeoutWriter::new(writer));
+    reader.set_timeout(Some(STALL_TIMEOUT));
+    writer.set_timeout(Some(STALL_TIMEOUT));
+    (Box::pin(reader), Box::pin(writer))
+}
+
 /// Serves record requests from other hosts.
 pub async fn serve_records(front: Rc<Front>, listener: TcpListener) {
     let long_responses = Rc::new(Semaphore::new(MAX_LONG_RESPONSES));
@@ -169,7 +197,7 @@
         let long_responses = long_responses.clone();
         task::spawn_local(async move {
             let answer = serve_record_request(&front, stream, &long_responses);
-            if let Ok(Err(error)) = time::timeout(RECORDS_TIMEOUT, answer).await {
+            if let Ok(Err(error)) = time::timeout(MAX_EXCHANGE_TIME, answer).await {
                 slog::debug!(front.log, "failed to serve records"; "error" => %error);
             }
         });
@@ -185,20 +213,29 @@
     stream: TcpStream,
     long_responses: &Semaphore,
 ) -> frame::Result<()> {
-    let (reader, writer) = stream.into_split();
-    let Some(ask) = FrameReader::new(reader).next::<FrontAsk>().await? else {
+    let (mut reader, mut writer) = limit_stalls(stream);
+    let Some(ask) = FrameReader::new(&mut reader).next::<FrontAsk>().await? else {
         return Ok(());
     };
     let mut records = find_records(front, &ask);
-    let is_long = records.records.len() > LONG_RESPONSE_RECORDS;
-    let permit = long_responses.try_acquire();
-    if is_long && permit.is_err() {
+    let permit = match is_long(&records) {
+        true => Some(long_responses.try_acquire()),
+        false => None,
+    };
+    if matches!(permit, Some(Err(_))) {
         records = FrontRecords {
             next: 0,
             records: Vec::new(),
         };
     }
-    FrameWriter::new(writer).send(&records).await
+    FrameWriter::new(&mut writer).send(&records).await
+}
+
+/// Whether a response occupies the host's link for long.
+fn is_long(records: &FrontRecords) -> bool {
+    let values = records.records.iter().flat_map(|record| &record.value);
+    let bytes: usize = values.map(Vec::len).sum();
+    records.records.len() > LONG_RESPONSE_RECORDS || bytes > LONG_RESPONSE_BYTES
 }
 
 /// Records that match a request from another host.
