Ask no other host for a version that the store is sending already

Cause: 120 ms after a hint of a newer version a host asked the sender for it, whether or not the store's own answer was arriving; at 10 Mbit/s some 370 KB take 300 ms, so that nearly every host fetched each large version twice, over its own link and a peer's. And the failure of another read cut an answer that was arriving. Change: while data of the own answer keeps coming, no other host is asked and the read is not cut.

--- a/wagtaildoor_front/src/control_follower.rs
+++ b/wagtaildoor_front/src/control_follower.rs
@@ -6,6 +6,7 @@
 };
 
 use tokio::{
+    sync::futures::Notified,
     task::{
         self,
         JoinHandle, //
@@ -29,6 +30,7 @@
         ResponseGap, //
     },
     peer_records, prefix_hash,
+    read_progress::ReadProgress,
     record_updates::{
         self,
         PageSource, //
@@ -55,6 +57,8 @@
 /// Longest such pause. Engines that a part of a prompt crashes end about one a second.
 const MAX_REPORT_PAUSE: Duration = Duration::from_millis(500);
 
+/// Interval between checks whether an answer is still arriving.
+const ARRIVAL_CHECK_INTERVAL: Duration = Duration::from_millis(50);
 /// Time without an answer after which so much may have been written that the newest record of each key
 /// is read instead of all changes.
 const SNAPSHOT_AFTER: Duration = Duration::from_secs(1);
@@ -66,6 +70,8 @@
     cursor: Option<StreamPosition>,
     /// Read position at the last answer of the store.
     answered_cursor: Option<StreamPosition>,
+    /// Progress of a read, unless it is of the operator's stream.
+    own_progress: ReadProgress,
     /// Snapshot in progress.
     snapshot: SnapshotReader,
     /// Whether the store has yielded no complete page yet, so that a peer's copy is used instead.
@@ -107,7 +113,7 @@
         let result = tokio::select! {
             result = follower.read::<C, S>(&front, &store) => result,
             // The store may have dropped a long poll without closing the connection.
-            () = store_failure, if is_long_poll => {
+            () = wait_until_stalled(&front, stream, store_failure), if is_long_poll => {
                 Err(StoreError::Unavailable("another read of the store failed".into()))
             }
             () = restore => Ok(ReadOutcome::Restored),
@@ -153,6 +159,15 @@
     }
 }
 
+/// Waits for the failure of another read. The answer to a read of the operator's stream may be arriving
+/// nevertheless, and is then waited for.
+async fn wait_until_stalled(front: &Front, stream: ControlStream, store_failure: Notified<'_>) {
+    store_failure.await;
+    while stream == ControlStream::Operator && front.operator_read.is_arriving(BootInstant::now()) {
+        time::sleep(ARRIVAL_CHECK_INTERVAL).await;
+    }
+}
+
 /// Learns what other hosts know and a restored store may lack, after its copy was read.
 fn learn_from_others<C: WireCodec>(front: &Rc<Front>, stream: ControlStream) {
     match stream {
@@ -212,6 +227,7 @@
             stream,
             cursor: None,
             answered_cursor: None,
+            own_progress: ReadProgress::default(),
             snapshot: SnapshotReader::default(),
             is_first_read: true,
             outages: OutageWatch::default(),
@@ -276,7 +292,9 @@
             true => front.settings.times.operator_poll_timeout,
             false => Duration::ZERO,
         };
-        let page = store.read_changes(self.stream, from, wait).await?;
+        let progress = self.progress(front);
+        let page = store.read_changes(self.stream, from, wait, progress);
+        let page = page.await?;
         front.enter_era(page.next.era);
         if page.next.era != from.era {
             return Ok(ReadOutcome::Restored);
@@ -312,9 +330,12 @@
         front: &Front,
         store: &S,
     ) -> Result<ReadOutcome> {
-        let snapshot = &mut self.snapshot;
-        let part = store.read_snapshot(self.stream, snapshot.after_key(), snapshot.extra_timeout());
-        let part = part.await.inspect_err(|_| snapshot.record_failure())?;
+        let snapshot = &self.snapshot;
+        let (after, extra_timeout) = (snapshot.after_key(), snapshot.extra_timeout());
+        let progress = self.progress(front);
+        let part = store.read_snapshot(self.stream, after, extra_timeout, progress);
+        let part = part.await;
+        let part = part.inspect_err(|_| self.snapshot.record_failure())?;
         let now = BootInstant::now();
         if front.enter_era(part.end.era) {
             self.outages.begin_relisting(now);
@@ -326,6 +347,14 @@
         Ok(page.map_or(ReadOutcome::Part, |page| ReadOutcome::Page(page, source)))
     }
 
+    /// Progress of this stream's reads; that of the operator's stream is shared.
+    fn progress<'a>(&'a self, front: &'a Front) -> &'a ReadProgress {
+        match self.stream {
+            ControlStream::Operator => &front.operator_read,
+            _ => &self.own_progress,
+        }
+    }
+
     /// Whether a read waits on the server until records arrive.
     fn is_long_poll(&self, front: &Front) -> bool {
         let waits = match self.stream {
--- a/wagtaildoor_front/src/control_store.rs
+++ b/wagtaildoor_front/src/control_store.rs
@@ -18,6 +18,7 @@
 use crate::{
     crash_reports::ReportChange,
     endpoint::EndpointRecord,
+    read_progress::ReadProgress,
     service_config::ServiceConfig, //
     stream_position::{
         StoreEra,
@@ -208,21 +209,25 @@
 /// Client of the platform's store. Its answers never go back to an earlier era.
 pub trait ControlStore: Clone + 'static {
     /// Reads one part of a snapshot: the newest record of each key that follows `after`, up to the
-    /// store's page size. The call's timeout is extended by `extra_timeout`.
+    /// store's page size. The call's timeout is extended by `extra_timeout`. `progress` tells whether the
+    /// answer is arriving.
     fn read_snapshot(
         &self,
         stream: ControlStream,
         after: Option<&str>,
         extra_timeout: Duration,
+        progress: &ReadProgress,
     ) -> impl Future<Output = Result<SnapshotPart>>;
 
     /// Reads records from the offset of a position on. The store waits up to `wait` for the first one.
-    /// The page is of the store's present era, so it follows `from` only if that is, too.
+    /// The page is of the store's present era, so it follows `from` only if that is, too. `progress`
+    /// tells whether the answer is arriving.
     fn read_changes(
         &self,
         stream: ControlStream,
         from: StreamPosition,
         wait: Duration,
+        progress: &ReadProgress,
     ) -> impl Future<Output = Result<ControlPage>>;
 
     /// Appends records to a stream, all or none of them. After an error, they may have been appended.
--- a/wagtaildoor_front/src/front.rs
+++ b/wagtaildoor_front/src/front.rs
@@ -57,6 +57,7 @@
     peer_rotation::PeerRotation,
     prefill_speeds::PrefillSpeeds,
     prefix_index::PrefixIndex,
+    read_progress::ReadProgress,
     record_mirror::RecordMirror,
     retry_allowance::RetryAllowance,
     route_table::RouteTable,
@@ -134,6 +135,8 @@
     pub settled_era: Cell<Option<StoreEra>>,
     /// Whether other hosts were asked for what a restored store may lack, or need not be.
     pub has_asked_others: Cell<bool>,
+    /// Progress of this host's read of the operator's stream from the store.
+    pub operator_read: ReadProgress,
     /// Notified when a read of the store timed out or failed.
     pub store_read_failed: Notify,
     /// Notified by answers of the store, so that failed reads are tried again.
@@ -194,6 +197,7 @@
             settled_era: Cell::new(None),
             store_restored: Notify::new(),
             has_asked_others: Cell::new(false),
+            operator_read: ReadProgress::default(),
             store_read_failed: Notify::new(),
             store_answered: Notify::new(),
             pauses: PauseMonitor::new(BootInstant::now()),
--- a/wagtaildoor_front/src/lib.rs
+++ b/wagtaildoor_front/src/lib.rs
@@ -41,6 +41,7 @@
 pub mod prefill_speeds;
 pub mod prefix_hash;
 pub mod prefix_index;
+pub mod read_progress;
 pub mod record_mirror;
 pub mod record_updates;
 pub mod request_log;
--- a/wagtaildoor_front/src/peer_link.rs
+++ b/wagtaildoor_front/src/peer_link.rs
@@ -322,6 +322,10 @@
     _permit: OwnedSemaphorePermit,
 ) {
     time::sleep(STORE_READ_DELAY).await;
+    // A large answer of the store that is arriving would only share the link with that of the peer.
+    while operator_next(&front) < head && front.operator_read.is_arriving(BootInstant::now()) {
+        time::sleep(STORE_READ_DELAY).await;
+    }
     if operator_next(&front) < head {
         peer_records::fetch_records_from::<C>(&front, ControlStream::Operator, peer).await;
     }
--- a/wagtaildoor_front/tests/control_follower.rs
+++ b/wagtaildoor_front/tests/control_follower.rs
@@ -223,17 +223,40 @@
         .build()
         .expect("a runtime");
     let local = tokio::task::LocalSet::new();
-    let requests = local.block_on(&runtime, count_peer_requests(300));
+    let requests = local.block_on(&runtime, count_peer_requests(300, false));
     assert!(
         (1..=4).contains(&requests),
         "{requests} requests within a second"
     );
 }
 
+/// Guards against CONFIG: a host asks others for a large version that the store is sending to it, and both
+/// answers share its link.
+#[test]
+fn a_host_whose_own_answer_is_arriving_asks_no_other_host() {
+    let runtime = tokio::runtime::Builder::new_current_thread()
+        .enable_all()
+        .build()
+        .expect("a runtime");
+    let local = tokio::task::LocalSet::new();
+    let requests = local.block_on(&runtime, count_peer_requests(30, true));
+    assert_eq!(requests, 0);
+}
+
 /// Sends hints of a newer stream offset to a host over half a second, and counts the requests for
-/// records that the sender receives within a second. The sender responds to none of them.
-async fn count_peer_requests(hints: u64) -> usize {
+/// records that the sender receives within a second. The sender responds to none of them. With
+/// `is_arriving`, data of the store's own answer comes all the while.
+async fn count_peer_requests(hints: u64, is_arriving: bool) -> usize {
     let front = new_host();
+    if is_arriving {
+        let front = front.clone();
+        task::spawn_local(async move {
+            loop {
+                front.operator_read.record_data(BootInstant::now());
+                time::sleep(Duration::from_millis(50)).await;
+            }
+        });
+    }
     let any: SocketAddr = "127.0.0.1:0".parse().expect("an address");
     let peer = TcpListener::bind(any).await.expect("a port");
     let own = Rc::new(UdpSocket::bind(any).await.expect("a port"));
--- a/wagtaildoor_front/tests/crash_reports.rs
+++ b/wagtaildoor_front/tests/crash_reports.rs
@@ -46,6 +46,7 @@
         ReportChange, //
     },
     front::Front,
+    read_progress::ReadProgress,
     stream_position::{
         StoreEra,
         StreamPosition, //
@@ -67,6 +68,7 @@
         _: ControlStream,
         _: Option<&str>,
         _: Duration,
+        _: &ReadProgress,
     ) -> Result<SnapshotPart> {
         Ok(SnapshotPart {
             end: StreamPosition::new(1, 1),
@@ -79,6 +81,7 @@
         _: ControlStream,
         from: StreamPosition,
         _: Duration,
+        _: &ReadProgress,
     ) -> Result<ControlPage> {
         self.reads.set(self.reads.get() + 1);
         time::sleep(Duration::from_millis(2)).await;
