Decode the limit that an endpoint names, and log when it changes

Nothing read Server-Limit, so that no log could show which hosts had been told, and when. No decision depends on it yet.

--- a/wagtaildoor_front/src/caller_request/request_send.rs
+++ b/wagtaildoor_front/src/caller_request/request_send.rs
@@ -47,6 +47,7 @@
     wire_codec::{
         DispatchHead,
         EngineHead,
+        StatedRate,
         WireCodec, //
     },
 };
@@ -243,8 +244,11 @@
             endpoint.record_load(load, now);
         }
         // A misdirected request was answered by another endpoint, or not for its own sake.
-        if head.leaving && !head.misdirected {
-            self.record_leaving(endpoint, now);
+        if !head.misdirected {
+            if head.leaving {
+                self.record_leaving(endpoint, now);
+            }
+            self.record_rate(endpoint, head.rate_limit);
         }
         if is_refusal {
             return Err(SendFailure::Refused(head));
@@ -296,6 +300,14 @@
             "list_age_ms" => list_age_ms);
     }
 
+    /// Records the limit that an endpoint names, and logs a change of it.
+    fn record_rate(&self, endpoint: &Endpoint, rate: StatedRate) {
+        if let Some(before) = endpoint.record_rate(rate) {
+            slog::info!(self.front.log, "endpoint limit"; "endpoint" => &*endpoint.id,
+                "by" => "answer", "limit" => ?rate, "before" => ?before);
+        }
+    }
+
     /// Builds the request for the endpoint.
     fn build_request(
         &self,
--- a/wagtaildoor_front/src/wire_codec.rs
+++ b/wagtaildoor_front/src/wire_codec.rs
@@ -113,12 +113,26 @@
     pub weights: Option<WeightsVersion>,
     /// Whether the endpoint says that it leaves and wants no further requests.
     pub leaving: bool,
+    /// Limit on the requests that the endpoint takes.
+    pub rate_limit: StatedRate,
     /// Whether the endpoint closes the connection after the response.
     pub closing: bool,
     /// Idle timeout of connections at the endpoint.
     pub idle_limit: Option<Duration>,
 }
 
+/// What an answer says about the rate at which its endpoint takes requests from all hosts together.
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+pub enum StatedRate {
+    /// The endpoint names no limit.
+    #[default]
+    Unlimited,
+    /// Requests a second; finite and not negative.
+    PerSecond(f64),
+    /// The endpoint names a limit that cannot be read.
+    Unreadable,
+}
+
 /// Load that an endpoint reports.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub struct LoadReading {
