Keep to the limit that an endpoint names, over all hosts together

Cause: no host read the limit, so that its rate did not change. Change: four hosts at most, drawn for each endpoint by the hash of names, have equal parts of its limit and save up one request, or half a second's; all others, and what is beyond, go to other endpoints or are refused at once. Hosts tell each other of limits each second and of their end for three, by hints; one that hears nothing for ten seconds sends a request of its own, spread over the hosts. A limit belongs to one start of an endpoint. It holds without any word between hosts, since parts are computed alike; while lists of hosts differ, the extra senders fit into the slack.

--- a/wagtaildoor/src/schema.rs
+++ b/wagtaildoor/src/schema.rs
@@ -1251,6 +1251,8 @@
 pub struct FrontHint {
     ///Some of the hosts known to the sender.
     pub hosts: ::std::vec::Vec<FrontHost>,
+    ///What endpoints said to the sender about their limits.
+    pub limits: ::std::vec::Vec<LimitNews>,
     ///Position up to which the sender has read the operator's stream: the store's era in the upper 24 bits, the offset in the others.
     pub operator_next: u64,
     ///Whether the receiver forwards the hint to all other hosts of its failure domain.
@@ -1661,6 +1663,22 @@
         value.clone()
     }
 }
+///Limit on the requests that an endpoint takes from all hosts together.
+#[derive(::serde::Deserialize, ::serde::Serialize, Clone, Debug, PartialEq)]
+#[serde(deny_unknown_fields)]
+pub struct LimitNews {
+    ///Time since the endpoint said so, in milliseconds.
+    pub age_ms: u64,
+    ///Hash of the endpoint's name and start time.
+    pub endpoint: u64,
+    ///Thousandths of a request a second; null if the endpoint names no limit.
+    pub milli_per_s: ::std::option::Option<u64>,
+}
+impl ::std::convert::From<&LimitNews> for LimitNews {
+    fn from(value: &LimitNews) -> Self {
+        value.clone()
+    }
+}
 ///Limits of one entry.
 #[derive(::serde::Deserialize, ::serde::Serialize, Clone, Debug, PartialEq)]
 #[serde(deny_unknown_fields)]
--- a/wagtaildoor_front/src/caller_request/request_send.rs
+++ b/wagtaildoor_front/src/caller_request/request_send.rs
@@ -43,11 +43,11 @@
         self,
         LoadEvidence, //
     },
+    limit_news,
     request_placement::RequestPlacement,
     wire_codec::{
         DispatchHead,
         EngineHead,
-        StatedRate,
         WireCodec, //
     },
 };
@@ -72,6 +72,7 @@
     ) -> Result<StartedResponse> {
         self.sends += 1;
         let endpoint = &placement.endpoint;
+        endpoint.limit.borrow_mut().take(BootInstant::now());
         let mut guard = endpoint.start_request(placement.prefill_tokens, BootInstant::now());
         if placement.engine.is_some() {
             self.front
@@ -248,7 +249,7 @@
             if head.leaving {
                 self.record_leaving(endpoint, now);
             }
-            self.record_rate(endpoint, head.rate_limit);
+            limit_news::apply_answer(&self.front, endpoint, head.rate_limit, now);
         }
         if is_refusal {
             return Err(SendFailure::Refused(head));
@@ -300,14 +301,6 @@
             "list_age_ms" => list_age_ms);
     }
 
-    /// Records the limit that an endpoint names, and logs a change of it.
-    fn record_rate(&self, endpoint: &Endpoint, rate: StatedRate) {
-        if let Some(before) = endpoint.record_rate(rate) {
-            slog::info!(self.front.log, "endpoint limit"; "endpoint" => &*endpoint.id,
-                "by" => "answer", "limit" => ?rate, "before" => ?before);
-        }
-    }
-
     /// Builds the request for the endpoint.
     fn build_request(
         &self,
--- a/wagtaildoor_front/src/endpoint.rs
+++ b/wagtaildoor_front/src/endpoint.rs
@@ -28,12 +28,10 @@
     end_witness::EndWitness,
     endpoint_connection::ConnectionPool,
     endpoint_health::EndpointHealth,
+    endpoint_limit::EndpointLimit,
     endpoint_load::EndpointLoad,
     prefix_hash,
-    wire_codec::{
-        LoadReading,
-        StatedRate, //
-    },
+    wire_codec::LoadReading, //
 };
 
 /// Hash of an endpoint's id and start time. It identifies one incarnation and is the same on all
@@ -120,8 +118,8 @@
     pub connections: ConnectionPool,
     /// Further connection while answers of unknown length are in progress.
     pub end_witness: RefCell<Weak<EndWitness>>,
-    /// Limit that the endpoint named in its last answer.
-    stated_rate: Cell<StatedRate>,
+    /// Limit on the requests that the endpoint takes from all hosts.
+    pub limit: RefCell<EndpointLimit>,
     /// When an answer of the endpoint first said that it leaves.
     leaving_since: Cell<Option<BootInstant>>,
     /// Set when the endpoint was removed or another endpoint responds at its address.
@@ -143,7 +141,7 @@
             health: RefCell::new(EndpointHealth::new(now)),
             connections: ConnectionPool::new(record.address),
             end_witness: RefCell::new(Weak::new()),
-            stated_rate: Cell::default(),
+            limit: RefCell::default(),
             leaving_since: Cell::new(None),
             is_retired: Cell::new(false),
             loading: RefCell::new(None),
@@ -189,12 +187,6 @@
         is_first
     }
 
-    /// Records the limit that an answer of the endpoint names. Returns the one before if it has changed.
-    pub fn record_rate(&self, rate: StatedRate) -> Option<StatedRate> {
-        let before = self.stated_rate.replace(rate);
-        (before != rate).then_some(before)
-    }
-
     /// Time since an answer of the endpoint first said that it leaves; `None` if none has.
     pub fn leaving_for(&self, now: BootInstant) -> Option<Duration> {
         self.leaving_since.get().map(|since| now.since(since))
--- a/wagtaildoor_front/src/hint_queue.rs
+++ b/wagtaildoor_front/src/hint_queue.rs
@@ -13,6 +13,7 @@
     },
     schema::{
         EngineWeights,
+        LimitNews,
         PlacedPrefix, //
     },
 };
@@ -29,6 +30,8 @@
     placed: Vec<PlacedPrefix>,
     /// Weights that engines have or are loading.
     weights: Vec<EngineWeights>,
+    /// What endpoints said about their limits.
+    limits: Vec<LimitNews>,
     /// Engines whose pending prefill work for this host has changed.
     changed_engines: HashSet<EndpointKey>,
     /// Whether this host has read further in the operator's stream.
@@ -63,6 +66,19 @@
         });
     }
 
+    /// Queues what an endpoint said about its limit, which replaces what it said before.
+    pub fn push_limit(&mut self, news: LimitNews) {
+        self.limits
+            .retain(|queued| queued.endpoint != news.endpoint);
+        self.limits.push(news);
+    }
+
+    /// Removes and returns up to `limit` statements about limits.
+    pub fn take_limits(&mut self, limit: usize) -> Vec<LimitNews> {
+        let count = limit.min(self.limits.len());
+        self.limits.drain(..count).collect()
+    }
+
     /// Records that an engine's pending prefill work for this host has changed.
     pub fn mark_load_changed(&mut self, endpoint: EndpointKey) {
         self.changed_engines.insert(endpoint);
@@ -83,6 +99,7 @@
         self.placed.is_empty()
             && self.weights.is_empty()
             && self.changed_engines.is_empty()
+            && self.limits.is_empty()
             && !self.has_operator_advanced
     }
 
--- a/wagtaildoor_front/src/peer_link.rs
+++ b/wagtaildoor_front/src/peer_link.rs
@@ -36,6 +36,7 @@
         LoadEvidence, //
     },
     front::Front,
+    limit_news,
     peer_hosts::HintTarget,
     peer_records,
     stream_position::StreamPosition,
@@ -55,6 +56,8 @@
 const MAX_ENGINES_PER_HINT: usize = 40;
 /// Maximum number of accounts per datagram.
 const MAX_ACCOUNTS_PER_HINT: usize = 40;
+/// Maximum number of endpoints' limits per datagram.
+const MAX_LIMITS_PER_HINT: usize = 40;
 /// Size of the receive buffer for datagrams, in bytes.
 const MAX_DATAGRAM_BYTES: usize = 4_096;
 /// Time for this host's own read of the store to complete before it asks a peer for the records.
@@ -133,6 +136,7 @@
             let mut quotas = front.quotas.borrow_mut();
             quotas.take_reports(MAX_ACCOUNTS_PER_HINT, BootInstant::now())
         },
+        limits: front.hints.borrow_mut().take_limits(MAX_LIMITS_PER_HINT),
     }
 }
 
@@ -284,6 +288,11 @@
             }
         }
     }
+    for news in &hint.limits {
+        if let Some(endpoint) = endpoints.get_by_key(news.endpoint) {
+            limit_news::apply_hint(front, endpoint, news, now);
+        }
+    }
     let head = StreamPosition::from_frame(hint.operator_next);
     if head > operator_next(front) {
         if let Ok(permit) = front.peer_fetch_permits.clone().try_acquire_owned() {
--- a/wagtaildoor_front/src/request_placement.rs
+++ b/wagtaildoor_front/src/request_placement.rs
@@ -32,6 +32,7 @@
         StoreCandidate, //
     },
     front::Front,
+    limit_news,
     plain_placement::{
         self,
         PlainCandidate, //
@@ -122,7 +123,8 @@
     let services = query.services.iter();
     let mut engines = services.flat_map(|service| directory.service_endpoints(service));
     engines.any(|engine| {
-        is_usable(engine, u32::MAX, query.tried) && engine.is_loading(&prompt.model, now)
+        is_usable(front, engine, u32::MAX, query.tried, now)
+            && engine.is_loading(&prompt.model, now)
     })
 }
 
@@ -145,11 +147,18 @@
 }
 
 /// Whether an endpoint can take a request now.
-fn is_usable(endpoint: &Endpoint, share: u32, tried: &[EndpointKey]) -> bool {
+fn is_usable(
+    front: &Front,
+    endpoint: &Endpoint,
+    share: u32,
+    tried: &[EndpointKey],
+    now: BootInstant,
+) -> bool {
     endpoint.is_accepting_requests()
         && !tried.contains(&endpoint.key)
         && !endpoint.health.borrow().is_down()
         && endpoint.load.borrow().own_requests() < share
+        && limit_news::has_room(front, endpoint, now)
 }
 
 /// Chooses an engine for a prompt.
@@ -166,8 +175,8 @@
     let mut candidates: Vec<EngineCandidate> = endpoints
         .iter()
         .map(|endpoint| {
-            let usable =
-                is_usable(endpoint, share, query.tried) && !endpoint.is_loading(&prompt.model, now);
+            let usable = is_usable(front, endpoint, share, query.tried, now)
+                && !endpoint.is_loading(&prompt.model, now);
             engine_candidate(front, endpoint, &prompt.model, usable, now)
         })
         .collect();
@@ -309,7 +318,7 @@
     let share = connection_share(front, service);
     let endpoints = directory.service_endpoints(service).iter();
     let usable: Vec<&Rc<Endpoint>> = endpoints
-        .filter(|endpoint| is_usable(endpoint, share, query.tried))
+        .filter(|endpoint| is_usable(front, endpoint, share, query.tried, now))
         .collect();
     let candidates = usable.iter().map(|endpoint| {
         let load = endpoint.load.borrow();
--- a/wagtaildoor_front/tests/control_follower.rs
+++ b/wagtaildoor_front/tests/control_follower.rs
@@ -276,6 +276,7 @@
         hosts: Vec::new(),
         process: 1,
         usage: Vec::new(),
+        limits: Vec::new(),
     };
     let datagram = frame::encode(&hint).expect("a frame");
     task::spawn_local(async move {
