--- a/wagtaildoor_front/tests/endpoint_limit.rs
+++ b/wagtaildoor_front/tests/endpoint_limit.rs
@@ -122,8 +122,10 @@
 
     fn deliver(&mut self) {
         let now_ms = self.now_ms;
-        let due = |message: &mut Message| message.arrives_ms <= now_ms;
-        let due: Vec<Message> = self.messages.extract_if(.., due).collect();
+        let messages = std::mem::take(&mut self.messages);
+        let is_due = |message: &Message| message.arrives_ms <= now_ms;
+        let (due, later): (Vec<Message>, Vec<Message>) = messages.into_iter().partition(is_due);
+        self.messages = later;
         for message in due {
             let now = self.now();
             let limit = &mut self.limits[message.to];
