Refuse at the entry what would outlast its shutdown

Change: the gate knows when its shutdown ends, and admission refuses, as not run, a request whose deadline lies after that. The new test of the gate fails if every deadline fits; the refusal at admission itself has no test of its own.

--- a/wagtaildoor/src/drain_gate.rs
+++ b/wagtaildoor/src/drain_gate.rs
@@ -2,7 +2,10 @@
 
 use std::{
     future::Future,
-    sync::Arc,
+    sync::{
+        Arc,
+        OnceLock, //
+    },
     time::Duration, //
 };
 
@@ -43,6 +46,8 @@
 pub struct DrainGate {
     work: Arc<watch::Sender<WorkState>>,
     leaving: CancellationToken,
+    /// When the shutdown ends at the latest; set when it begins.
+    limit: Arc<OnceLock<Instant>>,
 }
 
 /// Count of running work.
@@ -74,6 +79,7 @@
         Self {
             work: Arc::new(watch::Sender::new(state)),
             leaving: CancellationToken::new(),
+            limit: Arc::default(),
         }
     }
 
@@ -91,6 +97,12 @@
         }
     }
 
+    /// Whether work that may last until `deadline` ends before the shutdown does. Always true while none has
+    /// begun.
+    pub fn fits(&self, deadline: Instant) -> bool {
+        self.limit.get().is_none_or(|&limit| deadline <= limit)
+    }
+
     /// Returns the number of running units of work.
     pub fn running(&self) -> u64 {
         self.work.borrow().running
@@ -113,8 +125,9 @@
         limits: DrainLimits,
         abort: impl Future<Output = ()>,
     ) -> DrainOutcome {
-        self.leaving.cancel();
         let limit = Instant::now() + limits.total_timeout;
+        let limit = *self.limit.get_or_init(|| limit);
+        self.leaving.cancel();
         tokio::select! {
             biased;
             () = abort => DrainOutcome::Aborted,
--- a/wagtaildoor/tests/drain_gate.rs
+++ b/wagtaildoor/tests/drain_gate.rs
@@ -84,3 +84,20 @@
     assert_eq!(end, DrainOutcome::Aborted);
     assert_eq!(started.elapsed(), Duration::from_secs(3));
 }
+
+/// Guards against LOST: work that comes late in a shutdown, with a deadline after its end, is begun and cut.
+#[tokio::test(start_paused = true)]
+async fn work_with_a_deadline_after_the_end_of_the_drain_does_not_fit() {
+    let gate = DrainGate::new();
+    let far = Instant::now() + LIMITS.total_timeout * 10;
+    assert!(gate.fits(far), "no shutdown has begun");
+    let _work = gate.start_work();
+    let draining = gate.clone();
+    let drain = tokio::spawn(async move { drain(&draining).await });
+    time::sleep(LIMITS.total_timeout / 2).await;
+    assert!(gate.is_leaving());
+    assert!(gate.fits(Instant::now() + LIMITS.total_timeout / 3));
+    assert!(!gate.fits(Instant::now() + LIMITS.total_timeout));
+    let (end, _) = drain.await.expect("the drain ends");
+    assert_eq!(end, DrainOutcome::TimedOut);
+}
--- a/wagtaildoor_entry/src/admit.rs
+++ b/wagtaildoor_entry/src/admit.rs
@@ -23,7 +23,7 @@
 
 /// Waits for admission. The request counts as in flight until the permit is dropped.
 ///
-/// Fails if the account is over its rate limit, if the queue is full, or if the deadline cannot be
+/// Fails if the entry stops before the deadline, if the account is over its rate limit, if the queue is full, or if the deadline cannot be
 /// met from the current queue position.
 pub async fn admit(
     state: &EntryState,
@@ -33,6 +33,10 @@
     deadline: Instant,
     cost_tokens: u64,
 ) -> Result<AdmissionPermit> {
+    if !state.gate.fits(deadline) {
+        let detail = "this host is stopping, others are not";
+        return Err(RequestError::new(ErrorKind::Overloaded, detail));
+    }
     let params = SchedulingParams {
         account: account.id.clone(),
         cost: cost_tokens,
