--- a/wagtaildoor_front/src/caller_request/request_send.rs
+++ b/wagtaildoor_front/src/caller_request/request_send.rs
@@ -38,12 +38,12 @@
         EndpointConnection,
         ExchangeError, //
     },
+    endpoint_limit::limit_news,
     engine_crash,
     engine_loads::{
         self,
         LoadEvidence, //
     },
-    limit_news,
     request_placement::RequestPlacement,
     wire_codec::{
         DispatchHead,
--- a/wagtaildoor_front/src/endpoint_limit.rs
+++ b/wagtaildoor_front/src/endpoint_limit.rs
@@ -6,6 +6,7 @@
 
 use crate::endpoint_limit::sender_share::SenderShare;
 
+pub mod limit_news;
 pub mod sender_share;
 
 /// Requests that this host may have saved up, at least one, as the time in which they accrue.
--- a/wagtaildoor_front/src/lib.rs
+++ b/wagtaildoor_front/src/lib.rs
@@ -30,7 +30,6 @@
 pub mod front_metrics;
 pub mod front_settings;
 pub mod hint_queue;
-pub mod limit_news;
 pub mod load_times;
 pub mod outage_watch;
 pub mod overload;
--- a/wagtaildoor_front/src/peer_link.rs
+++ b/wagtaildoor_front/src/peer_link.rs
@@ -31,12 +31,12 @@
         GroupMember, //
     },
     endpoint::EndpointKey,
+    endpoint_limit::limit_news,
     engine_loads::{
         self,
         LoadEvidence, //
     },
     front::Front,
-    limit_news,
     peer_hosts::HintTarget,
     peer_records,
     stream_position::StreamPosition,
--- a/wagtaildoor_front/src/request_placement.rs
+++ b/wagtaildoor_front/src/request_placement.rs
@@ -21,6 +21,7 @@
         Endpoint,
         EndpointKey, //
     },
+    endpoint_limit::limit_news,
     engine_loads,
     engine_placement::{
         self,
@@ -32,7 +33,6 @@
         StoreCandidate, //
     },
     front::Front,
-    limit_news,
     plain_placement::{
         self,
         PlainCandidate, //
