Show that a replica that leaves gets requests when it is listed again

Callers' requests reach a replica that said in its answers that it leaves, once its entry has expired and is written anew as ready (a cut between the replica and the store, or one record that cannot be read).

--- a/wagtaildoor_front/tests/endpoint_directory.rs
+++ b/wagtaildoor_front/tests/endpoint_directory.rs
@@ -114,3 +114,33 @@
     assert_eq!(endpoint.weights("m"), 3, "the record lags behind the order");
     assert_eq!(endpoint.published_weights("m"), 1);
 }
+
+/// Guards against DRAIN: an entry that expires and is written again makes an endpoint of the same start,
+/// of which nobody knows any more that it leaves.
+#[test]
+fn an_endpoint_that_is_listed_again_is_still_leaving() {
+    let mut directory = EndpointDirectory::default();
+    directory.apply_record(record("a", 1, 1, EndpointState::Ready), NOW);
+    let told = directory.get("a").expect("known").clone();
+    assert!(told.record_leaving(NOW));
+    assert!(directory.mark_gone(&"a".into(), None, NOW));
+    directory.apply_record(record("a", 1, 2, EndpointState::Ready), NOW);
+    let again = directory.get("a").expect("known").clone();
+    assert!(!again.is_accepting_requests());
+    directory.apply_record(record("a", 2, 1, EndpointState::Ready), NOW);
+    let restarted = directory.get("a").expect("known").clone();
+    assert!(restarted.is_accepting_requests(), "another start");
+}
+
+/// Guards against DRAIN: an answer that comes after its endpoint was removed says that it leaves.
+#[test]
+fn an_answer_after_the_removal_counts_once_the_endpoint_is_listed_again() {
+    let mut directory = EndpointDirectory::default();
+    directory.apply_record(record("a", 1, 1, EndpointState::Ready), NOW);
+    let told = directory.get("a").expect("known").clone();
+    assert!(directory.mark_gone(&"a".into(), None, NOW));
+    assert!(told.record_leaving(NOW));
+    directory.apply_record(record("a", 1, 2, EndpointState::Ready), NOW);
+    let again = directory.get("a").expect("known").clone();
+    assert!(!again.is_accepting_requests());
+}
