Keep what an endpoint says of its leave when its entry is removed

What callers saw: requests reached a replica more than the bound of 2 s after it had said that it leaves (DRAIN), once it was listed again.

Cause: what an answer says was kept with the listed endpoint. When an entry is removed and written anew, by a cut between replica and store or by one record that cannot be read, the same start got a new endpoint that knew nothing.

Change: the statements of a start are an object of their own, which the directory keeps for ten minutes after the removal and hands to the endpoint that is listed again. Another start has another key and begins anew. An answer that comes after the removal reaches the same object.

--- a/wagtaildoor_front/src/endpoint.rs
+++ b/wagtaildoor_front/src/endpoint.rs
@@ -26,6 +26,7 @@
 
 use crate::{
     end_witness::EndWitness,
+    endpoint::endpoint_statements::EndpointStatements,
     endpoint_connection::ConnectionPool,
     endpoint_health::EndpointHealth,
     endpoint_limit::EndpointLimit,
@@ -34,6 +35,8 @@
     wire_codec::LoadReading, //
 };
 
+pub mod endpoint_statements;
+
 /// Hash of an endpoint's id and start time. It identifies one incarnation and is the same on all
 /// hosts.
 pub type EndpointKey = u64;
@@ -120,15 +123,25 @@
     pub end_witness: RefCell<Weak<EndWitness>>,
     /// Limit on the requests that the endpoint takes from all hosts.
     pub limit: RefCell<EndpointLimit>,
-    /// When an answer of the endpoint first said that it leaves.
-    leaving_since: Cell<Option<BootInstant>>,
+    /// What this start of the endpoint has said of itself.
+    pub statements: Rc<EndpointStatements>,
     /// Set when the endpoint was removed or another endpoint responds at its address.
     is_retired: Cell<bool>,
 }
 
 impl Endpoint {
-    /// Creates an endpoint without requests from this host.
+    /// Creates an endpoint without requests from this host, of which nothing is known but its record.
     pub fn new(record: EndpointRecord, now: BootInstant) -> Self {
+        Self::with_statements(record, Rc::default(), now)
+    }
+
+    /// Creates an endpoint without requests from this host, whose present start has said something of
+    /// itself before.
+    pub fn with_statements(
+        record: EndpointRecord,
+        statements: Rc<EndpointStatements>,
+        now: BootInstant,
+    ) -> Self {
         Self {
             id: record.id.clone(),
             key: record.key(),
@@ -142,7 +155,7 @@
             connections: ConnectionPool::new(record.address),
             end_witness: RefCell::new(Weak::new()),
             limit: RefCell::default(),
-            leaving_since: Cell::new(None),
+            statements,
             is_retired: Cell::new(false),
             loading: RefCell::new(None),
             record: RefCell::new(record),
@@ -172,16 +185,15 @@
     /// Whether the endpoint can receive new requests.
     pub fn is_accepting_requests(&self) -> bool {
         !self.is_retired.get()
-            && self.leaving_since.get().is_none()
+            && !self.statements.is_leaving()
             && self.record.borrow().state == EndpointState::Ready
     }
 
     /// Records that an answer of the endpoint says that it leaves, which excludes it from new requests
     /// whatever its records say. Returns whether it is the first such answer.
     pub fn record_leaving(&self, now: BootInstant) -> bool {
-        let is_first = self.leaving_since.get().is_none();
+        let is_first = self.statements.record_leaving(now);
         if is_first {
-            self.leaving_since.set(Some(now));
             self.connections.close_idle();
         }
         is_first
@@ -189,7 +201,7 @@
 
     /// Time since an answer of the endpoint first said that it leaves; `None` if none has.
     pub fn leaving_for(&self, now: BootInstant) -> Option<Duration> {
-        self.leaving_since.get().map(|since| now.since(since))
+        self.statements.leaving_for(now)
     }
 
     /// State in the endpoint's newest record.
--- a/wagtaildoor_front/src/endpoint_directory.rs
+++ b/wagtaildoor_front/src/endpoint_directory.rs
@@ -15,6 +15,7 @@
 };
 
 use crate::endpoint::{
+    endpoint_statements::EndpointStatements,
     Endpoint,
     EndpointKey,
     EndpointRecord, //
@@ -23,6 +24,10 @@
 /// Time after a store outage within which live endpoints register again.
 pub const RELISTING_GRACE: Duration = Duration::from_millis(2_300);
 
+/// Time for which the statements of a removed endpoint are kept, longer than one serves that has left or
+/// cannot reach the store.
+const STATEMENTS_LIFETIME: Duration = Duration::from_secs(600);
+
 /// Effect of a record on the registry.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum DirectoryChange {
@@ -45,6 +50,15 @@
     by_service: HashMap<ServiceId, Vec<Rc<Endpoint>>>,
     /// Endpoints not listed since a store outage, with the time at which they are removed.
     missing_until: HashMap<EndpointId, BootInstant>,
+    /// Statements of removed endpoints, which may be listed again.
+    former: HashMap<EndpointKey, FormerEndpoint>,
+}
+
+/// What is kept of a removed endpoint.
+#[derive(Debug)]
+struct FormerEndpoint {
+    statements: Rc<EndpointStatements>,
+    removed_at: BootInstant,
 }
 
 impl EndpointDirectory {
@@ -96,9 +110,12 @@
                     _ => DirectoryChange::None,
                 };
             }
-            self.remove(&record.id);
+            self.remove(&record.id, now);
         }
-        self.insert(Rc::new(Endpoint::new(record, now)));
+        let former = self.former.remove(&record.key());
+        let statements = former.map_or_else(Rc::default, |former| former.statements);
+        let endpoint = Endpoint::with_statements(record, statements, now);
+        self.insert(Rc::new(endpoint));
         DirectoryChange::Appeared
     }
 
@@ -115,7 +132,7 @@
             return false;
         }
         let Some(until) = relisted_by.filter(|&until| now < until) else {
-            return self.remove(id);
+            return self.remove(id, now);
         };
         self.missing_until.entry(id.clone()).or_insert(until);
         false
@@ -140,13 +157,16 @@
             .collect()
     }
 
-    /// Removes the endpoints that did not register again within the grace period after an outage.
+    /// Removes the endpoints that did not register again within the grace period after an outage, and
+    /// forgets what was removed long ago.
     pub fn expire_missing(&mut self, now: BootInstant) -> Vec<EndpointId> {
         let due = self.missing_until.iter().filter(|(_, &until)| now >= until);
         let due: Vec<EndpointId> = due.map(|(id, _)| id.clone()).collect();
         for id in &due {
-            self.remove(id);
+            self.remove(id, now);
         }
+        self.former
+            .retain(|_, former| now.since(former.removed_at) < STATEMENTS_LIFETIME);
         due
     }
 
@@ -158,13 +178,18 @@
         self.by_id.insert(endpoint.id.clone(), endpoint);
     }
 
-    fn remove(&mut self, id: &EndpointId) -> bool {
+    fn remove(&mut self, id: &EndpointId, now: BootInstant) -> bool {
         self.missing_until.remove(id);
         let Some(endpoint) = self.by_id.remove(id) else {
             return false;
         };
         self.by_key.remove(&endpoint.key);
         endpoint.retire();
+        let former = FormerEndpoint {
+            statements: endpoint.statements.clone(),
+            removed_at: now,
+        };
+        self.former.insert(endpoint.key, former);
         if let Some(same_service) = self.by_service.get_mut(&endpoint.service) {
             same_service.retain(|other| other.id != endpoint.id);
         }
