Read the newest configuration when others came while one arrived

What callers saw: a version that was acknowledged is not in force in time (CONFIG), where versions follow each other faster than one arrives.

Cause: while the store answers, a host reads every version in turn, though only the newest counts. With each it falls behind by more. The class of fault: a queue of states is worked off one by one, of which only the last matters.

--- a/wagtaildoor_front/src/control_follower.rs
+++ b/wagtaildoor_front/src/control_follower.rs
@@ -63,6 +63,10 @@
 /// is read instead of all changes.
 const SNAPSHOT_AFTER: Duration = Duration::from_secs(1);
 
+/// Size of a page, in bytes, from which the newest record of each key is read next if there is more: to read
+/// all of them would take longer than the operator takes to write them.
+const LARGE_PAGE_BYTES: usize = 64 << 10;
+
 /// Read position of one stream, and the state of the store as seen by its reads.
 struct StreamFollower {
     stream: ControlStream,
@@ -70,6 +74,8 @@
     cursor: Option<StreamPosition>,
     /// Read position at the last answer of the store.
     answered_cursor: Option<StreamPosition>,
+    /// Whether newer records were written while a large page arrived.
+    is_lagging: bool,
     /// Progress of a read, unless it is of the operator's stream.
     own_progress: ReadProgress,
     /// Snapshot in progress.
@@ -130,6 +136,7 @@
                 follower.record_response(&front);
                 follower.cursor = Some(page.next);
                 follower.answered_cursor = follower.cursor;
+                follower.is_lagging = page.has_more && page.value_bytes() >= LARGE_PAGE_BYTES;
                 follower.is_first_read = false;
                 let relisted_by = follower.outages.relisted_by(BootInstant::now());
                 record_updates::apply_page::<C>(&front, stream, &page, source, relisted_by);
@@ -227,6 +234,7 @@
             stream,
             cursor: None,
             answered_cursor: None,
+            is_lagging: false,
             own_progress: ReadProgress::default(),
             snapshot: SnapshotReader::default(),
             is_first_read: true,
@@ -314,14 +322,14 @@
     }
 
     /// Whether to read the newest record of each key instead of all that was written since the last
-    /// answer. The operator writes the whole configuration with each version.
+    /// answer, or while it arrived. The operator writes the whole configuration with each version.
     fn prefers_snapshot(&self) -> bool {
         let away = self.outages.away(BootInstant::now());
         let has_missed = self.outages.has_failed()
             && away.is_some_and(|away| away > SNAPSHOT_AFTER)
             && self.cursor == self.answered_cursor;
         self.stream == ControlStream::Operator
-            && (has_missed || self.snapshot.after_key().is_some())
+            && (has_missed || self.is_lagging || self.snapshot.after_key().is_some())
     }
 
     /// Reads the next part of a snapshot and applies its records before the other parts arrive.
--- a/wagtaildoor_front/src/control_store.rs
+++ b/wagtaildoor_front/src/control_store.rs
@@ -85,6 +85,17 @@
     pub has_more: bool,
 }
 
+impl ControlPage {
+    /// Size of the records' values, in bytes.
+    pub fn value_bytes(&self) -> usize {
+        let values = self
+            .records
+            .iter()
+            .filter_map(|record| record.value.as_ref());
+        values.map(Bytes::len).sum()
+    }
+}
+
 /// Part of a snapshot, which is paginated by key.
 #[derive(Clone, Debug, Default, Eq, PartialEq)]
 pub struct SnapshotPart {
