Judge limits as strictly as the users do, and show that a lower one is exceeded

The bounds in the tests were wider than the rule: they rounded the allowance up (20.6 requests to 21, where the users' record counts 21 as broken), and looked at windows that begin after the bound only, not at all that end after it. Now they round down and take every window that ends after it.

What was sent under the higher limit is not counted.

--- a/wagtaildoor_front/tests/endpoint_limit.rs
+++ b/wagtaildoor_front/tests/endpoint_limit.rs
@@ -156,11 +156,11 @@
         }
     }
 
-    /// Most requests of told hosts within a window that begins at or after a time.
+    /// Most requests of told hosts within a window that ends at or after a time.
     fn largest_window(&self, since_ms: u64) -> usize {
-        let begins = self.sent_ms.iter().filter(|&&at| at >= since_ms);
-        let counts = begins.map(|&from| {
-            let in_window = |at: &&u64| (from..from + WINDOW_MS).contains(*at);
+        let ends = self.sent_ms.iter().filter(|&&at| at >= since_ms);
+        let counts = ends.map(|&until| {
+            let in_window = |at: &&u64| (until - WINDOW_MS + 1..=until).contains(*at);
             self.sent_ms.iter().filter(in_window).count()
         });
         counts.max().unwrap_or(0)
@@ -177,7 +177,7 @@
 
 /// Requests that some window may have.
 fn allowed(per_s: f64) -> usize {
-    (per_s * 4.0 * 1.5 + 5.0).round() as usize
+    (per_s * 4.0 * 1.5 + 5.0).floor() as usize
 }
 
 /// Guards against LIMIT: many hosts each keep to a limit alone, or each has one request saved up.
@@ -248,6 +248,22 @@
     }
 }
 
+/// Guards against LIMIT: a limit falls, and what hosts sent under the higher one still counts in the window.
+#[test]
+fn a_lower_limit_holds_for_what_was_sent_before() {
+    for seed in 1..10 {
+        let mut fleet = LimitFleet::new(59, seed);
+        fleet.loss_percent = 100;
+        fleet.per_s = Some(2.6);
+        fleet.run(10_000, 100);
+        fleet.per_s = Some(1.3);
+        let since_ms = fleet.now_ms + CONTACT_MS;
+        fleet.run(10_000, 100);
+        let largest = fleet.largest_window(since_ms);
+        assert!(largest <= allowed(1.3), "seed {seed}: {largest}");
+    }
+}
+
 #[test]
 fn an_older_statement_changes_nothing_and_an_unsent_request_comes_back() {
     let at = |s: u64| BootInstant::ZERO + Duration::from_secs(s);
