Show that a replica that is listed again gets more than its limit

A replica in need is cut off from the store, its entry expires and is written anew. All hosts were told of its limit, but send what they like until their next answers: 41 requests in 4 s from 4 hosts with 12 callers each, 20 allowed.

--- a/wagtaildoor_front/tests/endpoint_directory.rs
+++ b/wagtaildoor_front/tests/endpoint_directory.rs
@@ -13,6 +13,7 @@
         EndpointDirectory,
         RELISTING_GRACE, //
     },
+    endpoint_limit::LimitStatement,
 };
 
 /// Creates an endpoint's record.
@@ -144,3 +145,24 @@
     let again = directory.get("a").expect("known").clone();
     assert!(!again.is_accepting_requests());
 }
+
+/// Guards against LIMIT: an entry that expires and is written again makes an endpoint of the same start,
+/// of whose limit nobody knows any more.
+#[test]
+fn an_endpoint_that_is_listed_again_is_still_limited() {
+    let mut directory = EndpointDirectory::default();
+    directory.apply_record(record("a", 1, 1, EndpointState::Ready), NOW);
+    let told = directory.get("a").expect("known").clone();
+    let statement = LimitStatement {
+        per_s: Some(2.6),
+        said_at: NOW,
+    };
+    told.limit.borrow_mut().record(statement, NOW);
+    assert!(directory.mark_gone(&"a".into(), None, NOW));
+    directory.apply_record(record("a", 1, 2, EndpointState::Ready), NOW);
+    let again = directory.get("a").expect("known").clone();
+    assert_eq!(again.limit.borrow().per_s(), Some(2.6));
+    directory.apply_record(record("a", 2, 1, EndpointState::Ready), NOW);
+    let restarted = directory.get("a").expect("known").clone();
+    assert_eq!(restarted.limit.borrow().per_s(), None, "another start");
+}
