Keep the limit that an endpoint names when its entry is removed

What callers saw: a replica in need got far more requests than the limit that it had named (LIMIT), once its entry had expired and was written anew.

Cause: the limit was kept with the listed endpoint, so that all hosts forgot it at once with the entry, and sent what they liked until their next answers.

Change: the limit is one of the statements of a start of an endpoint, which outlive its entry.

--- a/wagtaildoor_front/src/caller_request.rs
+++ b/wagtaildoor_front/src/caller_request.rs
@@ -291,7 +291,7 @@
                     self.front.metrics.record_send("not_sent");
                     self.log.add_decision(format_args!("not sent: {reason}"));
                     self.undo_placement(&placement);
-                    placement.endpoint.limit.borrow_mut().give_back();
+                    placement.endpoint.statements.limit.borrow_mut().give_back();
                     self.tried.push(placement.endpoint.key);
                 }
                 Err(SendFailure::Refused(head)) => {
--- a/wagtaildoor_front/src/caller_request/request_send.rs
+++ b/wagtaildoor_front/src/caller_request/request_send.rs
@@ -72,7 +72,11 @@
     ) -> Result<StartedResponse> {
         self.sends += 1;
         let endpoint = &placement.endpoint;
-        endpoint.limit.borrow_mut().take(BootInstant::now());
+        endpoint
+            .statements
+            .limit
+            .borrow_mut()
+            .take(BootInstant::now());
         let mut guard = endpoint.start_request(placement.prefill_tokens, BootInstant::now());
         if placement.engine.is_some() {
             self.front
--- a/wagtaildoor_front/src/endpoint.rs
+++ b/wagtaildoor_front/src/endpoint.rs
@@ -29,7 +29,6 @@
     endpoint::endpoint_statements::EndpointStatements,
     endpoint_connection::ConnectionPool,
     endpoint_health::EndpointHealth,
-    endpoint_limit::EndpointLimit,
     endpoint_load::EndpointLoad,
     prefix_hash,
     wire_codec::LoadReading, //
@@ -121,8 +120,6 @@
     pub connections: ConnectionPool,
     /// Further connection while answers of unknown length are in progress.
     pub end_witness: RefCell<Weak<EndWitness>>,
-    /// Limit on the requests that the endpoint takes from all hosts.
-    pub limit: RefCell<EndpointLimit>,
     /// What this start of the endpoint has said of itself.
     pub statements: Rc<EndpointStatements>,
     /// Set when the endpoint was removed or another endpoint responds at its address.
@@ -154,7 +151,6 @@
             health: RefCell::new(EndpointHealth::new(now)),
             connections: ConnectionPool::new(record.address),
             end_witness: RefCell::new(Weak::new()),
-            limit: RefCell::default(),
             statements,
             is_retired: Cell::new(false),
             loading: RefCell::new(None),
--- a/wagtaildoor_front/src/endpoint/endpoint_statements.rs
+++ b/wagtaildoor_front/src/endpoint/endpoint_statements.rs
@@ -1,18 +1,25 @@
 //! What one start of an endpoint has said of itself in its answers.
 
 use std::{
-    cell::Cell,
+    cell::{
+        Cell,
+        RefCell, //
+    },
     time::Duration, //
 };
 
 use wagtaildoor::boot_clock::BootInstant;
 
+use crate::endpoint_limit::EndpointLimit;
+
 /// Statements of one start of an endpoint, which hold whatever its records say.
 ///
 /// They outlive the endpoint's entry: an endpoint that cannot reach the store is removed and listed again
 /// while it goes on serving.
 #[derive(Debug, Default)]
 pub struct EndpointStatements {
+    /// Limit on the requests that the endpoint takes from all hosts.
+    pub limit: RefCell<EndpointLimit>,
     /// When an answer first said that the endpoint leaves.
     leaving_since: Cell<Option<BootInstant>>,
 }
--- a/wagtaildoor_front/src/endpoint_limit/limit_news.rs
+++ b/wagtaildoor_front/src/endpoint_limit/limit_news.rs
@@ -35,7 +35,7 @@
         said_at: now,
     };
     let has_changed = record(front, endpoint, statement, "answer", now);
-    let mut limit = endpoint.limit.borrow_mut();
+    let mut limit = endpoint.statements.limit.borrow_mut();
     if has_changed || limit.is_news_due(now) {
         let news = limit.take_news(now).map(|_| LimitNews {
             endpoint: endpoint.key,
@@ -59,7 +59,7 @@
 
 /// Whether this host may send a request to an endpoint now, by the endpoint's limit.
 pub fn has_room(front: &Front, endpoint: &Endpoint, now: BootInstant) -> bool {
-    let mut limit = endpoint.limit.borrow_mut();
+    let mut limit = endpoint.statements.limit.borrow_mut();
     if limit.needs_share(now) {
         limit.set_share(own_share(front, endpoint), now);
     }
@@ -74,7 +74,7 @@
     source: &'static str,
     now: BootInstant,
 ) -> bool {
-    let mut limit = endpoint.limit.borrow_mut();
+    let mut limit = endpoint.statements.limit.borrow_mut();
     let before = limit.per_s();
     let has_changed = limit.record(statement, now);
     if has_changed {
--- a/wagtaildoor_front/tests/endpoint_directory.rs
+++ b/wagtaildoor_front/tests/endpoint_directory.rs
@@ -157,12 +157,16 @@
         per_s: Some(2.6),
         said_at: NOW,
     };
-    told.limit.borrow_mut().record(statement, NOW);
+    told.statements.limit.borrow_mut().record(statement, NOW);
     assert!(directory.mark_gone(&"a".into(), None, NOW));
     directory.apply_record(record("a", 1, 2, EndpointState::Ready), NOW);
     let again = directory.get("a").expect("known").clone();
-    assert_eq!(again.limit.borrow().per_s(), Some(2.6));
+    assert_eq!(again.statements.limit.borrow().per_s(), Some(2.6));
     directory.apply_record(record("a", 2, 1, EndpointState::Ready), NOW);
     let restarted = directory.get("a").expect("known").clone();
-    assert_eq!(restarted.limit.borrow().per_s(), None, "another start");
+    assert_eq!(
+        restarted.statements.limit.borrow().per_s(),
+        None,
+        "another start"
+    );
 }
