Let only an answer that names its request lift a limit

What callers saw: a replica in need that sends spoilt answers got far more requests than its limit (LIMIT).

Cause: an answer without the header was read as a statement of the endpoint that it names no limit, even if nothing in it shows that the endpoint wrote it for this request. One such answer lifted the limit on all hosts, by the hint.

Change: such an answer lifts a limit only if it bears the request's id, as all answers of endpoints do. A limit is taken from any answer.

--- a/wagtaildoor_front/src/caller_request/request_send.rs
+++ b/wagtaildoor_front/src/caller_request/request_send.rs
@@ -48,6 +48,7 @@
     wire_codec::{
         DispatchHead,
         EngineHead,
+        StatedRate,
         WireCodec, //
     },
 };
@@ -253,7 +254,10 @@
             if head.leaving {
                 self.record_leaving(endpoint, now);
             }
-            limit_news::apply_answer(&self.front, endpoint, head.rate_limit, now);
+            // Spoilt answers, which do not name the request, lift no limit.
+            if head.attempt.is_some() || head.rate_limit != StatedRate::Unlimited {
+                limit_news::apply_answer(&self.front, endpoint, head.rate_limit, now);
+            }
         }
         if is_refusal {
             return Err(SendFailure::Refused(head));
