Wait only briefly for records of a slow store

Cause: a read that arrives at a slow store while a record is written waits for the next one, or until its time ends. All hosts ask at the same moment, woken by the record before, so that none can tell the others. The class of fault: a notification that may be lost, with a fallback longer than the bound.

Change: the time for answers that the store gives at once is measured. While it is over 0.1 s, reads of the operator's stream wait for 0.6 s at most; those that wait as the store becomes slow are begun anew ("store has become slow" in the log). At other times nothing changes.

--- a/wagtaildoor_front/src/control_follower.rs
+++ b/wagtaildoor_front/src/control_follower.rs
@@ -63,6 +63,11 @@
 /// is read instead of all changes.
 const SNAPSHOT_AFTER: Duration = Duration::from_secs(1);
 
+/// Time for an answer from which the store counts as slow. A read that arrives then as a record is written may
+/// wait for the next one.
+const SLOW_STORE_DELAY: Duration = Duration::from_millis(100);
+/// Longest wait for records at a slow store.
+const SLOW_STORE_POLL_TIMEOUT: Duration = Duration::from_millis(600);
 /// Size of a page, in bytes, from which the newest record of each key is read next if there is more: to read
 /// all of them would take longer than the operator takes to write them.
 const LARGE_PAGE_BYTES: usize = 64 << 10;
@@ -97,6 +102,8 @@
     Page(ControlPage, PageSource),
     /// The store was restored from a copy, so that the read position means nothing.
     Restored,
+    /// The read was given up, to be begun anew.
+    GivenUp,
 }
 
 /// Reads one stream and applies its records until the process ends.
@@ -115,6 +122,7 @@
         follower.begin_era(&front);
         let store_failure = front.store_read_failed.notified();
         let restore = front.store_restored.notified();
+        let slowdown = wait_until_stalled(&front, stream, front.store_slowed.notified());
         let is_long_poll = follower.is_long_poll(&front);
         let result = tokio::select! {
             result = follower.read::<C, S>(&front, &store) => result,
@@ -123,9 +131,11 @@
                 Err(StoreError::Unavailable("another read of the store failed".into()))
             }
             () = restore => Ok(ReadOutcome::Restored),
+            () = slowdown, if is_long_poll => Ok(ReadOutcome::GivenUp),
         };
         match result {
             Ok(ReadOutcome::Part) => follower.record_response(&front),
+            Ok(ReadOutcome::GivenUp) => {}
             Ok(ReadOutcome::Restored) => {
                 follower.drop_position();
                 if stream == ControlStream::Endpoints {
@@ -166,15 +176,32 @@
     }
 }
 
-/// Waits for the failure of another read. The answer to a read of the operator's stream may be arriving
-/// nevertheless, and is then waited for.
-async fn wait_until_stalled(front: &Front, stream: ControlStream, store_failure: Notified<'_>) {
-    store_failure.await;
+/// Waits for the failure of another read, or the store's slowness. The answer to a read of the operator's
+/// stream may be arriving nevertheless, and is then waited for.
+async fn wait_until_stalled(front: &Front, stream: ControlStream, store_trouble: Notified<'_>) {
+    store_trouble.await;
     while stream == ControlStream::Operator && front.operator_read.is_arriving(BootInstant::now()) {
         time::sleep(ARRIVAL_CHECK_INTERVAL).await;
     }
 }
 
+/// Records the time that the store took for an answer that it gave at once. Reads that wait are begun anew
+/// when it has become slow: they may have arrived since.
+fn record_store_delay(front: &Front, delay: Duration) {
+    let was_slow = is_store_slow(front);
+    front.store_delay.set(delay);
+    if is_store_slow(front) && !was_slow {
+        let delay_ms = delay.as_millis() as u64;
+        slog::info!(front.log, "store has become slow"; "delay_ms" => delay_ms);
+        front.store_slowed.notify_waiters();
+    }
+}
+
+/// Whether the store took long for its last answer.
+fn is_store_slow(front: &Front) -> bool {
+    front.store_delay.get() >= SLOW_STORE_DELAY
+}
+
 /// Learns what other hosts know and a restored store may lack, after its copy was read.
 fn learn_from_others<C: WireCodec>(front: &Rc<Front>, stream: ControlStream) {
     match stream {
@@ -297,12 +324,17 @@
             return self.read_snapshot::<C, S>(front, store).await;
         };
         let wait = match self.is_long_poll(front) {
+            true if is_store_slow(front) => SLOW_STORE_POLL_TIMEOUT,
             true => front.settings.times.operator_poll_timeout,
             false => Duration::ZERO,
         };
         let progress = self.progress(front);
+        let begun_at = BootInstant::now();
         let page = store.read_changes(self.stream, from, wait, progress);
         let page = page.await?;
+        if wait.is_zero() {
+            record_store_delay(front, BootInstant::now().since(begun_at));
+        }
         front.enter_era(page.next.era);
         if page.next.era != from.era {
             return Ok(ReadOutcome::Restored);
--- a/wagtaildoor_front/src/front.rs
+++ b/wagtaildoor_front/src/front.rs
@@ -137,8 +137,12 @@
     pub has_asked_others: Cell<bool>,
     /// Progress of this host's read of the operator's stream from the store.
     pub operator_read: ReadProgress,
+    /// Time that the store took for its last answer to a read that does not wait for records.
+    pub store_delay: Cell<Duration>,
     /// Notified when a read of the store timed out or failed.
     pub store_read_failed: Notify,
+    /// Notified when the store has become slow.
+    pub store_slowed: Notify,
     /// Notified by answers of the store, so that failed reads are tried again.
     pub store_answered: Notify,
     /// Times at which the process stood still.
@@ -198,7 +202,9 @@
             store_restored: Notify::new(),
             has_asked_others: Cell::new(false),
             operator_read: ReadProgress::default(),
+            store_delay: Cell::new(Duration::ZERO),
             store_read_failed: Notify::new(),
+            store_slowed: Notify::new(),
             store_answered: Notify::new(),
             pauses: PauseMonitor::new(BootInstant::now()),
             started: BootInstant::now(),
