Take no part of a limit before the other hosts are known

Cause: a host that knows no other one is the only sender by its own reckoning, and takes the whole limit.

Change: a host without a list takes no part for the first five seconds; then it goes by the hosts that it heard, so that it does send if it is alone. With a list, nothing changes. Removes a bound that the size of the bucket implies.

--- a/wagtaildoor_front/src/endpoint_limit.rs
+++ b/wagtaildoor_front/src/endpoint_limit.rs
@@ -170,7 +170,7 @@
             self.sent_at.pop_front();
         }
         let most = self.own_rate() * WINDOW.as_secs_f64() + self.max_level();
-        self.sent_at.len() as f64 + 1.0 <= most.max(1.0)
+        self.sent_at.len() as f64 + 1.0 <= most
     }
 
     /// This host's part of the limit, in requests a second.
--- a/wagtaildoor_front/src/endpoint_limit/limit_news.rs
+++ b/wagtaildoor_front/src/endpoint_limit/limit_news.rs
@@ -17,6 +17,9 @@
     wire_codec::StatedRate,
 };
 
+/// Time after its start for which a host without a list of the hosts takes no part of a limit. Those that are
+/// there are heard by then.
+const LIST_WAIT: Duration = Duration::from_secs(5);
 /// Highest limit that is told apart from others, in requests a second.
 const MAX_LIMIT_PER_S: f64 = 1e9;
 
@@ -61,7 +64,7 @@
 pub fn has_room(front: &Front, endpoint: &Endpoint, now: BootInstant) -> bool {
     let mut limit = endpoint.statements.limit.borrow_mut();
     if limit.needs_share(now) {
-        limit.set_share(own_share(front, endpoint), now);
+        limit.set_share(own_share(front, endpoint, now), now);
     }
     limit.has_room(now)
 }
@@ -78,7 +81,7 @@
     let before = limit.per_s();
     let has_changed = limit.record(statement, now);
     if has_changed {
-        let share = own_share(front, endpoint);
+        let share = own_share(front, endpoint, now);
         limit.set_share(share, now);
         slog::info!(front.log, "endpoint limit"; "endpoint" => &*endpoint.id, "by" => source,
             "per_s" => statement.per_s, "before" => before, "own_part" => share.part(),
@@ -87,8 +90,12 @@
     has_changed
 }
 
-fn own_share(front: &Front, endpoint: &Endpoint) -> SenderShare {
+/// This host's part of an endpoint's limit; none while it may know too few of the other hosts.
+fn own_share(front: &Front, endpoint: &Endpoint, now: BootInstant) -> SenderShare {
     let peers = front.peers.borrow();
+    if !peers.has_list() && now.since(front.started) < LIST_WAIT {
+        return SenderShare::default();
+    }
     let hosts = peers.members().map(|host| &*host.host);
     SenderShare::of_host(endpoint.key, &front.settings.host, hosts)
 }
--- a/wagtaildoor_front/src/peer_hosts.rs
+++ b/wagtaildoor_front/src/peer_hosts.rs
@@ -47,12 +47,15 @@
 #[derive(Debug, Default)]
 pub struct PeerHosts {
     hosts: Vec<PeerHost>,
+    /// Whether a list of the group's hosts was applied.
+    has_list: bool,
 }
 
 impl PeerHosts {
     /// Applies a complete list of the group's hosts. Unlisted hosts that were seen less than
     /// [`FORGET_TIMEOUT`] ago are kept.
     pub fn apply_group_list(&mut self, members: Vec<GroupMember>, now: BootInstant) {
+        self.has_list = true;
         for host in &mut self.hosts {
             host.is_listed = false;
         }
@@ -141,6 +144,11 @@
         self.members().map(|member| member.address)
     }
 
+    /// Whether a list of the group's hosts was applied, so that more than those heard so far are known.
+    pub fn has_list(&self) -> bool {
+        self.has_list
+    }
+
     /// Number of known hosts.
     pub fn len(&self) -> usize {
         self.hosts.len()
