--- a/wagtaildoor_entry/src/admit.rs
+++ b/wagtaildoor_entry/src/admit.rs
@@ -23,8 +23,8 @@
 
 /// Waits for admission. The request counts as in flight until the permit is dropped.
 ///
-/// Fails if the entry stops before the deadline, if the account is over its rate limit, if the queue is full, or if the deadline cannot be
-/// met from the current queue position.
+/// Fails if the entry stops before the deadline, if the account is over its rate limit, if the queue is
+/// full, or if the deadline cannot be met from the current queue position.
 pub async fn admit(
     state: &EntryState,
     timeline: &RequestTimeline,
--- a/wagtaildoor_entry/tests/support/entry_rig.rs
+++ b/wagtaildoor_entry/tests/support/entry_rig.rs
@@ -66,6 +66,8 @@
 pub const GUIDES_TOKEN: &str = "guides-token";
 /// Deadline of all templates except `endless`.
 pub const PLAIN_DEADLINE: Duration = Duration::from_secs(5);
+/// Timeout of the entry's whole shutdown, longer than any deadline.
+pub const SHUTDOWN_LIMIT: Duration = Duration::from_secs(6);
 /// Deadline of the template `endless`, in milliseconds.
 pub const ENDLESS_DEADLINE_MS: u64 = 4_000;
 /// Number of the next setup in this process, which makes address files unique.
@@ -235,7 +237,7 @@
         "listen": listen,
         "keepers": { "addresses": [keeper.address] },
         "limits": {},
-        "shutdown": {},
+        "shutdown": { "limit_ms": SHUTDOWN_LIMIT.as_millis() as u64 },
         "logging": { "level": "error" },
     });
     serde_json::from_value(settings).expect("settings")
