Test that statements of removed endpoints are forgotten

Ten minutes after the removal; before, they are kept, since the endpoint may be listed again. The test holds a weak reference to what was said. It fails with the lifetime ignored (not run), by its second half.

--- a/wagtaildoor_front/tests/endpoint_directory.rs
+++ b/wagtaildoor_front/tests/endpoint_directory.rs
@@ -1,6 +1,9 @@
 //! Registry of endpoints under stale records, restarts under the same name, and store outages.
 
-use std::time::Duration;
+use std::{
+    rc::Rc,
+    time::Duration, //
+};
 
 use wagtaildoor::boot_clock::BootInstant;
 use wagtaildoor_front::{
@@ -170,3 +173,19 @@
         "another start"
     );
 }
+
+/// Guards against memory that grows with each endpoint that was ever removed.
+#[test]
+fn what_a_removed_endpoint_said_is_forgotten_in_the_end() {
+    let mut directory = EndpointDirectory::default();
+    directory.apply_record(record("a", 1, 1, EndpointState::Ready), NOW);
+    let told = directory.get("a").expect("known").clone();
+    assert!(told.record_leaving(NOW));
+    assert!(directory.mark_gone(&"a".into(), None, NOW));
+    let statements = Rc::downgrade(&told.statements);
+    drop(told);
+    directory.expire_missing(NOW + Duration::from_secs(300));
+    assert!(statements.upgrade().is_some(), "it may be listed again");
+    directory.expire_missing(NOW + Duration::from_secs(600));
+    assert!(statements.upgrade().is_none());
+}
