--- a/wagtaildoor_front/src/caller_request/response_read.rs
+++ b/wagtaildoor_front/src/caller_request/response_read.rs
@@ -198,6 +198,7 @@
             begun_at: started.begun_at,
             end_witness: started.end_witness,
             has_event: false,
+            passed_bytes: 0,
             is_past_beginning: false,
         };
         task::spawn_local(stream_relay::relay(self, stream, sender));
--- a/wagtaildoor_front/src/stream_relay.rs
+++ b/wagtaildoor_front/src/stream_relay.rs
@@ -59,6 +59,8 @@
     pub end_witness: Option<Rc<EndWitness>>,
     /// Whether a complete event has arrived.
     pub has_event: bool,
+    /// Number of body bytes from this source that went to the caller.
+    pub passed_bytes: u64,
     /// Whether the answer has gone on for so long that its prompt does not crash its engine.
     pub is_past_beginning: bool,
 }
@@ -73,6 +75,7 @@
             begun_at: started.begun_at,
             end_witness: started.end_witness,
             has_event: false,
+            passed_bytes: 0,
             is_past_beginning: false,
         }
     }
@@ -125,9 +128,10 @@
             }
             SourceEnd::Broken(reason) => reason,
         };
-        request
-            .log
-            .add_decision(format_args!("broke off: {reason}"));
+        let passed_bytes = source.passed_bytes;
+        request.log.add_decision(format_args!(
+            "broke off: {reason}, {passed_bytes} bytes passed on"
+        ));
         endpoint.health.borrow_mut().record_outcome(true, now);
         request
             .front
@@ -209,6 +213,7 @@
             request.record_sound_parts();
         }
         request.log.record_first_part();
+        source.passed_bytes += complete.len() as u64;
         if parts.send(Ok(complete)).await.is_err() {
             return SourceEnd::CallerLeft;
         }
