--- a/wagtaildoor_front/src/event_splitter.rs
+++ b/wagtaildoor_front/src/event_splitter.rs
@@ -5,13 +5,22 @@
     BytesMut, //
 };
 
+use crate::service_config::RouteKind;
+
+mod event_syntax;
+
 /// Size of an event from which on the stream counts as broken, in bytes.
 const MAX_EVENT_BYTES: usize = 1 << 20;
 
 /// Splits an endpoint's stream so that only complete events of the stream are forwarded to the caller.
 ///
 /// The ids of a stream's events increase. Once one had an id, what has none or an earlier one is
-/// something else, such as the text of an error, and ends the stream.
+/// something else, such as the text of an error, and ends the stream. The same goes for what does not
+/// have the form of an event.
+///
+/// A stream that may be resumed passes on nothing before its first id, as a run that begins anew would
+/// follow what the caller already has. A second event without an id shows that the stream has none; it
+/// is passed on and cannot be resumed any more.
 #[derive(Debug, Default)]
 pub struct EventSplitter {
     /// Start of an event whose end has not arrived yet.
@@ -22,12 +31,32 @@
     skip_through: Option<u64>,
     /// Whether something else than an event of the stream has arrived.
     is_foreign: bool,
+    /// Whether the events of the stream have ids.
+    numbering: EventNumbering,
+    /// What came before the first id of a stream that may be resumed.
+    early_part: BytesMut,
+}
+
+/// What is known of the ids of a stream that has shown none yet.
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
+enum EventNumbering {
+    /// The stream cannot be resumed, so that its events need no ids.
+    #[default]
+    Optional,
+    /// The stream may be resumed, so that its events should have ids.
+    Expected,
+    /// The stream may be resumed, but its first event has no id.
+    Doubtful,
+    /// The stream has no ids.
+    Absent,
 }
 
 /// What a complete event is to the caller.
 enum EventKind {
     /// The caller has it already.
     Known,
+    /// It waits for the first id.
+    Early,
     /// It continues the stream.
     Next,
     /// It does not belong to the stream.
@@ -35,11 +64,21 @@
 }
 
 impl EventSplitter {
-    /// Creates a splitter for a resumed stream; events up to `last_id` are skipped.
+    /// Creates a splitter for the first source of a stream.
+    pub fn for_route(kind: RouteKind) -> Self {
+        match kind {
+            RouteKind::Stream { resumable: true } => Self::resumed_after(None),
+            _ => Self::default(),
+        }
+    }
+
+    /// Creates a splitter for a source that goes on with a stream; events up to `last_id` are skipped.
+    /// `None` if the caller has received nothing.
     pub fn resumed_after(last_id: Option<u64>) -> Self {
         Self {
             last_id,
             skip_through: last_id,
+            numbering: EventNumbering::Expected,
             ..Self::default()
         }
     }
@@ -54,16 +93,37 @@
             return self.take_events(data);
         }
         self.partial.extend_from_slice(&data);
-        let Some(end) = last_event_end(&self.partial) else {
+        let Some(end) = event_syntax::last_event_end(&self.partial) else {
             return Bytes::new();
         };
         let complete = self.partial.split_to(end).freeze();
         self.take_events(complete)
     }
 
-    /// Whether an event is larger than any sound one, so that it may have no end.
+    /// Whether an event is larger than any sound one, so that it may have no end. What came before the
+    /// first id counts as well.
     pub fn is_oversized(&self) -> bool {
-        self.partial.len() >= MAX_EVENT_BYTES
+        self.partial.len() + self.early_part.len() >= MAX_EVENT_BYTES
+    }
+
+    /// Size of what waits for the first id, in bytes.
+    pub fn early_bytes(&self) -> usize {
+        self.early_part.len()
+    }
+
+    /// Takes the comments that wait for the first id, once the stream has ended without one.
+    pub fn take_early_comments(&mut self) -> Bytes {
+        self.early_part.split().freeze()
+    }
+
+    /// Whether an event without an id waits for the first id.
+    pub fn is_doubtful(&self) -> bool {
+        self.numbering == EventNumbering::Doubtful
+    }
+
+    /// Whether events without ids were passed on, behind which nothing can be resumed.
+    pub fn has_no_ids(&self) -> bool {
+        self.numbering == EventNumbering::Absent
     }
 
     /// Whether something that is no event of the stream has arrived.
@@ -86,10 +146,15 @@
         let (mut start, mut end) = (0, 0);
         while end < complete.len() {
             let event = &complete[end..];
-            let event = &event[..first_event_end(event).unwrap_or(event.len())];
+            let event_end = event_syntax::first_event_end(event);
+            let event = &event[..event_end.unwrap_or(event.len())];
             end += event.len();
             match self.judge_event(event) {
                 EventKind::Known => start = end,
+                EventKind::Early => {
+                    self.early_part.extend_from_slice(event);
+                    start = end;
+                }
                 EventKind::Next => {}
                 EventKind::Foreign => {
                     self.is_foreign = true;
@@ -98,62 +163,56 @@
                 }
             }
         }
-        complete.slice(start..end)
+        let events = complete.slice(start..end);
+        if self.early_part.is_empty() || events.is_empty() {
+            return events;
+        }
+        self.early_part.extend_from_slice(&events);
+        self.early_part.split().freeze()
     }
 
-    /// Judges an event by its id, and records it as the last one if it continues the stream.
+    /// Judges an event by its form and id, and records it as the last one if it continues the stream.
     fn judge_event(&mut self, event: &[u8]) -> EventKind {
-        if is_comment(event) {
+        if event_syntax::is_comment(event) {
             return match self.skip_through {
                 Some(_) => EventKind::Known,
+                None if self.waits_for_id() => EventKind::Early,
                 None => EventKind::Next,
             };
         }
-        let id = event_id(event);
+        if !event_syntax::has_event_form(event) {
+            return EventKind::Foreign;
+        }
+        let id = event_syntax::event_id(event);
         if id.is_some() && id <= self.skip_through {
             return EventKind::Known;
         }
         if self.last_id.is_some() && id <= self.last_id {
             return EventKind::Foreign;
         }
+        if self.waits_for_id() {
+            match (self.numbering, id) {
+                (EventNumbering::Expected, None) => {
+                    self.numbering = EventNumbering::Doubtful;
+                    return EventKind::Early;
+                }
+                (EventNumbering::Doubtful, Some(_)) => return EventKind::Foreign,
+                (EventNumbering::Doubtful, None) => self.numbering = EventNumbering::Absent,
+                _ => {}
+            }
+        }
         self.skip_through = None;
         self.last_id = id;
         EventKind::Next
     }
-}
 
-/// Offset after the last complete event.
-fn last_event_end(data: &[u8]) -> Option<usize> {
-    let plain = data.windows(2).rposition(|pair| pair == b"\n\n");
-    let plain = plain.map(|offset| offset + 2);
-    let crlf = data.windows(4).rposition(|four| four == b"\r\n\r\n");
-    plain.max(crlf.map(|offset| offset + 4))
-}
-
-/// Offset after the first complete event.
-fn first_event_end(data: &[u8]) -> Option<usize> {
-    let mut from = 0;
-    while let Some(offset) = data[from..].iter().position(|&byte| byte == b'\n') {
-        from += offset + 1;
-        match &data[from..] {
-            [b'\n', ..] => return Some(from + 1),
-            [b'\r', b'\n', ..] => return Some(from + 2),
-            _ => {}
-        }
+    /// Whether nothing is passed on yet, since the stream may be resumed and has shown no id.
+    fn waits_for_id(&self) -> bool {
+        let numbering = self.numbering;
+        let may_show_id = matches!(
+            numbering,
+            EventNumbering::Expected | EventNumbering::Doubtful
+        );
+        may_show_id && self.last_id.is_none()
     }
-    None
-}
-
-/// Whether an event consists of comments, which have no id.
-fn is_comment(event: &[u8]) -> bool {
-    let mut lines = event.split(|&byte| byte == b'\n');
-    lines.all(|line| line.is_empty() || line == b"\r" || line.starts_with(b":"))
-}
-
-/// Id of the last event that has one.
-fn event_id(events: &[u8]) -> Option<u64> {
-    let lines = events.rsplit(|&byte| byte == b'\n');
-    let mut ids = lines.filter_map(|line| line.strip_prefix(b"id:"));
-    let id = std::str::from_utf8(ids.next()?).ok()?;
-    id.trim().parse().ok()
 }
--- a/wagtaildoor_front/src/stream_relay.rs
+++ b/wagtaildoor_front/src/stream_relay.rs
@@ -99,7 +99,7 @@
     mut source: StreamSource,
     parts: Sender<response_body::Result<Bytes>>,
 ) {
-    let mut events = EventSplitter::default();
+    let mut events = EventSplitter::for_route(request.route.kind);
     loop {
         let endpoint = source.guard.endpoint().clone();
         request.set_answering_endpoint(&endpoint.id);
@@ -107,6 +107,11 @@
         let now = BootInstant::now();
         let reason = match end {
             SourceEnd::Complete => {
+                let comments = events.take_early_comments();
+                if !comments.is_empty() {
+                    // A failed send means that the caller already disconnected.
+                    let _ = parts.send(Ok(comments)).await;
+                }
                 endpoint.health.borrow_mut().record_outcome(false, now);
                 request.front.metrics.record_send("answered");
                 if source.has_event {
@@ -147,7 +152,7 @@
         request
             .inspect_broken_answer(&endpoint, begun_at, in_first_event)
             .await;
-        let next = match request.may_resume() {
+        let next = match request.may_resume() && !events.has_no_ids() {
             true => resume(&mut request, last_id, &parts).await,
             false => None,
         };
@@ -173,10 +178,10 @@
     parts: &Sender<response_body::Result<Bytes>>,
 ) -> SourceEnd {
     let silence = source.guard.endpoint().health.borrow().silence_token();
-    let can_resume = request.may_resume();
     let stall_timeout = request.route.caller_patience.mul_f64(STALL_SHARE);
     let mut stalled_at = time::Instant::now() + stall_timeout;
     loop {
+        let can_resume = request.may_resume() && !events.has_no_ids();
         let frame = tokio::select! {
             biased;
             () = parts.closed() => return SourceEnd::CallerLeft,
@@ -199,14 +204,17 @@
         }
         source.guard.record_data(BootInstant::now());
         record_weights(request, source, &data);
+        let early_bytes = events.early_bytes();
         let complete = events.push(data);
+        if !complete.is_empty() || events.early_bytes() > early_bytes {
+            stalled_at = time::Instant::now() + stall_timeout;
+        }
         if complete.is_empty() {
             if events.is_foreign() {
                 return SourceEnd::Broken("an event does not belong to the stream".into());
             }
             continue;
         }
-        stalled_at = time::Instant::now() + stall_timeout;
         source.has_event = true;
         if !source.is_past_beginning && source.begun_at.elapsed() >= engine_crash::BEGINNING_TIME {
             source.is_past_beginning = true;
@@ -233,6 +241,9 @@
     if events.has_partial_event() {
         return SourceEnd::Broken("the stream ended inside an event".into());
     }
+    if events.is_doubtful() {
+        return SourceEnd::Broken("the stream ended after one event without an id".into());
+    }
     if let Some(witness) = &source.end_witness {
         let resumed_after = events.last_id().or(request.head.resume_after);
         if resumed_after.is_none() && !source.has_event {
--- a/wagtaildoor_front/tests/event_splitter.rs
+++ b/wagtaildoor_front/tests/event_splitter.rs
@@ -114,3 +114,75 @@
     assert_eq!(push_all(&mut splitter, text, &[9]), text);
     assert!(!splitter.is_foreign());
 }
+
+/// Guards against sound streams that are withheld on routes that may be resumed: without ids, with
+/// comments, or with a delay for reconnecting.
+#[test]
+fn a_stream_that_may_be_resumed_needs_no_ids_for_its_comments_nor_for_all_of_its_events() {
+    let texts = [
+        "data: a\n\ndata: b\n\nevent: end\ndata\n\n",
+        ": hello\n\nretry: 2000\n\nid: 1\ndata: a\n\n: still here\n\nid: 4\ndata: b\n\n",
+    ];
+    for text in texts {
+        for cut in 0..text.len() {
+            let mut splitter = EventSplitter::resumed_after(None);
+            assert_eq!(push_all(&mut splitter, text, &[cut]), text, "cut at {cut}");
+            assert!(!splitter.is_foreign(), "{text:?}, cut at {cut}");
+        }
+    }
+}
+
+/// Texts in place of the first event of a stream, none of which has the form of an event with an id.
+const SPOILT_STARTS: [&str; 5] = [
+    "HTTP/1.1 500 Internal Server Error\r\ncontent-length: 6\r\n\r\nerror\n\n",
+    "no engine can take the request now\n\n",
+    "data: {\"error\":\"overloaded\"}\n\n",
+    "event: error\r\ndata: overloaded\r\n\r\n",
+    "error\nid: 1\ndata: piece 1\n\n",
+];
+
+/// Guards against MIXED: what is no event of a stream that may be resumed is passed on before its first
+/// event, and a run that begins anew follows it.
+#[test]
+fn a_stream_that_may_be_resumed_passes_on_nothing_before_its_first_id() {
+    for spoilt in SPOILT_STARTS {
+        for comment in ["", ": queued\n\n"] {
+            let text = format!("{comment}{spoilt}{}", stream(3, "\n"));
+            for cut in 0..text.len() {
+                let mut splitter = EventSplitter::resumed_after(None);
+                let forwarded = push_all(&mut splitter, &text, &[cut]);
+                assert_eq!(forwarded, "", "{text:?}, cut at {cut}");
+                assert!(splitter.is_foreign(), "{text:?}, cut at {cut}");
+                assert_eq!(splitter.last_id(), None, "{text:?}, cut at {cut}");
+            }
+        }
+    }
+}
+
+/// Guards against a first event that is held up until more of its stream has come.
+#[test]
+fn a_first_event_is_passed_on_with_its_last_byte() {
+    let event = "id: 1\ndata: piece 1\n\n";
+    for comment in ["", ": queued\n\n"] {
+        for mut splitter in [EventSplitter::default(), EventSplitter::resumed_after(None)] {
+            let early = push_all(&mut splitter, &format!("{comment}{}", &event[..20]), &[]);
+            let last = push_all(&mut splitter, &event[20..], &[]);
+            assert_eq!(format!("{early}{last}"), format!("{comment}{event}"));
+            assert!(last.ends_with(event), "{last:?}");
+        }
+    }
+}
+
+/// Guards against memory that fills with comments before a first event that never comes.
+#[test]
+fn comments_before_the_first_event_are_bounded() {
+    let comment = ": queued\n\n".repeat(1 << 10);
+    let mut splitter = EventSplitter::resumed_after(None);
+    let pushes = (0..200).take_while(|_| {
+        !splitter.is_oversized() && {
+            push_all(&mut splitter, &comment, &[]);
+            true
+        }
+    });
+    assert!(pushes.count() < 200, "the stream counts as oversized");
+}
