--- a/wagtaildoor_front/src/caller_request/request_outcome.rs
+++ b/wagtaildoor_front/src/caller_request/request_outcome.rs
@@ -84,9 +84,6 @@
     /// Stores an error response in case no other endpoint does better.
     pub(super) async fn store_failure(&mut self, started: StartedResponse) {
         let endpoint = started.guard.endpoint().clone();
-        let status = started.response.status();
-        self.log
-            .add_decision(format_args!("failed: status {status}"));
         self.possible_runs += 1;
         self.tried.push(endpoint.key);
         if let Ok(ReadAnswer::Whole(response)) = self.read_response(started).await {
--- a/wagtaildoor_front/src/caller_request/response_read.rs
+++ b/wagtaildoor_front/src/caller_request/response_read.rs
@@ -148,6 +148,11 @@
         started: StartedResponse,
     ) -> std::result::Result<ReadAnswer, Box<str>> {
         let (parts, body) = started.response.into_parts();
+        if !parts.status.is_success() {
+            let (status, not_run) = (parts.status.as_u16(), started.head.not_run);
+            self.log
+                .add_decision(format_args!("failed: status {status}, not run: {not_run}"));
+        }
         let silence = started.guard.endpoint().health.borrow().silence_token();
         let body = tokio::select! {
             body = collect_body(body, &self.front.buffer_budget) => body?,
