--- a/wagtaildoor_front/src/caller_request.rs
+++ b/wagtaildoor_front/src/caller_request.rs
@@ -74,6 +74,7 @@
 mod caller_refusal;
 mod connection_headers;
 mod engine_wait;
+mod false_promise;
 mod request_admission;
 mod request_outcome;
 mod request_quota;
@@ -259,6 +260,9 @@
         if self.route.kind.is_stream() && started.response.status() == StatusCode::OK {
             return self.respond_stream(started);
         }
+        if self.is_false_promise(&started) {
+            return self.respond_outcome_unknown(started);
+        }
         self.respond_buffered(started).await
     }
 
