--- a/wagtaildoor_front/src/caller_request/answer_end.rs
+++ b/wagtaildoor_front/src/caller_request/answer_end.rs
@@ -13,6 +13,7 @@
         Endpoint,
         EndpointKey, //
     },
+    endpoint_connection::EndpointConnection,
     engine_crash::{
         self,
         BrokenAnswer, //
@@ -47,12 +48,22 @@
         engine_crash::inspect_engine(&self.front, endpoint, &answer).await;
     }
 
-    /// Finds out whether an answer that has just ended with its connection is whole.
-    pub(crate) async fn check_end(&mut self, witness: &EndWitness) -> EndFinding {
+    /// Finds out whether an answer that has just ended with its connection is whole. A process that lives
+    /// has not ended it for that reason alone if it had not got the whole request.
+    pub(crate) async fn check_end(
+        &mut self,
+        witness: &EndWitness,
+        connection: &EndpointConnection,
+    ) -> EndFinding {
         let time_left = self.deadline.saturating_duration_since(Instant::now());
         let ended_at = BootInstant::now();
-        let finding = witness.check_end::<C>(&self.front, ended_at, time_left);
-        let finding = finding.await;
+        let finding = match connection.has_written_request() {
+            true => {
+                let check = witness.check_end::<C>(&self.front, ended_at, time_left);
+                check.await
+            }
+            false => EndFinding::RequestCut,
+        };
         self.front.metrics.record_connection_end(finding.name());
         let name = finding.name();
         self.log
--- a/wagtaildoor_front/src/caller_request/response_read.rs
+++ b/wagtaildoor_front/src/caller_request/response_read.rs
@@ -159,12 +159,12 @@
             () = silence.cancelled() => return Err("endpoint is silent".into()),
         };
         if let Some(witness) = &started.end_witness {
-            match self.check_end(witness).await {
+            match self.check_end(witness, &started.connection).await {
                 EndFinding::Confirmed => {}
                 EndFinding::ProcessEnded => {
                     return Err("the endpoint ended with the answer".into());
                 }
-                EndFinding::Unconfirmed => {
+                EndFinding::Unconfirmed | EndFinding::RequestCut => {
                     let answer = UnconfirmedAnswer { head: parts, body };
                     return Ok(ReadAnswer::Unconfirmed(answer));
                 }
--- a/wagtaildoor_front/src/end_witness.rs
+++ b/wagtaildoor_front/src/end_witness.rs
@@ -47,6 +47,8 @@
     ProcessEnded,
     /// The process could not be asked.
     Unconfirmed,
+    /// The connection ended before the request was written, which a reset may follow.
+    RequestCut,
 }
 
 impl EndFinding {
@@ -56,6 +58,7 @@
             EndFinding::Confirmed => "confirmed",
             EndFinding::ProcessEnded => "process_ended",
             EndFinding::Unconfirmed => "unconfirmed",
+            EndFinding::RequestCut => "request_cut",
         }
     }
 }
--- a/wagtaildoor_front/src/endpoint_connection.rs
+++ b/wagtaildoor_front/src/endpoint_connection.rs
@@ -19,13 +19,15 @@
 };
 use http_body_util::Full;
 use hyper::{
-    body::Incoming,
+    body::{
+        Body,
+        Incoming, //
+    },
     client::conn::http1::{
         self,
         SendRequest, //
     },
 };
-use hyper_util::rt::TokioIo;
 use socket2::{
     SockRef,
     TcpKeepalive, //
@@ -37,6 +39,13 @@
 };
 use wagtaildoor::boot_clock::BootInstant;
 
+use crate::endpoint_connection::watched_stream::{
+    WatchedStream,
+    WriteProgress, //
+};
+
+mod watched_stream;
+
 /// Timeout for opening a connection; hosts are a few milliseconds apart.
 pub const CONNECT_TIMEOUT: Duration = Duration::from_millis(300);
 /// Idle time before the first TCP keepalive probe.
@@ -110,6 +119,8 @@
     sender: SendRequest<Full<Bytes>>,
     /// Whether a request was already sent on the connection.
     used: bool,
+    /// How far the last request was written.
+    progress: Rc<WriteProgress>,
 }
 
 /// Counts an open connection until dropped.
@@ -158,9 +169,9 @@
     /// Opens a new connection, which is not part of the pool until [`put_idle`](Self::put_idle).
     pub async fn connect(&self) -> io::Result<EndpointConnection> {
         let stream = connect(self.address).await?;
-        let (sender, connection) = http1::handshake(TokioIo::new(stream))
-            .await
-            .map_err(io::Error::other)?;
+        let progress = Rc::new(WriteProgress::default());
+        let stream = WatchedStream::new(stream, progress.clone());
+        let (sender, connection) = http1::handshake(stream).await.map_err(io::Error::other)?;
         self.open.set(self.open.get() + 1);
         let guard = OpenConnectionGuard(self.open.clone());
         task::spawn_local(async move {
@@ -171,6 +182,7 @@
         Ok(EndpointConnection {
             sender,
             used: false,
+            progress,
         })
     }
 
@@ -217,9 +229,16 @@
         self.sender.is_ready()
     }
 
+    /// Whether the last request was written completely. An answer may begin before that.
+    pub fn has_written_request(&self) -> bool {
+        self.progress.is_complete()
+    }
+
     /// Sends a request and waits for the response head.
     pub async fn exchange(&mut self, request: Request<Full<Bytes>>) -> Result<Response<Incoming>> {
         self.used = true;
+        let body_bytes = request.body().size_hint().exact().unwrap_or_default();
+        self.progress.begin(body_bytes as usize);
         let sent = self.sender.try_send_request(request).await;
         sent.map_err(|mut error| {
             let unsent = error.take_message().is_some();
--- a/wagtaildoor_front/src/stream_relay.rs
+++ b/wagtaildoor_front/src/stream_relay.rs
@@ -249,12 +249,12 @@
         if resumed_after.is_none() && !source.has_event {
             return SourceEnd::Broken("the stream ended before its first event".into());
         }
-        match request.check_end(witness).await {
+        match request.check_end(witness, &source.connection).await {
             EndFinding::Confirmed => {}
             EndFinding::ProcessEnded => {
                 return SourceEnd::Broken("the engine ended with the stream".into());
             }
-            EndFinding::Unconfirmed => {
+            EndFinding::Unconfirmed | EndFinding::RequestCut => {
                 return SourceEnd::Broken("the end of the stream is not confirmed".into());
             }
         }
