--- a/wagtaildoor_front/src/caller_request/request_send.rs
+++ b/wagtaildoor_front/src/caller_request/request_send.rs
@@ -1,6 +1,9 @@
 //! Sends a request to one endpoint and checks the response head.
 
-use std::time::Duration;
+use std::{
+    ops::RangeInclusive,
+    time::Duration, //
+};
 
 use bytes::Bytes;
 use http::{
@@ -56,6 +59,8 @@
 /// Result type for sends.
 type Result<T> = std::result::Result<T, SendFailure>;
 
+/// Statuses of answers. The HTTP library takes 101 and all numbers of three digits from 200 for final.
+const FINAL_STATUSES: RangeInclusive<u16> = 200..=599;
 /// Number of later sends that must be answered first before an earlier send counts as lost.
 const MIN_OVERTAKING_RESPONSES: u32 = 4;
 /// Interval between checks whether a send was overtaken.
@@ -233,7 +238,12 @@
         response: Response<Incoming>,
         now: BootInstant,
     ) -> Result<StartedResponse> {
-        let head = C::parse_answer_head(response.status(), response.headers());
+        let status = response.status();
+        if !FINAL_STATUSES.contains(&status.as_u16()) {
+            let reason = format!("status {} is not that of an answer", status.as_u16());
+            return Err(SendFailure::Lost(reason.into()));
+        }
+        let head = C::parse_answer_head(status, response.headers());
         let is_refusal = head.not_run || head.misdirected;
         let is_foreign = match &head.attempt {
             Some(attempt) => Some(attempt) != self.head.attempt.as_ref(),
@@ -267,7 +277,7 @@
             engine_loads::record_weights(&self.front, endpoint, &engine.model, weights, evidence);
         }
         let is_encoded = response.headers().contains_key(header::CONTENT_ENCODING);
-        if is_encoded || (!head.signed && response.status().is_success()) {
+        if is_encoded || (!head.signed && status.is_success()) {
             return Err(SendFailure::Lost(
                 "the response is unsigned or encoded".into(),
             ));
