Word the log of failed answers by what can still vary

A marked answer is a refusal and is handled before, so that "not run: false" stood behind every failure. "failed: status N" is left, and "no refusal" where the answer is not passed on for its status.

--- a/wagtaildoor_front/src/caller_request/false_promise.rs
+++ b/wagtaildoor_front/src/caller_request/false_promise.rs
@@ -31,12 +31,11 @@
 ];
 
 impl<C: WireCodec> CallerRequest<C> {
-    /// Whether the caller would take a request that may have run for one that was not. Callers send
-    /// repeatable requests again after any failure, so that nothing is promised to them.
+    /// Whether the caller would take a request that may have run for one that was not. An answer by which
+    /// the endpoint states that it did not run the request is a refusal, and never gets here. Callers
+    /// send repeatable requests again after any failure, so that nothing is promised to them.
     pub(super) fn is_false_promise(&self, started: &StartedResponse) -> bool {
-        !started.head.not_run
-            && !self.route.kind.is_repeatable()
-            && NOT_RUN_STATUSES.contains(&started.response.status())
+        !self.route.kind.is_repeatable() && NOT_RUN_STATUSES.contains(&started.response.status())
     }
 
     /// Responds in the host's own name that the outcome is unknown. The endpoint's signature would vouch
@@ -54,7 +53,7 @@
         self.front.metrics.record_send("failed");
         self.log.set_answering_endpoint(&endpoint.id);
         self.log
-            .add_decision(format_args!("failed: status {status}, not run: false"));
+            .add_decision(format_args!("failed: status {status}, no refusal"));
         let detail =
             format!("the endpoint answered {status}, but not that it did not run the request");
         let error = RequestError::new(ErrorKind::OutcomeUnknown, detail);
--- a/wagtaildoor_front/src/caller_request/response_read.rs
+++ b/wagtaildoor_front/src/caller_request/response_read.rs
@@ -149,9 +149,9 @@
     ) -> std::result::Result<ReadAnswer, Box<str>> {
         let (parts, body) = started.response.into_parts();
         if !parts.status.is_success() {
-            let (status, not_run) = (parts.status.as_u16(), started.head.not_run);
+            let status = parts.status.as_u16();
             self.log
-                .add_decision(format_args!("failed: status {status}, not run: {not_run}"));
+                .add_decision(format_args!("failed: status {status}"));
         }
         let silence = started.guard.endpoint().health.borrow().silence_token();
         let body = tokio::select! {
