--- a/wagtaildoor_front/src/caller_request.rs
+++ b/wagtaildoor_front/src/caller_request.rs
@@ -257,7 +257,7 @@
             }
             None => return self.respond_at_limit(),
         };
-        if self.route.kind.is_stream() && started.response.status() == StatusCode::OK {
+        if self.is_event_stream(&started) {
             return self.respond_stream(started);
         }
         if self.is_false_promise(&started) {
@@ -266,6 +266,11 @@
         self.respond_buffered(started).await
     }
 
+    /// Whether a response is a stream of events, which is passed on while it arrives.
+    fn is_event_stream(&self, started: &StartedResponse) -> bool {
+        self.route.kind.is_stream() && started.response.status() == StatusCode::OK
+    }
+
     /// Sends the request until an endpoint responds.
     ///
     /// Returns `None` if the only result is an endpoint's error response, stored in `failure`.
--- a/wagtaildoor_front/src/caller_request/response_read.rs
+++ b/wagtaildoor_front/src/caller_request/response_read.rs
@@ -71,7 +71,8 @@
 }
 
 impl<C: WireCodec> CallerRequest<C> {
-    /// Buffers the complete response and returns it; retries if the response breaks off.
+    /// Buffers the complete response and returns it; retries if the response breaks off. A stream that
+    /// follows a failure is not buffered.
     pub(super) async fn respond_buffered(
         mut self,
         mut started: StartedResponse,
@@ -112,6 +113,9 @@
                 false => Some(self.no_endpoint_outcome()),
             };
             if let Some(Ok(Some(next))) = next {
+                if self.is_event_stream(&next) {
+                    return self.respond_stream(next);
+                }
                 started = next;
                 continue;
             }
