Let single words pass again on routes that cannot be resumed

Change: on those routes only lines end a source that no field of an event could be, as those of an HTTP head, of a sentence or of JSON. Unknown fields, with or without a value, are the client's to ignore. Where a stream may be resumed nothing changes.

--- a/wagtaildoor_front/src/event_splitter.rs
+++ b/wagtaildoor_front/src/event_splitter.rs
@@ -180,7 +180,11 @@
                 None => EventKind::Next,
             };
         }
-        if !event_syntax::has_event_form(event) {
+        let has_form = match self.numbering {
+            EventNumbering::Optional => !event_syntax::is_plain_text(event),
+            _ => event_syntax::has_event_form(event),
+        };
+        if !has_form {
             return EventKind::Foreign;
         }
         let id = event_syntax::event_id(event);
--- a/wagtaildoor_front/src/event_splitter/event_syntax.rs
+++ b/wagtaildoor_front/src/event_splitter/event_syntax.rs
@@ -38,15 +38,20 @@
 pub(super) fn has_event_form(event: &[u8]) -> bool {
     let mut has_known_field = false;
     for line in lines(event) {
-        let colon = line.iter().position(|&byte| byte == b':');
-        let name = &line[..colon.unwrap_or(line.len())];
-        if EVENT_FIELDS.contains(&name) {
-            has_known_field = true;
-        } else if !name.iter().all(is_name_byte) || (colon.is_none() && !name.is_empty()) {
+        let is_known = EVENT_FIELDS.contains(&field_name(line));
+        let has_value = line.is_empty() || line.contains(&b':');
+        if !is_known && !has_value {
             return false;
         }
+        has_known_field |= is_known;
     }
-    has_known_field
+    has_known_field && !is_plain_text(event)
+}
+
+/// Whether a line is no field, known or not, since its name holds what no name does. Clients ignore
+/// unknown fields, with or without a value.
+pub(super) fn is_plain_text(event: &[u8]) -> bool {
+    lines(event).any(|line| !field_name(line).iter().all(is_name_byte))
 }
 
 /// Id of the last event that has one.
@@ -56,6 +61,12 @@
     id.trim().parse().ok()
 }
 
+/// Name of the field in a line, which is empty for a comment.
+fn field_name(line: &[u8]) -> &[u8] {
+    let colon = line.iter().position(|&byte| byte == b':');
+    &line[..colon.unwrap_or(line.len())]
+}
+
 /// Lines without their ends.
 fn lines(event: &[u8]) -> impl Iterator<Item = &[u8]> {
     let event = event.strip_prefix(BYTE_ORDER_MARK).unwrap_or(event);
