Review case 11: whole answers are broken off beside a change of the configuration

Sound replicas answer without a length; the front asks the health path whether the process lives, that call waits for a slot, and the front breaks off the answer that it has in full.

Case: review/11, a script with one front and six stand-in replicas of two plain services; a version moves the route to the service with fewer replicas for 2.8 s.

--- a/review/standin-3/desk.rs
+++ b/review/standin-3/desk.rs
@@ -33,8 +33,6 @@
     id: String,
     /// Time that a request takes.
     work: Duration,
-    /// Whether answers have a length; without one, each ends with its connection.
-    has_length: bool,
     queue: Mutex<Queue>,
     changed: Condvar,
     /// Attempts whose whole answer was written, and when.
@@ -44,25 +42,24 @@
 
 impl Desk {
     pub fn start(
+        service: &str,
         number: usize,
         work: Duration,
-        has_length: bool,
         store: &Store,
         record: &Arc<Record>,
     ) -> io::Result<Arc<Self>> {
         let listener = TcpListener::bind("127.0.0.1:0")?;
         let address = listener.local_addr()?;
         let desk = Arc::new(Self {
-            id: format!("i-desk-{number}"),
+            id: format!("i-{service}-{number}"),
             work,
-            has_length,
             queue: Mutex::default(),
             changed: Condvar::new(),
             answered: Mutex::default(),
             record: record.clone(),
         });
         let value = format!(
-            "{{\"service\":\"counter\",\"address\":\"{address}\",\"zone\":\"kl-a\",\"version\":1,\
+            "{{\"service\":\"{service}\",\"address\":\"{address}\",\"zone\":\"kl-a\",\"version\":1,\
              \"slots\":{SLOTS},\"state\":\"ready\",\"cold_remaining_ms\":0,\"sequence\":1,\
              \"born\":1790000000000}}"
         );
@@ -118,13 +115,6 @@
         self.record.line(&format!("{}: runs {attempt}", self.id));
         thread::sleep(self.work);
         self.release_slot();
-        if self.has_length {
-            let headers = [
-                ("X-Attempt-Id", &*attempt),
-                ("X-Server-Signature", "3e1b.07.5a2.600.0.c9f2a4d1"),
-            ];
-            return http::respond(stream, 200, &headers, BODY);
-        }
         let head = format!(
             "HTTP/1.1 200 OK\r\nX-Attempt-Id: {attempt}\r\n\
              X-Server-Signature: 3e1b.07.5a2.600.0.c9f2a4d1\r\nConnection: close\r\n\r\n"
--- a/review/standin-3/fleet.rs
+++ b/review/standin-3/fleet.rs
@@ -4,7 +4,6 @@
     fs::{self, File},
     io,
     net::{Ipv4Addr, SocketAddr},
-    os::unix::process::CommandExt,
     path::PathBuf,
     process::{self, Child, Command, Stdio},
     sync::Arc,
@@ -18,26 +17,14 @@
 const READY_PORT: u16 = 8_701;
 const PEER_PORT: u16 = 8_702;
 
-/// `file_descriptors` of the settings, which the platform enforces for each process.
-const FILE_DESCRIPTORS: u64 = 6_150;
-const RLIMIT_NOFILE: i32 = 7;
-
-extern "C" {
-    fn setrlimit(resource: i32, limit: &[u64; 2]) -> i32;
-}
-
 pub struct Front {
-    pub name: String,
     address: Ipv4Addr,
-    settings: PathBuf,
-    log: PathBuf,
-    pub child: Child,
+    child: Child,
 }
 
 pub struct Fleet {
     folder: PathBuf,
     pub fronts: Vec<Front>,
-    record: Arc<Record>,
 }
 
 impl Fleet {
@@ -49,7 +36,6 @@
         let mut fleet = Self {
             folder,
             fronts: Vec::new(),
-            record: record.clone(),
         };
         let net = [(id >> 7) as u8 | 0x80, (id << 1) as u8 | 1];
         let address = |number: usize| Ipv4Addr::new(127, net[0], net[1], number as u8 + 1);
@@ -68,10 +54,7 @@
             let child = spawn(&settings, &log)?;
             record.line(&format!("{name}: started, process {}", child.id()));
             fleet.fronts.push(Front {
-                name,
                 address: own,
-                settings,
-                log,
                 child,
             });
         }
@@ -89,18 +72,6 @@
         }
         false
     }
-
-    pub fn restart(&mut self, number: usize) -> io::Result<()> {
-        let front = &mut self.fronts[number];
-        front.child = spawn(&front.settings, &front.log)?;
-        let line = format!(
-            "{}: started again, process {}",
-            front.name,
-            front.child.id()
-        );
-        self.record.line(&line);
-        Ok(())
-    }
 }
 
 impl Drop for Fleet {
@@ -139,18 +110,7 @@
 /// Starts the program of the deploy file.
 fn spawn(settings: &PathBuf, log: &PathBuf) -> io::Result<Child> {
     let log = File::options().create(true).append(true).open(log)?;
-    let mut command = Command::new("target/release/wagtaildoor-front");
-    // Sound between fork and exec, since the call only makes a system call.
-    unsafe {
-        command.pre_exec(|| {
-            let limit = [FILE_DESCRIPTORS; 2];
-            match setrlimit(RLIMIT_NOFILE, &limit) {
-                0 => Ok(()),
-                _ => Err(io::Error::last_os_error()),
-            }
-        });
-    }
-    command
+    Command::new("target/release/wagtaildoor-front")
         .args(["--settings", "deploy/front.ini"])
         .env("WAGTAILDOOR_CONFIG", settings)
         .stdin(Stdio::null())
--- a/review/standin-3/store.rs
+++ b/review/standin-3/store.rs
@@ -20,13 +20,11 @@
 struct Member {
     joined_at: Option<Instant>,
     expiry: Duration,
-    /// Whether its time has expired while the store was down.
-    has_lapsed: bool,
 }
 
 impl Member {
     fn is_expired(&self) -> bool {
-        self.has_lapsed || self.joined_at.is_some_and(|at| at.elapsed() >= self.expiry)
+        self.joined_at.is_some_and(|at| at.elapsed() >= self.expiry)
     }
 }
 
@@ -104,7 +102,6 @@
         let member = self.members.entry(name.to_string()).or_default();
         member.joined_at = Some(Instant::now());
         member.expiry = expiry;
-        member.has_lapsed = false;
         let before = self.members.len();
         self.members.retain(|_, member| !member.is_expired());
         if is_new || self.members.len() != before {
@@ -159,7 +156,6 @@
     /// Records of each topic: key and value; an empty value drops the key.
     topics: HashMap<String, Vec<(String, Vec<u8>)>>,
     group: Group,
-    is_down: bool,
 }
 
 pub struct Store {
@@ -193,36 +189,6 @@
         self.changed.notify_all();
     }
 
-    /// Takes the store down: all calls get 503, nothing is done.
-    pub fn go_down(&self) {
-        self.state.lock().unwrap().is_down = true;
-        self.changed.notify_all();
-        self.record.line("store: down");
-    }
-
-    /// Brings the store back. The times of the group's members have expired meanwhile.
-    pub fn come_back(&self) {
-        let mut state = self.state.lock().unwrap();
-        state.is_down = false;
-        for member in state.group.members.values_mut() {
-            member.has_lapsed = true;
-        }
-        self.record
-            .line("store: back, the members' times have expired");
-    }
-
-    /// Number of partitions that each member holds.
-    pub fn holders(&self) -> BTreeMap<String, usize> {
-        let state = self.state.lock().unwrap();
-        let mut counts = BTreeMap::new();
-        for partition in &state.group.partitions {
-            if partition.holder == partition.target {
-                *counts.entry(partition.holder.clone()).or_default() += 1;
-            }
-        }
-        counts
-    }
-
     fn answer(&self, request: &Message, stream: &mut TcpStream) -> io::Result<()> {
         let (status, body) = self.handle(request);
         let json = [("Content-Type", "application/json")];
@@ -231,9 +197,6 @@
 
     fn handle(&self, request: &Message) -> (u16, Vec<u8>) {
         let mut state = self.state.lock().unwrap();
-        if state.is_down {
-            return (503, Vec::new());
-        }
         let topic = request.query("topic").unwrap_or("").to_string();
         match request.path() {
             "/-/log-newest" => (200, newest(&state, &topic).into_bytes()),
@@ -252,9 +215,6 @@
                         return (200, page(records, from));
                     }
                     state = self.changed.wait_timeout(state, left).unwrap().0;
-                    if state.is_down {
-                        return (503, Vec::new());
-                    }
                 }
             }
             "/-/log-append" => {
