Log how far the check of an answer's end came

The log said no more than "unconfirmed" for a check that was not answered, one that waited for another check, and one whose answer was misread.

The decision now names the step that the check had reached, its time, and the part of it behind other checks. Nothing else changes.

--- a/wagtaildoor_front/src/caller_request/answer_end.rs
+++ b/wagtaildoor_front/src/caller_request/answer_end.rs
@@ -6,6 +6,7 @@
 use crate::{
     caller_request::CallerRequest,
     end_witness::{
+        CheckProgress,
         EndFinding,
         EndWitness, //
     },
@@ -57,17 +58,23 @@
     ) -> EndFinding {
         let time_left = self.deadline.saturating_duration_since(Instant::now());
         let ended_at = BootInstant::now();
+        let progress = CheckProgress::default();
         let finding = match connection.has_written_request() {
             true => {
-                let check = witness.check_end::<C>(&self.front, ended_at, time_left);
+                let check = witness.check_end::<C>(&self.front, ended_at, time_left, &progress);
                 check.await
             }
             false => EndFinding::RequestCut,
         };
         self.front.metrics.record_connection_end(finding.name());
         let name = finding.name();
-        self.log
-            .add_decision(format_args!("ended with its connection: {name}"));
+        let step = progress.step.get();
+        let took_ms = ended_at.elapsed().as_millis();
+        let queued_ms = progress.queued_for.get().map(|time| time.as_millis());
+        let queued_ms = queued_ms.unwrap_or(took_ms);
+        self.log.add_decision(format_args!(
+            "ended with its connection: {name} ({step}, {took_ms} ms, {queued_ms} of them behind others)"
+        ));
         finding
     }
 }
--- a/wagtaildoor_front/src/end_witness.rs
+++ b/wagtaildoor_front/src/end_witness.rs
@@ -63,6 +63,36 @@
     }
 }
 
+/// How far the check of an answer's end has come.
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq, derive_more::Display)]
+pub enum CheckStep {
+    /// Another check of the endpoint is in progress.
+    #[default]
+    #[display("behind another check")]
+    Queued,
+    /// The connection for the call is being opened.
+    #[display("connecting")]
+    Connecting,
+    /// The call was sent.
+    #[display("no answer")]
+    Asked,
+    /// The call was answered with this status.
+    #[display("answered {_0}")]
+    Answered(u16),
+    /// The connection ended without an answer to the call.
+    #[display("connection lost")]
+    Lost,
+}
+
+/// Progress of one check, for the log.
+#[derive(Debug, Default)]
+pub struct CheckProgress {
+    /// Latest step.
+    pub step: Cell<CheckStep>,
+    /// Time spent behind other checks; `None` while that lasts.
+    pub queued_for: Cell<Option<Duration>>,
+}
+
 /// A further connection to an endpoint that has answers of unknown length in progress.
 ///
 /// An operating system closes the connections of a process that crashes in the same way as the process
@@ -143,16 +173,23 @@
         front: &Front,
         ended_at: BootInstant,
         time_left: Duration,
+        progress: &CheckProgress,
     ) -> EndFinding {
         let limit = time_left.mul_f64(CHECK_TIME_SHARE).min(MAX_CHECK_TIME);
-        let check = self.ask_process::<C>(front, ended_at);
+        let check = self.ask_process::<C>(front, ended_at, progress);
         time::timeout(limit, check)
             .await
             .unwrap_or(EndFinding::Unconfirmed)
     }
 
-    async fn ask_process<C: WireCodec>(&self, front: &Front, ended_at: BootInstant) -> EndFinding {
+    async fn ask_process<C: WireCodec>(
+        &self,
+        front: &Front,
+        ended_at: BootInstant,
+        progress: &CheckProgress,
+    ) -> EndFinding {
         let mut held = self.connection.lock().await;
+        progress.queued_for.set(Some(ended_at.elapsed()));
         if self.has_confirmed(ended_at) {
             return EndFinding::Confirmed;
         }
@@ -160,7 +197,7 @@
         if let Some(mut witness) = held.take() {
             if witness.opened_at < ended_at {
                 let sent_at = BootInstant::now();
-                if let Some(answer) = self.call::<C>(front, &mut witness).await {
+                if let Some(answer) = self.call::<C>(front, &mut witness, progress).await {
                     let finding = self.judge::<C>(&answer, true);
                     if finding == EndFinding::Confirmed {
                         self.confirmed.set(Some(Confirmation {
@@ -178,15 +215,18 @@
         }
         let mut witness = match held.take() {
             Some(witness) => witness,
-            None => match self.connect().await {
-                Ok(witness) => witness,
-                Err(error) if error.kind() == io::ErrorKind::ConnectionRefused => {
-                    return EndFinding::ProcessEnded;
+            None => {
+                progress.step.set(CheckStep::Connecting);
+                match self.connect().await {
+                    Ok(witness) => witness,
+                    Err(error) if error.kind() == io::ErrorKind::ConnectionRefused => {
+                        return EndFinding::ProcessEnded;
+                    }
+                    Err(_) => return EndFinding::Unconfirmed,
                 }
-                Err(_) => return EndFinding::Unconfirmed,
-            },
+            }
         };
-        let Some(answer) = self.call::<C>(front, &mut witness).await else {
+        let Some(answer) = self.call::<C>(front, &mut witness, progress).await else {
             return EndFinding::Unconfirmed;
         };
         *held = Some(witness);
@@ -227,10 +267,16 @@
         &self,
         front: &Front,
         witness: &mut WitnessConnection,
+        progress: &CheckProgress,
     ) -> Option<WitnessAnswer> {
         let call = self.build_call::<C>(front)?;
+        progress.step.set(CheckStep::Asked);
         let answer = endpoint_call::exchange(&self.endpoint, &mut witness.connection, call).await;
-        let (status, headers, body) = answer.ok()?;
+        let Ok((status, headers, body)) = answer else {
+            progress.step.set(CheckStep::Lost);
+            return None;
+        };
+        progress.step.set(CheckStep::Answered(status.as_u16()));
         Some(WitnessAnswer {
             status,
             headers,
--- a/wagtaildoor_front/tests/end_witness.rs
+++ b/wagtaildoor_front/tests/end_witness.rs
@@ -25,6 +25,7 @@
 use wagtaildoor::boot_clock::BootInstant;
 use wagtaildoor_front::{
     end_witness::{
+        CheckProgress,
         EndFinding,
         EndWitness, //
     },
@@ -138,7 +139,7 @@
 async fn check(front: &Front, witness: &EndWitness) -> EndFinding {
     let ended_at = BootInstant::now();
     witness
-        .check_end::<TextCodec>(front, ended_at, TIME_LEFT)
+        .check_end::<TextCodec>(front, ended_at, TIME_LEFT, &CheckProgress::default())
         .await
 }
 
@@ -162,7 +163,8 @@
         let ended_at = BootInstant::now();
         assert_eq!(first.await.expect("a finding"), EndFinding::Confirmed);
         serving.abort();
-        let second = witness.check_end::<TextCodec>(&front, ended_at, TIME_LEFT);
+        let progress = CheckProgress::default();
+        let second = witness.check_end::<TextCodec>(&front, ended_at, TIME_LEFT, &progress);
         assert_eq!(second.await, EndFinding::ProcessEnded);
     });
 }
