Log the cache salt of a request and the version it comes from

The log had the version that admitted a request and the source of its blocks, but not under which salt it went.

The decision of a placement now names both. Nothing else changes.

--- a/wagtaildoor_front/src/caller_request.rs
+++ b/wagtaildoor_front/src/caller_request.rs
@@ -424,6 +424,12 @@
             "to {} (cost {:.0} ms, load {load:.1}, to read {}, blocks from {source})",
             placement.endpoint.id, placement.cost_ms, placement.prefill_tokens,
         ));
+        if let Some(engine) = &placement.engine {
+            let salt = &engine.cache_salt;
+            let version = self.table.version();
+            self.log
+                .add_decision(format_args!("salt {salt} by version {version}"));
+        }
         if let Some(age) = placement.endpoint.leaving_for(now) {
             let age_ms = age.as_millis();
             self.log
