--- a/wagtaildoor_front/src/caller_request.rs
+++ b/wagtaildoor_front/src/caller_request.rs
@@ -381,15 +381,20 @@
                 .with_query(|query| request_placement::is_load_in_progress(&self.front, query, now))
     }
 
+    /// Newest configuration. It may be later than the one that admitted the request.
+    fn newest_table(&self) -> Rc<RouteTable> {
+        self.front.routes().unwrap_or_else(|| self.table.clone())
+    }
+
     /// Calls a function with the properties that determine the choice of an endpoint.
     fn with_query<T>(&self, choose: impl FnOnce(&PlacementQuery<'_>) -> T) -> T {
+        let table = self.newest_table();
         let account = self.account.as_ref();
-        let isolated = account.filter(|account| account.isolated);
         let attempt = self.head.attempt.as_deref().unwrap_or_default();
         let query = PlacementQuery {
             services: &self.target_services(),
             prompt: self.head.prompt.as_ref(),
-            isolated: isolated.map(|account| &*account.id),
+            group: table.sharing_group(account.map(|account| &account.id)),
             tried: &self.tried,
             draw: prefix_hash::text_hash(attempt),
         };
@@ -426,7 +431,7 @@
         ));
         if let Some(engine) = &placement.engine {
             let salt = &engine.cache_salt;
-            let version = self.table.version();
+            let version = self.newest_table().version();
             self.log
                 .add_decision(format_args!("salt {salt} by version {version}"));
         }
--- a/wagtaildoor_front/src/prefix_hash.rs
+++ b/wagtaildoor_front/src/prefix_hash.rs
@@ -2,11 +2,7 @@
 
 use std::time::Duration;
 
-use wagtaildoor::ids::{
-    ModelId,
-    PrefixId,
-    WeightsVersion, //
-};
+use wagtaildoor::ids::PrefixId;
 
 /// Offset basis of the 64-bit FNV-1a hash.
 const FNV_OFFSET: u64 = 0xcbf2_9ce4_8422_2325;
@@ -24,15 +20,6 @@
     mix_bits(first.rotate_left(17).wrapping_add(FNV_PRIME) ^ second)
 }
 
-/// Returns the salt that separates cached blocks. Blocks are shared only under the same model and
-/// weights, and within the account if `isolated` names one.
-pub fn cache_salt(model: &ModelId, weights: WeightsVersion, isolated: Option<&str>) -> Box<str> {
-    match isolated {
-        Some(account) => format!("{model}/{weights}/{account}").into(),
-        None => format!("{model}/{weights}").into(),
-    }
-}
-
 /// Ids of the prefixes that end at each part of a prompt, shortest first.
 pub fn prefix_ids(cache_salt: &str, parts: impl Iterator<Item = u64>) -> Vec<PrefixId> {
     let mut hash = text_hash(cache_salt);
--- a/wagtaildoor_front/src/request_placement.rs
+++ b/wagtaildoor_front/src/request_placement.rs
@@ -38,6 +38,7 @@
         PlainCandidate, //
     },
     prefix_hash,
+    route_table::account_isolation::SharingGroup,
     service_config::ServiceKind,
     wanted_weights::WantedWeights,
     weights_rollout,
@@ -58,8 +59,8 @@
     pub services: &'a [&'a ServiceId],
     /// Prompt of the request; `None` for requests to plain services.
     pub prompt: Option<&'a PromptHead>,
-    /// Client account whose cached blocks must not be shared; `None` if they may be shared.
-    pub isolated: Option<&'a str>,
+    /// Accounts that share cached blocks with that of the request.
+    pub group: SharingGroup<'a>,
     /// Endpoints that are excluded because they were already tried.
     pub tried: &'a [EndpointKey],
     /// Random value that breaks ties.
@@ -86,7 +87,7 @@
     pub model: ModelId,
     /// Weights version that the request must start with.
     pub weights: WeightsVersion,
-    /// Salt that separates cached blocks of different models, weights and isolated accounts.
+    /// Salt that separates cached blocks of different models, weights and groups of accounts.
     pub cache_salt: Box<str>,
     /// Engine or block store from which cached blocks are fetched.
     pub source: Option<SocketAddr>,
@@ -184,7 +185,7 @@
     if let Some(wanted) = &wanted {
         assign_load_waves(front, &mut candidates, &prompt.model, wanted, now);
     }
-    let prefixes = shared_prefixes(prompt, query.isolated, &candidates);
+    let prefixes = shared_prefixes(prompt, query.group, &candidates);
     let demand = PromptRequest {
         prefixes: &prefixes,
         tokens: prompt.tokens as f64,
@@ -215,7 +216,7 @@
         engine: Some(EnginePlacement {
             model: prompt.model.clone(),
             weights: choice.weights,
-            cache_salt: prefix_hash::cache_salt(&prompt.model, choice.weights, query.isolated),
+            cache_salt: query.group.cache_salt(&prompt.model, choice.weights),
             source,
             copy_to,
             queued_tokens: choice.queued_tokens,
@@ -283,7 +284,7 @@
 /// Shared prefixes of a prompt for each weights version that an engine has.
 fn shared_prefixes(
     prompt: &PromptHead,
-    isolated: Option<&str>,
+    group: SharingGroup<'_>,
     candidates: &[EngineCandidate],
 ) -> Vec<(WeightsVersion, Vec<SharedPrefix>)> {
     let mut versions: Vec<WeightsVersion> = candidates.iter().map(|c| c.weights).collect();
@@ -291,7 +292,7 @@
     versions.dedup();
     let (_, shared) = prompt.parts.split_last().unwrap_or((&EMPTY_PART, &[]));
     let prefix_chain = |weights| {
-        let cache_salt = prefix_hash::cache_salt(&prompt.model, weights, isolated);
+        let cache_salt = group.cache_salt(&prompt.model, weights);
         let ids = prefix_hash::prefix_ids(&cache_salt, shared.iter().map(|part| part.id));
         let mut tokens = 0.0;
         let chain = ids.into_iter().zip(shared).map(|(id, part)| {
--- a/wagtaildoor_front/src/route_table.rs
+++ b/wagtaildoor_front/src/route_table.rs
@@ -13,6 +13,10 @@
 
 use crate::{
     prefix_hash,
+    route_table::account_isolation::{
+        AccountIsolation,
+        SharingGroup, //
+    },
     service_config::{
         AccountRule,
         CallerLimits,
@@ -24,6 +28,8 @@
     },
 };
 
+pub mod account_isolation;
+
 /// A configuration version with indexes for lookups.
 #[derive(Debug)]
 pub struct RouteTable {
@@ -34,6 +40,8 @@
     services: HashMap<ServiceId, ServiceRule>,
     /// Client accounts by key; `None` disables authentication.
     accounts: Option<HashMap<Box<str>, Rc<AccountRule>>>,
+    /// Which accounts share cached blocks.
+    isolation: AccountIsolation,
     /// Accounts that have a quota.
     quotas: Vec<(AccountId, QuotaRule)>,
     /// Limits for callers' requests and connections.
@@ -64,12 +72,14 @@
         let accounts = config.accounts.iter().flatten();
         let quotas = accounts.filter_map(|account| Some((account.id.clone(), account.quota?)));
         let quotas = quotas.collect();
+        let isolation = config.accounts.iter().flatten().collect();
         let services = config.services.into_iter();
         Self {
             version: config.version,
             routes,
             services: services.map(|rule| (rule.id.clone(), rule)).collect(),
             accounts: config.accounts.map(accounts_by_key),
+            isolation,
             quotas,
             limits: config.limits,
         }
@@ -107,6 +117,11 @@
         }
     }
 
+    /// Accounts with which an account, or an anonymous caller, shares cached blocks.
+    pub fn sharing_group<'a>(&'a self, account: Option<&'a AccountId>) -> SharingGroup<'a> {
+        self.isolation.group(account)
+    }
+
     /// Accounts that have a quota.
     pub fn quotas(&self) -> impl Iterator<Item = (&AccountId, QuotaRule)> {
         self.quotas.iter().map(|(account, quota)| (account, *quota))
--- a/wagtaildoor_front/src/wire_codec.rs
+++ b/wagtaildoor_front/src/wire_codec.rs
@@ -86,7 +86,7 @@
 pub struct EngineHead<'a> {
     /// Weights version that the request must start with.
     pub weights: WeightsVersion,
-    /// Salt that separates cached blocks of different models, weights and isolated accounts.
+    /// Salt that separates cached blocks of different models, weights and groups of accounts.
     pub cache_salt: &'a str,
     /// Address from which cached blocks are fetched.
     pub cache_source: Option<SocketAddr>,
