--- a/wagtaildoor_front/src/caller_request.rs
+++ b/wagtaildoor_front/src/caller_request.rs
@@ -48,13 +48,8 @@
         SharedPart, //
     },
     front::Front,
-    prefix_hash,
     request_log::RequestLog,
-    request_placement::{
-        self,
-        PlacementQuery,
-        RequestPlacement, //
-    },
+    request_placement::RequestPlacement,
     route_table::{
         self,
         RouteTable, //
@@ -76,6 +71,7 @@
 mod blocked_prompt;
 mod caller_refusal;
 mod connection_headers;
+mod endpoint_choice;
 mod engine_wait;
 mod false_promise;
 mod request_admission;
@@ -366,41 +362,6 @@
         route_table::ordered_targets(&self.route, attempt)
     }
 
-    /// Chooses an endpoint for the next send.
-    fn choose_endpoint(&self, now: BootInstant) -> Option<RequestPlacement> {
-        if self.sends >= MAX_SENDS {
-            return None;
-        }
-        self.with_query(|query| request_placement::choose_endpoint(&self.front, query, now))
-    }
-
-    /// Whether an engine that could take the request is loading weights.
-    fn is_load_in_progress(&self, now: BootInstant) -> bool {
-        self.sends < MAX_SENDS
-            && self
-                .with_query(|query| request_placement::is_load_in_progress(&self.front, query, now))
-    }
-
-    /// Newest configuration. It may be later than the one that admitted the request.
-    fn newest_table(&self) -> Rc<RouteTable> {
-        self.front.routes().unwrap_or_else(|| self.table.clone())
-    }
-
-    /// Calls a function with the properties that determine the choice of an endpoint.
-    fn with_query<T>(&self, choose: impl FnOnce(&PlacementQuery<'_>) -> T) -> T {
-        let table = self.newest_table();
-        let account = self.account.as_ref();
-        let attempt = self.head.attempt.as_deref().unwrap_or_default();
-        let query = PlacementQuery {
-            services: &self.target_services(),
-            prompt: self.head.prompt.as_ref(),
-            group: table.sharing_group(account.map(|account| &account.id)),
-            tried: &self.tried,
-            draw: prefix_hash::text_hash(attempt),
-        };
-        choose(&query)
-    }
-
     /// Whether the request may be sent. Once a send has reached an endpoint, each further send uses
     /// one retry of the allowance.
     fn try_acquire_send(&mut self, service: &ServiceId, now: BootInstant) -> bool {
--- a/wagtaildoor_front/src/route_table/account_isolation.rs
+++ b/wagtaildoor_front/src/route_table/account_isolation.rs
@@ -44,8 +44,8 @@
     Single(&'a AccountId),
     /// All accounts that are not isolated, and anonymous callers. Holds the digest of those that are.
     ///
-    /// The accounts that a digest leaves out never write under it. So whatever an account has written before it
-    /// became isolated lies under other digests, on all hosts, whichever versions they have missed.
+    /// The isolated accounts, whose names make the digest, never write under it. So whatever an account has written
+    /// before it became isolated lies under other digests, on all hosts, whichever versions they have missed.
     Common(Option<&'a str>),
 }
 
